--- /dev/null
+++ b/internal/logger/events_platform.go
@@ -0,0 +1,4 @@
+package logger
+
+// Events 500 to 599.
+var platformEvents = []Event{}
