--- /dev/null
+++ b/internal/inspector/view.go
@@ -0,0 +1,185 @@
+// Package inspector serves a node's admin address: metrics, health, and a
+// read-only view of the blackboard. It changes nothing.
+package inspector
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+// View is the blackboard as JSON.
+type View struct {
+	Self    SelfView              `json:"self"`
+	Life    blackboard.LifePhase  `json:"life"`
+	Config  ConfigView            `json:"config"`
+	Lease   LeaseView             `json:"lease"`
+	Target  TargetView            `json:"target"`
+	Members []MemberView          `json:"members"`
+	Remote  []RemoteView          `json:"remote"`
+	Routes  []snapshotter.Route   `json:"routes"`
+	Service []snapshotter.Service `json:"services"`
+}
+
+// SelfView identifies the node.
+type SelfView struct {
+	Host        string `json:"host"`
+	DataCentre  string `json:"data-centre"`
+	Region      string `json:"region"`
+	Rack        string `json:"rack"`
+	Address     string `json:"address"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// ConfigView tells which version is in force on the node.
+type ConfigView struct {
+	// Running is 0 when no version is in force.
+	Running    uint64 `json:"running"`
+	Floor      uint64 `json:"floor"`
+	Recovering bool   `json:"recovering"`
+	Parent     string `json:"parent,omitempty"`
+}
+
+// LeaseView tells whether the node is a relay, and which relays it knows.
+type LeaseView struct {
+	// Slot is negative when the node holds none.
+	Slot    int         `json:"slot"`
+	Epoch   uint64      `json:"epoch"`
+	Expires time.Time   `json:"expires"`
+	Relays  []RelayView `json:"relays"`
+}
+
+// RelayView names the holder of a relay slot.
+type RelayView struct {
+	Slot    int       `json:"slot"`
+	Epoch   uint64    `json:"epoch"`
+	Host    string    `json:"host"`
+	Address string    `json:"address"`
+	Expires time.Time `json:"expires"`
+}
+
+// TargetView is the target on this host.
+type TargetView struct {
+	Service string                 `json:"service,omitempty"`
+	Phase   blackboard.TargetPhase `json:"phase"`
+	Slots   int                    `json:"slots"`
+	Address string                 `json:"address,omitempty"`
+	Lapses  time.Time              `json:"lapses"`
+}
+
+// MemberView is a node of the same data centre.
+type MemberView struct {
+	Host        string                  `json:"host"`
+	Address     string                  `json:"address"`
+	Rack        string                  `json:"rack"`
+	Incarnation uint64                  `json:"incarnation"`
+	Status      blackboard.MemberStatus `json:"status"`
+	Service     string                  `json:"service,omitempty"`
+	Phase       blackboard.TargetPhase  `json:"phase"`
+}
+
+// RemoteView is the summary of another data centre.
+type RemoteView struct {
+	DataCentre string        `json:"data-centre"`
+	Region     string        `json:"region"`
+	Epoch      uint64        `json:"epoch"`
+	Sequence   uint64        `json:"sequence"`
+	Received   time.Time     `json:"received"`
+	Services   []ServiceView `json:"services"`
+}
+
+// ServiceView counts ready targets of a service in another data centre.
+type ServiceView struct {
+	Service string `json:"service"`
+	Targets int    `json:"targets"`
+	Slots   int    `json:"slots"`
+}
+
+// NewView copies what operators may see of a state.
+func NewView(s *blackboard.State) View {
+	v := View{
+		Self:   SelfView(s.Self),
+		Life:   s.Life.Phase,
+		Config: configView(s.Config),
+		Lease:  leaseView(s.Lease),
+		Target: TargetView{
+			Service: s.Target.Record.Service,
+			Phase:   s.Target.Record.Phase,
+			Slots:   s.Target.Record.Slots,
+			Address: s.Target.Address,
+			Lapses:  s.Target.Lapses,
+		},
+		Members: memberViews(s.Members),
+		Remote:  remoteViews(s.Members),
+	}
+	if running := s.Config.Running; running != nil {
+		v.Routes = sorted(running.Routes, func(r snapshotter.Route) string { return r.Name })
+		v.Service = sorted(running.Services, func(sv snapshotter.Service) string { return sv.Name })
+	}
+	return v
+}
+
+// sorted returns the values of a map in order of name.
+func sorted[V any](values map[string]V, name func(V) string) []V {
+	out := make([]V, 0, len(values))
+	for _, v := range values {
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b V) int { return cmp.Compare(name(a), name(b)) })
+	return out
+}
+
+func configView(c blackboard.Config) ConfigView {
+	v := ConfigView{Floor: c.Floor, Recovering: c.Recovering, Parent: c.Parent}
+	if c.Running != nil {
+		v.Running = c.Running.Version
+	}
+	return v
+}
+
+func leaseView(l blackboard.Lease) LeaseView {
+	v := LeaseView{Slot: l.Slot, Epoch: l.Epoch, Expires: l.Expires}
+	for _, r := range l.Relays {
+		v.Relays = append(v.Relays, RelayView(r))
+	}
+	return v
+}
+
+func memberViews(m blackboard.Members) []MemberView {
+	members := sorted(m.ByHost, func(m blackboard.Member) string { return m.Host })
+	out := make([]MemberView, 0, len(members))
+	for _, m := range members {
+		out = append(out, MemberView{
+			Host:        m.Host,
+			Address:     m.Address,
+			Rack:        m.Rack,
+			Incarnation: m.Incarnation,
+			Status:      m.Status,
+			Service:     m.Target.Service,
+			Phase:       m.Target.Phase,
+		})
+	}
+	return out
+}
+
+func remoteViews(m blackboard.Members) []RemoteView {
+	summaries := sorted(m.Remote, func(s blackboard.DataCentreSummary) string { return s.DataCentre })
+	out := make([]RemoteView, 0, len(summaries))
+	for _, s := range summaries {
+		v := RemoteView{
+			DataCentre: s.DataCentre,
+			Region:     s.Region,
+			Epoch:      s.Epoch,
+			Sequence:   s.Sequence,
+			Received:   s.Received,
+		}
+		for _, sv := range s.Services {
+			v.Services = append(v.Services, ServiceView{Service: sv.Service, Targets: sv.Targets, Slots: sv.Slots})
+		}
+		out = append(out, v)
+	}
+	return out
+}
