--- /dev/null
+++ b/internal/blackboard/message_membership.go
@@ -0,0 +1,79 @@
+package blackboard
+
+import (
+	"time"
+
+	"gentianbarrow.example/internal/wirepb"
+)
+
+// PacketReceived hands a checked packet of a peer to the gossiper.
+type PacketReceived struct {
+	// From is the address that the packet came from, as ip:port.
+	From   string
+	Packet *wirepb.GossipPacket
+	Now    time.Time
+}
+
+// SyncReceived carries records of a peer's whole table.
+type SyncReceived struct {
+	Records []*wirepb.MemberRecord
+	// Started is true at the node that began the exchange.
+	Started bool
+	Now     time.Time
+}
+
+// SyncFailed tells that an exchange of tables came to nothing.
+type SyncFailed struct{ Now time.Time }
+
+// PeersFound answers a search for peers through the platform. Addresses is empty when it failed.
+type PeersFound struct {
+	Addresses []string
+	Now       time.Time
+}
+
+// LeaveRequested asks the gossiper to tell others that this node is going. It
+// comes after the last request has finished.
+type LeaveRequested struct{ Now time.Time }
+
+// TargetAnnounced is what the target on this host says of itself.
+type TargetAnnounced struct {
+	Service string
+	// Address of the target, as ip:port.
+	Address     string
+	Slots       int
+	Connections int
+	// Phase is cold, ready or draining.
+	Phase TargetPhase
+	Now   time.Time
+}
+
+// TargetObserved is what a request showed of the target on this host. The
+// request path posts one for each request that reached the target or failed to.
+type TargetObserved struct {
+	// Success is false when the target gave no whole answer, or an answer that
+	// says it cannot serve. An answer that blames the request is a success, and
+	// so is a refusal by load shedding.
+	Success bool
+	Now     time.Time
+}
+
+// TargetChecked is what came of a health check of the target on this host.
+type TargetChecked struct {
+	Success bool
+	Now     time.Time
+}
+
+// RelaysFound tells the relays of the other data centres by data centre. It is nil when the search failed.
+type RelaysFound struct {
+	Relays map[string][]string
+	Now    time.Time
+}
+
+// SummariesReceived carries what a peer held that is newer.
+type SummariesReceived struct {
+	Deltas []*wirepb.SummaryDelta
+	Now    time.Time
+}
+
+// SummariesFailed tells that a fetch of summaries came to nothing.
+type SummariesFailed struct{ Now time.Time }
--- a/internal/blackboard/state.go
+++ b/internal/blackboard/state.go
@@ -113,6 +113,8 @@
 	Status      MemberStatus
 	// Changed is when the status last changed, by the reader's clock.
 	Changed time.Time
+	// Forget is when a dead or left member is dropped from the table; zero otherwise.
+	Forget time.Time
 	// Target is what the member announced of its host's target.
 	Target TargetRecord
 }
@@ -144,12 +146,16 @@
 	Revision uint64
 }
 
-// Members is the entry of the gossiper.
+// Members is the entry of the gossiper. Remote and Summary are the summarizer's part of it.
 type Members struct {
 	// ByHost holds the nodes of this data centre, this node included. Read only; replaced on change.
 	ByHost map[string]Member
 	// Remote holds a summary of each other data centre. Read only; replaced on change.
 	Remote map[string]DataCentreSummary
+	// Gossip is the state of the membership protocol; nil before the first message. Read only; replaced on change.
+	Gossip *Gossip
+	// Summary is the state of the exchange of summaries; nil before the first message. Read only; replaced on change.
+	Summary *SummaryExchange
 }
 
 // DataCentreSummary is what a data centre tells the others.
@@ -167,8 +173,11 @@
 // ServiceSummary counts the ready targets of a service in one data centre.
 type ServiceSummary struct {
 	Service string
+	// Targets is 0 when the last target of the service is gone.
 	Targets int
 	Slots   int
+	// Changed is the sequence of the summary at which this entry changed last.
+	Changed uint64
 	// Hosts names a bounded sample of the nodes that have such a target.
 	Hosts []RemoteHost
 }
@@ -190,4 +199,8 @@
 	Lapses time.Time
 	// ReadySince is when the target last became ready; new work is ramped from then.
 	ReadySince time.Time
+	// Connections is how many connections the target accepts.
+	Connections int
+	// Evidence is what decides whether an announced target is believed.
+	Evidence TargetEvidence
 }
