thin: Add the gossiper and the announcer

Cause: the whole path needs a member list and the target of a host. Conclusion: enough for the node to be wired.

--- a/internal/blackboard/gossip.go
+++ b/internal/blackboard/gossip.go
@@ -43,6 +43,8 @@
 	SyncEnds time.Time
 	// Synced is true once a table was exchanged.
 	Synced bool
+	// Admitted counts the hosts that packets added to the table since the last exchange.
+	Admitted int
 
 	// NextJoin is when the node next contacts addresses outside its live members.
 	NextJoin time.Time
@@ -83,7 +85,7 @@
 	// Incarnation that is suspected; a greater one voids the suspicion.
 	Incarnation uint64
 	Deadline    time.Time
-	// TellAt is when the member itself is next told; zero means that others tell it.
+	// TellAt is when the member itself is next told.
 	TellAt time.Time
 }
 
@@ -92,4 +94,6 @@
 	Host string
 	// Sends counts the packets that carried the record.
 	Sends int
+	// Expires is when the record is no longer passed on.
+	Expires time.Time
 }
--- a/internal/blackboard/message_membership.go
+++ b/internal/blackboard/message_membership.go
@@ -59,6 +59,8 @@
 
 // TargetChecked is what came of a health check of the target on this host.
 type TargetChecked struct {
+	// Address that was checked. The result is void when the target has moved since.
+	Address string
 	Success bool
 	Now     time.Time
 }
--- /dev/null
+++ b/internal/gossiper/record.go
@@ -0,0 +1,142 @@
+package gossiper
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/wirepb"
+)
+
+var stateToWire = map[blackboard.MemberStatus]wirepb.MemberState{
+	blackboard.MemberAlive:   wirepb.MemberState_MEMBER_STATE_ALIVE,
+	blackboard.MemberSuspect: wirepb.MemberState_MEMBER_STATE_SUSPECT,
+	blackboard.MemberDead:    wirepb.MemberState_MEMBER_STATE_DEAD,
+	blackboard.MemberLeft:    wirepb.MemberState_MEMBER_STATE_LEFT,
+}
+
+var stateFromWire = map[wirepb.MemberState]blackboard.MemberStatus{
+	wirepb.MemberState_MEMBER_STATE_ALIVE:   blackboard.MemberAlive,
+	wirepb.MemberState_MEMBER_STATE_SUSPECT: blackboard.MemberSuspect,
+	wirepb.MemberState_MEMBER_STATE_DEAD:    blackboard.MemberDead,
+	wirepb.MemberState_MEMBER_STATE_LEFT:    blackboard.MemberLeft,
+}
+
+var targetToWire = map[blackboard.TargetPhase]wirepb.TargetState{
+	blackboard.TargetNone:     wirepb.TargetState_TARGET_STATE_NONE,
+	blackboard.TargetCold:     wirepb.TargetState_TARGET_STATE_COLD,
+	blackboard.TargetReady:    wirepb.TargetState_TARGET_STATE_READY,
+	blackboard.TargetDraining: wirepb.TargetState_TARGET_STATE_DRAINING,
+	blackboard.TargetFailed:   wirepb.TargetState_TARGET_STATE_FAILED,
+}
+
+var targetFromWire = map[wirepb.TargetState]blackboard.TargetPhase{
+	wirepb.TargetState_TARGET_STATE_NONE:     blackboard.TargetNone,
+	wirepb.TargetState_TARGET_STATE_COLD:     blackboard.TargetCold,
+	wirepb.TargetState_TARGET_STATE_READY:    blackboard.TargetReady,
+	wirepb.TargetState_TARGET_STATE_DRAINING: blackboard.TargetDraining,
+	wirepb.TargetState_TARGET_STATE_FAILED:   blackboard.TargetFailed,
+}
+
+// rank orders the states of one incarnation: the greater one wins.
+func rank(s blackboard.MemberStatus) int {
+	switch s {
+	case blackboard.MemberSuspect:
+		return 1
+	case blackboard.MemberDead:
+		return 2
+	case blackboard.MemberLeft:
+		return 3
+	default:
+		return 0
+	}
+}
+
+// gone tells whether a state ends a membership.
+func gone(s blackboard.MemberStatus) bool {
+	return s == blackboard.MemberDead || s == blackboard.MemberLeft
+}
+
+// fullRecord carries all that is known of a member.
+func fullRecord(m blackboard.Member) *wirepb.MemberRecord {
+	record := &wirepb.MemberRecord{
+		Host:        m.Host,
+		Incarnation: m.Incarnation,
+		State:       stateToWire[m.Status],
+		Address:     m.Address,
+		Rack:        m.Rack,
+		Service:     m.Target.Service,
+		Target:      targetToWire[m.Target.Phase],
+		Slots:       uint32(m.Target.Slots),
+		Revision:    m.Target.Revision,
+	}
+	if !m.Forget.IsZero() {
+		record.Forget = uint64(m.Forget.UnixMicro())
+	}
+	return record
+}
+
+// rumourRecord is short for a member that is not alive: who does not know it need not hear of it.
+func rumourRecord(m blackboard.Member) *wirepb.MemberRecord {
+	full := fullRecord(m)
+	if m.Status == blackboard.MemberAlive {
+		return full
+	}
+	return &wirepb.MemberRecord{
+		Host:        full.GetHost(),
+		Incarnation: full.GetIncarnation(),
+		State:       full.GetState(),
+		Forget:      full.GetForget(),
+	}
+}
+
+// member turns a full record into a member of the reader's data centre.
+func member(r *wirepb.MemberRecord, dataCentre string, now time.Time) blackboard.Member {
+	m := blackboard.Member{
+		Host:        r.GetHost(),
+		Address:     r.GetAddress(),
+		DataCentre:  dataCentre,
+		Rack:        r.GetRack(),
+		Incarnation: r.GetIncarnation(),
+		Status:      stateFromWire[r.GetState()],
+		Changed:     now,
+		Target: blackboard.TargetRecord{
+			Service:  r.GetService(),
+			Phase:    targetFromWire[r.GetTarget()],
+			Slots:    int(r.GetSlots()),
+			Revision: r.GetRevision(),
+		},
+	}
+	if r.GetForget() != 0 {
+		m.Forget = time.UnixMicro(int64(r.GetForget()))
+	}
+	return m
+}
+
+// bucketOf returns the part of the table that a host belongs to.
+func bucketOf(host string) int {
+	return int(xxhash.Sum64String(host) % blackboard.DigestBuckets)
+}
+
+// digestOf covers what every node must agree on of a member; 0 for one that is gone.
+func digestOf(m blackboard.Member) uint64 {
+	if gone(m.Status) || m.Host == "" {
+		return 0
+	}
+	var buf [maxNameBytes + 16]byte
+	n := copy(buf[:maxNameBytes], m.Host)
+	binary.LittleEndian.PutUint64(buf[n:], m.Incarnation)
+	binary.LittleEndian.PutUint64(buf[n+8:], m.Target.Revision)
+	return xxhash.Sum64(buf[:n+16])
+}
+
+// tableDigest joins the digests of all buckets.
+func tableDigest(buckets *[blackboard.DigestBuckets]uint64) uint64 {
+	var sum uint64
+	for _, b := range buckets {
+		sum ^= b
+	}
+	return sum
+}
