--- a/internal/blackboard/gossip.go
+++ b/internal/blackboard/gossip.go
@@ -61,8 +61,8 @@
 type Probe struct {
 	Host     string
 	Sequence uint64
-	// HelpAt is when other members are asked to ping the host too.
-	HelpAt time.Time
+	// RetryAt is when the host is next pinged again, by other members too.
+	RetryAt time.Time
 	// Deadline is when the host becomes suspect.
 	Deadline time.Time
 	// Helpers counts the members asked; Helped tells that at least one answered.
--- a/internal/gossiper/constants.go
+++ b/internal/gossiper/constants.go
@@ -6,12 +6,12 @@
 const (
 	// probePeriod is the time between two probes.
 	probePeriod = 1 * time.Second
-	// directTimeout is how long a ping waits before helpers are asked. Stretched.
-	directTimeout = 300 * time.Millisecond
+	// retryPeriod is how long a ping waits before it is sent again, by helpers too. Stretched.
+	retryPeriod = 400 * time.Millisecond
 	// probeTimeout is how long a probe takes at most. Stretched.
-	probeTimeout = 900 * time.Millisecond
+	probeTimeout = 1800 * time.Millisecond
 	// suspicionTimeout is how long a suspect may refute. Stretched.
-	suspicionTimeout = 4 * time.Second
+	suspicionTimeout = 3 * time.Second
 	// hearsayTimeout is added at nodes that only heard of the suspicion, so that
 	// they rather hear how it ended. They tell the suspect themselves in that time.
 	hearsayTimeout = 2 * time.Second
@@ -55,7 +55,8 @@
 	// MaxIncarnation is far above any start time in microseconds.
 	MaxIncarnation = 1 << 60
 
-	helpers            = 3
+	// helpers is how many members are asked in each round of a probe.
+	helpers            = 2
 	gossipFanout       = 2
 	leaveFanout        = 5
 	joinFanout         = 3
--- a/internal/gossiper/packet.go
+++ b/internal/gossiper/packet.go
@@ -1,6 +1,8 @@
 package gossiper
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"gentianbarrow.example/internal/blackboard"
@@ -86,7 +88,7 @@
 			sent = append(sent, rumour)
 		}
 	}
-	d.g.Rumours = append(next, sent...)
+	d.g.Rumours = slices.Concat(next, sent)
 	d.rumoursCopied = true
 }
 
--- a/internal/gossiper/probe.go
+++ b/internal/gossiper/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/wirepb"
@@ -25,7 +24,7 @@
 	d.g.Probe = blackboard.Probe{
 		Host:     m.Host,
 		Sequence: d.g.Sequence,
-		HelpAt:   d.now.Add(d.stretch(directTimeout)),
+		RetryAt:  d.now.Add(d.stretch(retryPeriod)),
 		Deadline: d.now.Add(d.stretch(probeTimeout)),
 	}
 	d.ping(m, d.g.Sequence)
@@ -60,7 +59,7 @@
 	d.orderCopied = true
 }
 
-// settleProbe asks helpers when the direct ping is late, and suspects the host when time is up.
+// settleProbe pings again when the answer is late, and suspects the host when time is up.
 func (d *draft) settleProbe() {
 	probe := &d.g.Probe
 	if probe.Host == "" {
@@ -75,15 +74,17 @@
 		d.failProbe(m)
 		return
 	}
-	if !probe.HelpAt.IsZero() && !d.now.Before(probe.HelpAt) {
-		d.askHelpers(m)
+	if !d.now.Before(probe.RetryAt) {
+		d.retryProbe(m)
 	}
 }
 
-func (d *draft) askHelpers(m blackboard.Member) {
+// retryProbe pings the member again and asks helpers to do so.
+func (d *draft) retryProbe(m blackboard.Member) {
+	d.ping(m, d.g.Probe.Sequence)
 	asked := d.randomLive(helpers, func(h blackboard.Member) bool { return h.Host != m.Host })
-	d.g.Probe.HelpAt = time.Time{}
-	d.g.Probe.Helpers = len(asked)
+	d.g.Probe.RetryAt = d.now.Add(d.stretch(retryPeriod))
+	d.g.Probe.Helpers += len(asked)
 	for _, h := range asked {
 		p := d.packet(wirepb.GossipKind_GOSSIP_KIND_PING_REQUEST, d.g.Probe.Sequence)
 		p.ProbedHost = m.Host
--- /dev/null
+++ b/internal/gossiper/udp_test.go
@@ -0,0 +1,85 @@
+package gossiper
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/linker"
+)
+
+// TestRealSockets runs whole nodes over loopback until each knows the others.
+func TestRealSockets(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	group, ctx := errgroup.WithContext(ctx)
+	const nodes = 3
+	var seed string
+	ready := make(chan struct{}, nodes)
+	for i := range nodes {
+		udp, err := ListenUDP(ctx, "127.0.0.1:0")
+		assert.NilError(t, err)
+		if i == 0 {
+			seed = udp.Address()
+		}
+		startNode(ctx, t, group, udp, host(i), seed, func() { ready <- struct{}{} }, nodes-1)
+	}
+	for range nodes {
+		<-ready
+	}
+	cancel()
+	assert.NilError(t, group.Wait())
+}
+
+func startNode(ctx context.Context, t *testing.T, group *errgroup.Group, udp *UDP, name, seed string, done func(), others int) {
+	t.Helper()
+	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", udp.Address())
+	assert.NilError(t, err)
+	links := linker.New()
+	told := false
+	watcher := blackboard.Controller{
+		Name: "watcher",
+		Reduce: func(s blackboard.State, _ blackboard.Msg) (blackboard.State, []blackboard.Effect) {
+			if !told && Live(&s) == others {
+				told = true
+				done()
+			}
+			return s, nil
+		},
+	}
+	board := blackboard.New(blackboard.State{Self: blackboard.Self{
+		Host: name, DataCentre: "buc-a", Address: udp.Address(), Incarnation: uint64(time.Now().UnixMicro()),
+	}}, []blackboard.Controller{New(Config{
+		Seeds: []string{seed},
+		Send:  udp.Send,
+		Open: func(ctx context.Context, address string) (*linker.Stream, error) {
+			return links.Open(ctx, address, linker.TrafficControl, StreamKind)
+		},
+		FindPeers: func(context.Context) ([]string, error) { return nil, nil },
+	}), watcher})
+	links.Handle(StreamKind, Handler(board.Read, board.Post, time.Now))
+	group.Go(func() error { return board.Run(ctx) })
+	group.Go(func() error { return udp.Receive(ctx, "buc-a", board.Post) })
+	group.Go(func() error { return links.Serve(ctx, ln) })
+	group.Go(func() error {
+		defer links.Close()
+		return tickUntil(ctx, board)
+	})
+}
+
+func tickUntil(ctx context.Context, board *blackboard.Board) error {
+	ticker := time.NewTicker(blackboard.TickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			board.Post(blackboard.Tick{Now: now})
+		}
+	}
+}
