--- /dev/null
+++ b/pkg/snapshotter/codec.go
@@ -0,0 +1,237 @@
+package snapshotter
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"gentianbarrow.example/internal/wirepb"
+)
+
+// The messages are written field by field here, in the order of their numbers
+// and without zero values, because protobuf libraries do not promise the same
+// bytes from one release to the next and digests are taken from these bytes.
+
+type sizeError struct{ actual, expected int }
+
+func (e *sizeError) Error() string { return fmt.Sprintf("%d bytes, not %d", e.actual, e.expected) }
+
+// rangeError tells of a number that does not fit.
+type rangeError struct {
+	field string
+	value uint64
+}
+
+func (e *rangeError) Error() string { return fmt.Sprintf("%s is %d", e.field, e.value) }
+
+type tombstone struct {
+	name   string
+	ticket uint64
+}
+
+// resources is the content of a shard, of a snapshot or of a delta.
+type resources struct {
+	services        []Service
+	routes          []Route
+	removedServices []tombstone
+	removedRoutes   []tombstone
+}
+
+func (c *resources) sort() {
+	slices.SortFunc(c.services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
+	byName := func(a, b tombstone) int { return cmp.Compare(a.name, b.name) }
+	slices.SortFunc(c.removedServices, byName)
+	slices.SortFunc(c.removedRoutes, byName)
+}
+
+// split returns the content of each shard.
+func split(s *Snapshot) []*resources {
+	shards := make(map[int]*resources, ShardCount)
+	for i := range ShardCount {
+		shards[i] = &resources{}
+	}
+	fill(s, shards)
+	list := make([]*resources, ShardCount)
+	for i, shard := range shards {
+		list[i] = shard
+	}
+	return list
+}
+
+// fill adds the content of s to those shards that are given.
+func fill(s *Snapshot, shards map[int]*resources) {
+	for name, service := range s.Services {
+		if c := shards[ShardOf(name)]; c != nil {
+			c.services = append(c.services, service)
+		}
+	}
+	for name, route := range s.Routes {
+		if c := shards[ShardOf(name)]; c != nil {
+			c.routes = append(c.routes, route)
+		}
+	}
+	for name, ticket := range s.RemovedServices {
+		if c := shards[ShardOf(name)]; c != nil {
+			c.removedServices = append(c.removedServices, tombstone{name, ticket})
+		}
+	}
+	for name, ticket := range s.RemovedRoutes {
+		if c := shards[ShardOf(name)]; c != nil {
+			c.removedRoutes = append(c.removedRoutes, tombstone{name, ticket})
+		}
+	}
+}
+
+func whole(s *Snapshot) *resources {
+	c := &resources{}
+	all := make(map[int]*resources, ShardCount)
+	for i := range ShardCount {
+		all[i] = c
+	}
+	fill(s, all)
+	return c
+}
+
+func appendString(b []byte, n protowire.Number, text string) []byte {
+	if text == "" {
+		return b
+	}
+	b = protowire.AppendTag(b, n, protowire.BytesType)
+	return protowire.AppendString(b, text)
+}
+
+func appendBytes(b []byte, n protowire.Number, value []byte) []byte {
+	b = protowire.AppendTag(b, n, protowire.BytesType)
+	return protowire.AppendBytes(b, value)
+}
+
+func appendNumber(b []byte, n protowire.Number, value uint64) []byte {
+	if value == 0 {
+		return b
+	}
+	b = protowire.AppendTag(b, n, protowire.VarintType)
+	return protowire.AppendVarint(b, value)
+}
+
+func appendService(b []byte, s Service) []byte {
+	b = appendString(b, 1, s.Name)
+	b = appendString(b, 2, s.Firm)
+	for i, n := range []int{s.Slots, s.Connections, s.Queue, s.BulkPercent, s.UrgentSlots, s.RetryPercent} {
+		b = appendNumber(b, protowire.Number(3+i), uint64(n))
+	}
+	return appendNumber(b, 9, s.Ticket)
+}
+
+func appendRoute(b []byte, r Route) []byte {
+	b = appendString(b, 1, r.Name)
+	b = appendString(b, 2, r.Prefix)
+	for _, m := range r.Methods {
+		b = appendBytes(b, 3, []byte(m))
+	}
+	b = appendString(b, 4, r.Service)
+	b = appendString(b, 5, string(r.Class))
+	b = appendNumber(b, 6, protowire.EncodeBool(r.Idempotent))
+	b = appendNumber(b, 7, uint64(r.TimeoutMs))
+	return appendNumber(b, 8, r.Ticket)
+}
+
+func appendTombstone(b []byte, t tombstone) []byte {
+	b = appendString(b, 1, t.name)
+	return appendNumber(b, 2, t.ticket)
+}
+
+// encode writes the content sorted by name.
+func (c *resources) encode() []byte {
+	c.sort()
+	var b, item []byte
+	for _, s := range c.services {
+		item = appendService(item[:0], s)
+		b = appendBytes(b, 1, item)
+	}
+	for _, r := range c.routes {
+		item = appendRoute(item[:0], r)
+		b = appendBytes(b, 2, item)
+	}
+	for _, t := range c.removedServices {
+		item = appendTombstone(item[:0], t)
+		b = appendBytes(b, 3, item)
+	}
+	for _, t := range c.removedRoutes {
+		item = appendTombstone(item[:0], t)
+		b = appendBytes(b, 4, item)
+	}
+	return b
+}
+
+// EncodeShards returns the canonical encoding of each shard. The SHA-256 of
+// each is its digest.
+func EncodeShards(s *Snapshot) [ShardCount][]byte {
+	var encoded [ShardCount][]byte
+	for i, shard := range split(s) {
+		encoded[i] = shard.encode()
+	}
+	return encoded
+}
+
+// EncodeSnapshot returns the canonical encoding of a whole snapshot.
+func EncodeSnapshot(s *Snapshot) []byte {
+	b := appendNumber(nil, 1, s.Version)
+	b = appendNumber(b, 2, s.RemovedFloor)
+	return appendBytes(b, 3, whole(s).encode())
+}
+
+// DecodeSnapshot reads a whole snapshot. It returns *MalformedError; it does not validate.
+func DecodeSnapshot(data []byte) (*Snapshot, error) {
+	var m wirepb.Snapshot
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, &MalformedError{Subject: "snapshot", Cause: err}
+	}
+	c, err := decodeResources(m.GetResources())
+	if err != nil {
+		return nil, &MalformedError{Subject: "snapshot", Cause: err}
+	}
+	s := Empty()
+	s.Version = m.GetVersion()
+	s.RemovedFloor = m.GetRemovedFloor()
+	c.addTo(s)
+	return s, nil
+}
+
+// DecodeShards makes a snapshot of encoded shards. It returns *MalformedError; it does not validate.
+func DecodeShards(version, removedFloor uint64, shards [][]byte) (*Snapshot, error) {
+	s := Empty()
+	s.Version = version
+	s.RemovedFloor = removedFloor
+	for _, data := range shards {
+		var m wirepb.Resources
+		if err := proto.Unmarshal(data, &m); err != nil {
+			return nil, &MalformedError{Subject: "shard", Cause: err}
+		}
+		c, err := decodeResources(&m)
+		if err != nil {
+			return nil, &MalformedError{Subject: "shard", Cause: err}
+		}
+		c.addTo(s)
+	}
+	return s, nil
+}
+
+// addTo adds the content to a snapshot that nobody else holds yet.
+func (c *resources) addTo(s *Snapshot) {
+	for _, service := range c.services {
+		s.Services[service.Name] = service
+	}
+	for _, route := range c.routes {
+		s.Routes[route.Name] = route
+	}
+	for _, t := range c.removedServices {
+		s.RemovedServices[t.name] = t.ticket
+	}
+	for _, t := range c.removedRoutes {
+		s.RemovedRoutes[t.name] = t.ticket
+	}
+}
--- /dev/null
+++ b/pkg/snapshotter/delta.go
@@ -0,0 +1,202 @@
+package snapshotter
+
+import (
+	"reflect"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"gentianbarrow.example/internal/wirepb"
+)
+
+// Removal drops a resource. Ticket 0 drops its tombstone too.
+type Removal struct {
+	Name   string
+	Ticket uint64
+}
+
+// Delta leads from one snapshot to another. It is applied whole or not at all.
+type Delta struct {
+	BaseVersion uint64
+	Version     uint64
+	// BaseDigest is the digest of the only snapshot that the delta fits.
+	BaseDigest Digest
+	// Digest is that of the result.
+	Digest       Digest
+	RemovedFloor uint64
+	Services     []Service
+	Routes       []Route
+	// RemovedServices and Services name no resource in common; likewise for routes.
+	RemovedServices []Removal
+	RemovedRoutes   []Removal
+}
+
+// Diff returns the delta from base to next.
+func Diff(base, next *Snapshot) *Delta {
+	d := &Delta{
+		BaseVersion: base.Version, BaseDigest: base.Digest(),
+		Version: next.Version, Digest: next.Digest(), RemovedFloor: next.RemovedFloor,
+	}
+	for name, s := range next.Services {
+		if old, ok := base.Services[name]; !ok || old != s {
+			d.Services = append(d.Services, s)
+		}
+	}
+	for name, r := range next.Routes {
+		if old, ok := base.Routes[name]; !ok || !sameRoute(old, r) {
+			d.Routes = append(d.Routes, r)
+		}
+	}
+	d.RemovedServices = removals(base.Services, next.Services, base.RemovedServices, next.RemovedServices)
+	d.RemovedRoutes = removals(base.Routes, next.Routes, base.RemovedRoutes, next.RemovedRoutes)
+	return d
+}
+
+func sameRoute(a, b Route) bool {
+	if a.Ticket != b.Ticket || !slices.Equal(a.Methods, b.Methods) {
+		return false
+	}
+	a.Methods, b.Methods = nil, nil
+	return reflect.DeepEqual(a, b)
+}
+
+func removals[T any](old, current map[string]T, oldTombs, tombs map[string]uint64) []Removal {
+	var list []Removal
+	for name, ticket := range tombs {
+		if oldTombs[name] != ticket {
+			list = append(list, Removal{name, ticket})
+		}
+	}
+	gone := func(name string) bool {
+		_, listed := tombs[name]
+		_, exists := current[name]
+		return !listed && !exists
+	}
+	for name := range old {
+		if gone(name) {
+			list = append(list, Removal{Name: name})
+		}
+	}
+	for name := range oldTombs {
+		if gone(name) {
+			list = append(list, Removal{Name: name})
+		}
+	}
+	return list
+}
+
+// Patch returns the snapshot that a delta leads to. It returns
+// *DigestMismatchError when base is not the snapshot that the delta was made
+// from or the result is not the one that it promises; base is not changed.
+func Patch(base *Snapshot, d *Delta) (*Snapshot, error) {
+	if actual := base.Digest(); actual != d.BaseDigest {
+		return nil, &DigestMismatchError{Subject: "base", Version: base.Version, Expected: d.BaseDigest, Actual: actual}
+	}
+	next := clone(base)
+	next.Version = d.Version
+	next.RemovedFloor = d.RemovedFloor
+	for _, s := range d.Services {
+		next.Services[s.Name] = s
+		delete(next.RemovedServices, s.Name)
+	}
+	for _, r := range d.Routes {
+		next.Routes[r.Name] = r
+		delete(next.RemovedRoutes, r.Name)
+	}
+	for _, r := range d.RemovedServices {
+		delete(next.Services, r.Name)
+		bury(next.RemovedServices, r)
+	}
+	for _, r := range d.RemovedRoutes {
+		delete(next.Routes, r.Name)
+		bury(next.RemovedRoutes, r)
+	}
+	keepShards(base, next, d.names())
+	if actual := next.Digest(); actual != d.Digest {
+		return nil, &DigestMismatchError{Subject: "result", Version: d.Version, Expected: d.Digest, Actual: actual}
+	}
+	return next, nil
+}
+
+func bury(tombs map[string]uint64, r Removal) {
+	if r.Ticket == 0 {
+		delete(tombs, r.Name)
+		return
+	}
+	tombs[r.Name] = r.Ticket
+}
+
+func (d *Delta) names() names {
+	var n names
+	for _, s := range d.Services {
+		n.services = append(n.services, s.Name)
+	}
+	for _, r := range d.Routes {
+		n.routes = append(n.routes, r.Name)
+	}
+	for _, r := range d.RemovedServices {
+		n.services = append(n.services, r.Name)
+	}
+	for _, r := range d.RemovedRoutes {
+		n.routes = append(n.routes, r.Name)
+	}
+	return n
+}
+
+// EncodeDelta returns the canonical encoding of a delta.
+func EncodeDelta(d *Delta) []byte {
+	c := &resources{services: slices.Clone(d.Services), routes: slices.Clone(d.Routes)}
+	for _, r := range d.RemovedServices {
+		c.removedServices = append(c.removedServices, r.asTombstone())
+	}
+	for _, r := range d.RemovedRoutes {
+		c.removedRoutes = append(c.removedRoutes, r.asTombstone())
+	}
+	b := appendNumber(nil, 1, d.BaseVersion)
+	b = appendNumber(b, 2, d.Version)
+	b = appendBytes(b, 3, d.BaseDigest[:])
+	b = appendBytes(b, 4, d.Digest[:])
+	b = appendNumber(b, 5, d.RemovedFloor)
+	return appendBytes(b, 6, c.encode())
+}
+
+func (r Removal) asTombstone() tombstone { return tombstone{name: r.Name, ticket: r.Ticket} }
+
+// DecodeDelta reads a delta. It returns *MalformedError.
+func DecodeDelta(data []byte) (*Delta, error) {
+	var m wirepb.Delta
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, &MalformedError{Subject: "delta", Cause: err}
+	}
+	c, err := decodeResources(m.GetResources())
+	if err != nil {
+		return nil, &MalformedError{Subject: "delta", Cause: err}
+	}
+	d := &Delta{
+		BaseVersion: m.GetBaseVersion(), Version: m.GetVersion(), RemovedFloor: m.GetRemovedFloor(),
+		Services: c.services, Routes: c.routes,
+	}
+	for _, t := range c.removedServices {
+		d.RemovedServices = append(d.RemovedServices, Removal{t.name, t.ticket})
+	}
+	for _, t := range c.removedRoutes {
+		d.RemovedRoutes = append(d.RemovedRoutes, Removal{t.name, t.ticket})
+	}
+	if d.BaseDigest, err = ParseDigest(m.GetBaseDigest()); err != nil {
+		return nil, err
+	}
+	if d.Digest, err = ParseDigest(m.GetDigest()); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// ParseDigest reads a digest from its bytes. It returns *MalformedError.
+func ParseDigest(raw []byte) (Digest, error) {
+	var d Digest
+	if len(raw) != len(d) {
+		return d, &MalformedError{Subject: "digest", Cause: &sizeError{len(raw), len(d)}}
+	}
+	copy(d[:], raw)
+	return d, nil
+}
--- /dev/null
+++ b/pkg/snapshotter/errors.go
@@ -0,0 +1,97 @@
+package snapshotter
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Rule names what a refused change breaks.
+type Rule string
+
+// The rules for a change and for a snapshot.
+const (
+	// RuleEmptyChange refuses a change that touches nothing.
+	RuleEmptyChange Rule = "empty-change"
+	// RuleDuplicate refuses a change that names a resource twice.
+	RuleDuplicate Rule = "duplicate-resource"
+	// RuleNewerTicket refuses to overwrite what the same or a later ticket set or removed.
+	RuleNewerTicket Rule = "newer-ticket"
+	// RuleMissingResource refuses to remove what does not exist.
+	RuleMissingResource Rule = "missing-resource"
+	// RuleMissingService refuses a route to a service that does not exist.
+	RuleMissingService Rule = "missing-service"
+	// RuleStillRouted refuses to remove a service that a route still names.
+	RuleStillRouted Rule = "service-still-routed"
+	// RuleSharedPrefix refuses two routes with one prefix.
+	RuleSharedPrefix Rule = "shared-prefix"
+	// RuleName refuses names that are not in kebab case or too long.
+	RuleName Rule = "name"
+	// RuleLimit refuses numbers outside their range.
+	RuleLimit Rule = "limit"
+	// RulePrefix refuses malformed prefixes.
+	RulePrefix Rule = "prefix"
+	// RuleMethod refuses unknown methods.
+	RuleMethod Rule = "method"
+	// RuleClass refuses unknown classes.
+	RuleClass Rule = "class"
+)
+
+// RefusedError tells that a change or a snapshot breaks a rule. Nothing of it is applied.
+type RefusedError struct {
+	Rule Rule `json:"rule"`
+	// Resource is "service NAME" or "route NAME".
+	Resource string `json:"resource,omitempty"`
+	// Field is the key as written in tickets.
+	Field string `json:"field,omitempty"`
+	// Ticket that the change collides with; 0 when it collides with none.
+	Ticket uint64 `json:"ticket,omitempty"`
+	// Detail is a sentence without its full stop.
+	Detail string `json:"detail"`
+	// More holds the further violations. Theirs is empty.
+	More []RefusedError `json:"more,omitempty"`
+}
+
+func (e *RefusedError) Error() string {
+	lines := []string{e.line()}
+	for i := range e.More {
+		lines = append(lines, e.More[i].line())
+	}
+	return strings.Join(lines, "; ")
+}
+
+func (e *RefusedError) line() string {
+	place := strings.TrimSpace(e.Resource + " " + e.Field)
+	if place != "" {
+		place = ", " + place
+	}
+	collision := ""
+	if e.Ticket != 0 {
+		collision = fmt.Sprintf(" (collides with ticket %d)", e.Ticket)
+	}
+	return fmt.Sprintf("rule %s%s: %s%s", e.Rule, place, e.Detail, collision)
+}
+
+// DigestMismatchError tells that a snapshot is not the one that a digest was
+// taken from. Nothing is applied; fetch the whole snapshot instead.
+type DigestMismatchError struct {
+	// Subject is what was compared, such as "base" or "result".
+	Subject  string
+	Version  uint64
+	Expected Digest
+	Actual   Digest
+}
+
+func (e *DigestMismatchError) Error() string {
+	return fmt.Sprintf("digest of the %s at version %d is %s, not %s", e.Subject, e.Version, e.Actual, e.Expected)
+}
+
+// MalformedError tells that bytes are not the expected message.
+type MalformedError struct {
+	Subject string
+	Cause   error
+}
+
+func (e *MalformedError) Error() string { return fmt.Sprintf("malformed %s: %v", e.Subject, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *MalformedError) Unwrap() error { return e.Cause }
--- a/pkg/snapshotter/resource.go
+++ b/pkg/snapshotter/resource.go
@@ -10,6 +10,8 @@
 // lower number can be refused when it would overwrite a later one.
 package snapshotter
 
+import "sync/atomic"
+
 // Class groups requests by how long they run and how soon they are needed.
 type Class string
 
@@ -73,6 +75,19 @@
 	Services map[string]Service `json:"services"`
 	// Routes by name. Read only. Each names a service of Services.
 	Routes map[string]Route `json:"routes"`
+	// RemovedServices holds the ticket that removed a service, by name. Read only.
+	// A name is never both here and in Services.
+	RemovedServices map[string]uint64 `json:"removed-services,omitempty"`
+	// RemovedRoutes is the same for routes.
+	RemovedRoutes map[string]uint64 `json:"removed-routes,omitempty"`
+	// RemovedFloor is at least the ticket of every removal that is no longer
+	// listed. A ticket not above it cannot set a resource that does not exist.
+	RemovedFloor uint64 `json:"removed-floor,omitempty"`
+
+	// index is made on first use from Routes and Services.
+	index atomic.Pointer[index]
+	// shards holds the digests of the shards, made on first use.
+	shards atomic.Pointer[[ShardCount]Digest]
 }
 
 // Change is the whole new state of the resources that a ticket touches.
--- /dev/null
+++ b/pkg/snapshotter/validate.go
@@ -0,0 +1,157 @@
+package snapshotter
+
+import (
+	"fmt"
+	"maps"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// The greatest values that a ticket may set.
+const (
+	MaxNameBytes   = 63
+	MaxPrefixBytes = 255
+	MaxSlots       = 100_000
+	MaxConnections = 1_000_000
+	MaxQueue       = 1_000_000
+	MaxTimeoutMs   = 24 * 60 * 60 * 1000
+	// MaxRefusals is how many violations one RefusedError lists.
+	MaxRefusals = 20
+)
+
+var (
+	namePattern   = regexp.MustCompile(`^[a-z][a-z0-9]*(-[a-z0-9]+)*$`)
+	prefixPattern = regexp.MustCompile(`^/[A-Za-z0-9._~!$&'()*+,;=:@/-]*$`)
+	knownMethods  = []string{"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"}
+	knownClasses  = []Class{ClassUrgent, ClassShort, ClassBulk}
+)
+
+// violations collects what is wrong with one change.
+type violations []RefusedError
+
+func (v *violations) add(e RefusedError) {
+	if len(*v) < MaxRefusals {
+		*v = append(*v, e)
+	}
+}
+
+func (v violations) err() error {
+	if len(v) == 0 {
+		return nil
+	}
+	first := v[0]
+	first.More = v[1:]
+	return &first
+}
+
+// Validate checks every rule for a snapshot. It returns *RefusedError.
+func Validate(s *Snapshot) error {
+	var v violations
+	for _, name := range slices.Sorted(maps.Keys(s.Services)) {
+		v.service(s.Services[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Routes)) {
+		r := s.Routes[name]
+		v.route(r)
+		v.routed(s, r)
+	}
+	v.prefixes(s)
+	return v.err()
+}
+
+func serviceLabel(name string) string { return "service " + name }
+
+func routeLabel(name string) string { return "route " + name }
+
+func (v *violations) name(resource, field, name string) {
+	if len(name) > MaxNameBytes || !namePattern.MatchString(name) {
+		v.add(RefusedError{
+			Rule: RuleName, Resource: resource, Field: field,
+			Detail: fmt.Sprintf("%q is not in kebab case of at most %d bytes", name, MaxNameBytes),
+		})
+	}
+}
+
+func (v *violations) limit(resource, field string, n, low, high int) {
+	if n < low || n > high {
+		v.add(RefusedError{
+			Rule: RuleLimit, Resource: resource, Field: field,
+			Detail: fmt.Sprintf("%d is outside %d to %d", n, low, high),
+		})
+	}
+}
+
+func (v *violations) service(s Service) {
+	label := serviceLabel(s.Name)
+	v.name(label, "name", s.Name)
+	v.name(label, "firm", s.Firm)
+	v.limit(label, "slots", s.Slots, 1, MaxSlots)
+	v.limit(label, "connections", s.Connections, max(1, s.Slots), MaxConnections)
+	v.limit(label, "queue", s.Queue, 0, MaxQueue)
+	v.limit(label, "bulk-percent", s.BulkPercent, 1, 100)
+	v.limit(label, "urgent-slots", s.UrgentSlots, 0, max(0, s.Slots-1))
+	v.limit(label, "retry-percent", s.RetryPercent, 0, 100)
+}
+
+func (v *violations) route(r Route) {
+	label := routeLabel(r.Name)
+	v.name(label, "name", r.Name)
+	v.limit(label, "timeout-ms", r.TimeoutMs, 1, MaxTimeoutMs)
+	if len(r.Prefix) > MaxPrefixBytes || !prefixPattern.MatchString(r.Prefix) || strings.Contains(r.Prefix, "//") {
+		v.add(RefusedError{
+			Rule: RulePrefix, Resource: label, Field: "prefix",
+			Detail: fmt.Sprintf("%q is not a path that begins with a slash, of at most %d bytes", r.Prefix, MaxPrefixBytes),
+		})
+	}
+	for i, m := range r.Methods {
+		if !slices.Contains(knownMethods, m) || slices.Contains(r.Methods[:i], m) {
+			v.add(RefusedError{
+				Rule: RuleMethod, Resource: label, Field: "methods",
+				Detail: fmt.Sprintf("%q is unknown or stands twice", m),
+			})
+		}
+	}
+	if !slices.Contains(knownClasses, r.Class) {
+		v.add(RefusedError{
+			Rule: RuleClass, Resource: label, Field: "class",
+			Detail: fmt.Sprintf("%q is not one of urgent, short, bulk", r.Class),
+		})
+	}
+}
+
+// routed checks that the route's service exists.
+func (v *violations) routed(s *Snapshot, r Route) {
+	if _, ok := s.Services[r.Service]; ok {
+		return
+	}
+	v.add(RefusedError{
+		Rule: RuleMissingService, Resource: routeLabel(r.Name), Field: "service",
+		Ticket: s.RemovedServices[r.Service],
+		Detail: fmt.Sprintf("service %q does not exist", r.Service),
+	})
+}
+
+// prefixes checks that no two routes share a prefix.
+func (v *violations) prefixes(s *Snapshot) {
+	if len(s.routes().byPrefix) == len(s.Routes) {
+		return
+	}
+	first := make(map[string]Route, len(s.Routes))
+	for _, name := range slices.Sorted(maps.Keys(s.Routes)) {
+		r := s.Routes[name]
+		other, ok := first[prefixKey(r.Prefix)]
+		if !ok {
+			first[prefixKey(r.Prefix)] = r
+			continue
+		}
+		// The route that came with the later ticket is the one at fault.
+		if other.Ticket > r.Ticket {
+			r, other = other, r
+		}
+		v.add(RefusedError{
+			Rule: RuleSharedPrefix, Resource: routeLabel(r.Name), Field: "prefix", Ticket: other.Ticket,
+			Detail: fmt.Sprintf("%q is already the prefix of route %s", r.Prefix, other.Name),
+		})
+	}
+}
