Publish the board's state once a message, before its effects start

Cause: an effect could read a state in which a later controller had not yet answered the same message. Ruled out: handing the state to effects as an argument, since long-running effects need the newest one. Change: all controllers reduce first, the state is stored once, then effects start. Conclusion: an effect never reads an older state than its own.

--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -92,16 +92,31 @@
 	}
 }
 
+// handed is an effect with the controller that carries it out.
+type handed struct {
+	controller *Controller
+	effect     Effect
+}
+
+// handle lets every controller answer one message, publishes the state once,
+// and then starts the effects, so that an effect never reads an older state
+// than the one it came from.
 func (b *Board) handle(ctx context.Context, group *errgroup.Group, msg Msg) {
+	s := *b.state.Load()
+	var effects []handed
 	for i := range b.controllers {
 		c := &b.controllers[i]
-		next, effects := c.Reduce(*b.state.Load(), msg)
-		b.state.Store(&next)
-		for _, e := range effects {
-			group.Go(func() error {
-				c.Run(ctx, e, b.Post)
-				return nil
-			})
+		next, own := c.Reduce(s, msg)
+		s = next
+		for _, e := range own {
+			effects = append(effects, handed{controller: c, effect: e})
 		}
 	}
+	b.state.Store(&s)
+	for _, h := range effects {
+		group.Go(func() error {
+			h.controller.Run(ctx, h.effect, b.Post)
+			return nil
+		})
+	}
 }
