Post to a stopped board outside the fake-time bubble in its test

Ruled out: a fault of the board; the message named the test's own use. Change: the case runs a board with an ended context and no bubble; what it checks is the same. Before: fatal error 'select on synctest channel from outside bubble'. After: go test -race ./internal/blackboard passes. Conclusion: the fault was the test's.

--- a/internal/blackboard/board_test.go
+++ b/internal/blackboard/board_test.go
@@ -91,10 +91,12 @@
 		assert.DeepEqual(t, got, []LifePhase{LifeServing})
 	})
 	t.Run("posting to a stopped board does not block", func(t *testing.T) {
-		var stopped *Board
-		runBoard(t, nil, func(b *Board) { stopped = b })
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		b := New(State{}, nil)
+		assert.NilError(t, b.Run(ctx))
 		for range 2 * inboxMessages {
-			stopped.Post(enter{LifeServing})
+			b.Post(enter{LifeServing})
 		}
 	})
 }
