thin: tickets and gentianctl

Cause: the other parts need a way to get a configuration accepted. Change: pkg/ticketer (File, Approve, Withdraw, Settle, Show, List, Plan, Trim, WriteStatus), internal/parser (strict ticket files), internal/commander and cmd/gentianctl.

--- /dev/null
+++ b/internal/commander/commander.go
@@ -0,0 +1,216 @@
+// Package commander carries out the command lines of gentianctl.
+//
+//	c := commander.New(os.Stdout, os.Stderr)
+//	os.Exit(c.Run(ctx, os.Args[1:]))
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"gentianbarrow.example/internal/inspector"
+	"gentianbarrow.example/pkg/storer"
+	"gentianbarrow.example/pkg/ticketer"
+)
+
+const (
+	// commandTimeout bounds a whole command.
+	commandTimeout = 30 * time.Second
+	// maxViewBytes bounds the answer of a node.
+	maxViewBytes = 64 << 20
+)
+
+// Output is the form of a command's answer.
+type Output string
+
+// The forms of answers.
+const (
+	OutputText Output = "text"
+	OutputJSON Output = "json"
+)
+
+// Commander runs commands.
+type Commander struct {
+	Out io.Writer
+	Err io.Writer
+	// Connect returns a ticketer that uses the platform at a URL.
+	Connect func(platformURL string) *ticketer.Ticketer
+	// ReadFile returns the content of a file, or of the standard input for "-".
+	ReadFile func(path string) ([]byte, error)
+	// View returns the blackboard of the node with an admin address.
+	View func(ctx context.Context, address string) (inspector.View, error)
+}
+
+// New returns a commander that uses files and the network.
+func New(out, errOut io.Writer) *Commander {
+	return &Commander{
+		Out: out, Err: errOut, ReadFile: readFile, View: fetchView,
+		Connect: func(url string) *ticketer.Ticketer { return ticketer.New(storer.NewHTTPClient(url)) },
+	}
+}
+
+func readFile(path string) ([]byte, error) {
+	if path == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(path)
+}
+
+func fetchView(ctx context.Context, address string) (inspector.View, error) {
+	var v inspector.View
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/debug/blackboard", nil)
+	if err != nil {
+		return v, &NodeError{Address: address, Cause: err}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return v, &NodeError{Address: address, Cause: err}
+	}
+	defer resp.Body.Close() //nolint:errcheck // the body has been read
+	if resp.StatusCode != http.StatusOK {
+		return v, &NodeError{Address: address, Cause: &storer.StatusError{Status: resp.StatusCode}}
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxViewBytes)).Decode(&v); err != nil {
+		return v, &NodeError{Address: address, Cause: err}
+	}
+	return v, nil
+}
+
+// options are the flags of a command line.
+type options struct {
+	platform string
+	node     string
+	author   string
+	firm     string
+	output   Output
+	last     int
+}
+
+// call is one parsed command line.
+type call struct {
+	*Commander
+	options
+	args []string
+}
+
+// command is an entry of the table of commands.
+type command struct {
+	name string
+	// arguments are how many follow the flags.
+	arguments int
+	usage     string
+	run       func(ctx context.Context, c call) error
+}
+
+func commands() []command {
+	return []command{
+		{"ticket file", 1, "FILE  files a ticket from a YAML file, or from \"-\"; needs --author", fileTicket},
+		{"ticket plan", 1, "FILE  shows what a ticket would do, and files nothing", planTicket},
+		{"ticket approve", 1, "N     approves ticket N and has it decided; needs --author", approveTicket},
+		{"ticket withdraw", 1, "N     withdraws ticket N, unless it is approved; needs --author", withdrawTicket},
+		{"ticket settle", 1, "N     finishes the decision on ticket N after an interruption", settleTicket},
+		{"ticket show", 1, "N     says where ticket N stands", showTicket},
+		{"ticket list", 0, "      lists the latest tickets; --last says how many", listTickets},
+		{"ticket trim", 0, "      deletes configuration that no recent version uses", trim},
+		{"nodes", 0, "      lists the nodes that the node at --node knows", showNodes},
+		{"targets", 0, "      lists the targets that the node at --node knows", showTargets},
+		{"config", 0, "      shows the configuration in force on the node at --node", showConfig},
+	}
+}
+
+// Run carries out a command line and returns the exit code.
+func (c *Commander) Run(ctx context.Context, args []string) int {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	err := c.run(ctx, args)
+	if err != nil {
+		c.explain(err)
+	}
+	return exitCode(err)
+}
+
+func (c *Commander) explain(err error) {
+	if errors.Is(err, flag.ErrHelp) {
+		return
+	}
+	fmt.Fprintln(c.Err, "gentianctl:", err)
+	if text := advice(err); text != "" {
+		fmt.Fprintln(c.Err, "advice:", text)
+	}
+	if is[*UsageError](err) {
+		c.usage()
+	}
+}
+
+func (c *Commander) usage() {
+	fmt.Fprintln(c.Err, "usage: gentianctl COMMAND [flags] [argument]")
+	for _, cmd := range commands() {
+		fmt.Fprintf(c.Err, "  %-16s %s\n", cmd.name, cmd.usage)
+	}
+	fmt.Fprintln(c.Err, "flags: --platform URL, --node IP:PORT, --author NAME, --firm NAME, --output text|json, --last N")
+	fmt.Fprintln(c.Err, "exit codes: 0 done, 1 failed, 2 usage, 3 refused, 4 unreachable, 5 unknown outcome")
+}
+
+func (c *Commander) run(ctx context.Context, args []string) error {
+	for _, cmd := range commands() {
+		words := strings.Fields(cmd.name)
+		if len(args) < len(words) || strings.Join(args[:len(words)], " ") != cmd.name {
+			continue
+		}
+		parsed, err := c.parse(args[len(words):])
+		if err != nil {
+			return err
+		}
+		if len(parsed.args) != cmd.arguments {
+			return &UsageError{Text: fmt.Sprintf("%s takes %d argument(s), not %d", cmd.name, cmd.arguments, len(parsed.args))}
+		}
+		return cmd.run(ctx, parsed)
+	}
+	return &UsageError{Text: "unknown command"}
+}
+
+// parse reads flags before, between and after the arguments.
+func (c *Commander) parse(args []string) (call, error) {
+	parsed := call{Commander: c}
+	fs := flag.NewFlagSet("gentianctl", flag.ContinueOnError)
+	fs.SetOutput(io.Discard)
+	fs.StringVar(&parsed.platform, "platform", "http://127.0.0.1:7000", "URL of the platform's object API")
+	fs.StringVar(&parsed.node, "node", "", "admin address of a node, as ip:port")
+	fs.StringVar(&parsed.author, "author", "", "who files, approves or withdraws")
+	fs.StringVar(&parsed.firm, "firm", "", "firm on whose behalf a ticket is filed")
+	fs.StringVar((*string)(&parsed.output), "output", string(OutputText), "text or json")
+	fs.IntVar(&parsed.last, "last", 20, "how many tickets to list")
+	for {
+		if err := fs.Parse(args); err != nil {
+			return parsed, &UsageError{Text: err.Error()}
+		}
+		if fs.NArg() == 0 {
+			break
+		}
+		parsed.args = append(parsed.args, fs.Arg(0))
+		args = fs.Args()[1:]
+	}
+	if parsed.output != OutputText && parsed.output != OutputJSON {
+		return parsed, &UsageError{Text: fmt.Sprintf("output must be text or json, not %q", parsed.output)}
+	}
+	return parsed, nil
+}
+
+// answer prints a value as JSON, or as text by the given function.
+func (c call) answer(value any, text func(w io.Writer)) error {
+	if c.output == OutputText {
+		text(c.Out)
+		return nil
+	}
+	encoder := json.NewEncoder(c.Out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
--- /dev/null
+++ b/internal/commander/node.go
@@ -0,0 +1,111 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/inspector"
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+func (c call) view(ctx context.Context) (inspector.View, error) {
+	if c.node == "" {
+		return inspector.View{}, &UsageError{Text: "--node is missing"}
+	}
+	return c.View(ctx, c.node)
+}
+
+// nodesAnswer is the answer of "nodes".
+type nodesAnswer struct {
+	Self   inspector.SelfView     `json:"self"`
+	Life   blackboard.LifePhase   `json:"life"`
+	Nodes  []inspector.MemberView `json:"nodes"`
+	Remote []inspector.RemoteView `json:"remote"`
+}
+
+func showNodes(ctx context.Context, c call) error {
+	v, err := c.view(ctx)
+	if err != nil {
+		return err
+	}
+	return c.answer(nodesAnswer{Self: v.Self, Life: v.Life, Nodes: v.Members, Remote: v.Remote}, func(w io.Writer) {
+		fmt.Fprintf(w, "as %s in %s sees it (%s):\n", v.Self.Host, v.Self.DataCentre, v.Life)
+		for _, m := range v.Members {
+			fmt.Fprintf(w, "  %-14s %-21s rack %-6s %-8s incarnation %d\n", m.Host, m.Address, m.Rack, m.Status, m.Incarnation)
+		}
+		for _, r := range v.Remote {
+			fmt.Fprintf(w, "  data centre %s heard from at %s\n", r.DataCentre, clock(r.Received))
+		}
+	})
+}
+
+// targetsAnswer is the answer of "targets".
+type targetsAnswer struct {
+	Targets []inspector.MemberView `json:"targets"`
+	Remote  []inspector.RemoteView `json:"remote"`
+}
+
+func showTargets(ctx context.Context, c call) error {
+	v, err := c.view(ctx)
+	if err != nil {
+		return err
+	}
+	answer := targetsAnswer{Remote: v.Remote}
+	for _, m := range v.Members {
+		if m.Service != "" {
+			answer.Targets = append(answer.Targets, m)
+		}
+	}
+	return c.answer(answer, func(w io.Writer) {
+		for _, m := range answer.Targets {
+			fmt.Fprintf(w, "%-20s %-14s %-9s node %s\n", m.Service, m.Host, m.Phase, m.Status)
+		}
+		for _, r := range v.Remote {
+			for _, s := range r.Services {
+				fmt.Fprintf(w, "%-20s %d target(s) with %d slots in %s\n", s.Service, s.Targets, s.Slots, r.DataCentre)
+			}
+		}
+	})
+}
+
+// configAnswer is the answer of "config".
+type configAnswer struct {
+	Config   inspector.ConfigView  `json:"config"`
+	Services []snapshotter.Service `json:"services"`
+	Routes   []snapshotter.Route   `json:"routes"`
+}
+
+func showConfig(ctx context.Context, c call) error {
+	v, err := c.view(ctx)
+	if err != nil {
+		return err
+	}
+	answer := configAnswer{Config: v.Config, Services: v.Service, Routes: v.Routes}
+	return c.answer(answer, func(w io.Writer) { writeConfig(w, v) })
+}
+
+func writeConfig(w io.Writer, v inspector.View) {
+	switch {
+	case v.Config.Running != 0:
+		fmt.Fprintf(w, "version %d is in force on %s\n", v.Config.Running, v.Self.Host)
+	case v.Config.Recovering:
+		fmt.Fprintf(w, "no version is in force on %s yet; it looks for one not older than %d\n", v.Self.Host, v.Config.Floor)
+	default:
+		fmt.Fprintf(w, "no version is in force on %s\n", v.Self.Host)
+	}
+	for _, s := range v.Service {
+		fmt.Fprintf(w, "  service %-20s firm %-10s slots %d connections %d (ticket %d)\n",
+			s.Name, s.Firm, s.Slots, s.Connections, s.Ticket)
+	}
+	for _, r := range v.Routes {
+		methods := "all methods"
+		if len(r.Methods) > 0 {
+			methods = strings.Join(r.Methods, ",")
+		}
+		fmt.Fprintf(w, "  route   %-20s %s (%s) to %s, class %s, idempotent %t, timeout %d ms (ticket %d)\n",
+			r.Name, r.Prefix, methods, r.Service, r.Class, r.Idempotent, r.TimeoutMs, r.Ticket)
+	}
+}
--- /dev/null
+++ b/internal/parser/parser_test.go
@@ -0,0 +1,45 @@
+package parser
+
+import (
+	"errors"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+func TestParse(t *testing.T) {
+	t.Run("a whole ticket", func(t *testing.T) {
+		d, err := Parse(golden.Get(t, "good.yaml"))
+		assert.NilError(t, err)
+		assert.Equal(t, d.Firm, "frothvik")
+		assert.Equal(t, d.Change.Services[0].Slots, 20)
+		assert.Equal(t, d.Change.Routes[0].Idempotent, true)
+		assert.DeepEqual(t, d.Change.Routes[0].Methods, []string{"GET", "HEAD"})
+		assert.DeepEqual(t, d.Change.RemoveRoutes, []string{"old-status"})
+	})
+	for _, name := range []string{"bad", "empty", "not-yaml", "alias"} {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse(golden.Get(t, name+".yaml"))
+			var invalid *InvalidError
+			assert.Assert(t, errors.As(err, &invalid))
+			golden.Assert(t, invalid.Error()+"\n", name+".golden")
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, name := range []string{"good", "bad", "alias"} {
+		data, err := os.ReadFile("testdata/" + name + ".yaml")
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := Parse(data)
+		var invalid *InvalidError
+		assert.Assert(t, err == nil || errors.As(err, &invalid))
+		assert.Assert(t, err != nil || len(d.Change.Services)+len(d.Change.Routes)+
+			len(d.Change.RemoveServices)+len(d.Change.RemoveRoutes) > 0)
+	})
+}
--- a/pkg/snapshotter/apply.go
+++ b/pkg/snapshotter/apply.go
@@ -58,6 +58,24 @@
 	return next, nil
 }
 
+// Check tells what is wrong with a change whatever snapshot it is applied to.
+// It returns *RefusedError.
+func Check(c Change) error {
+	var v violations
+	v.shape(c)
+	v.fields(c)
+	return v.err()
+}
+
+func (v *violations) fields(c Change) {
+	for _, s := range c.Services {
+		v.service(s)
+	}
+	for _, r := range c.Routes {
+		v.route(r)
+	}
+}
+
 // shape checks what can be told from the change alone.
 func (v *violations) shape(c Change) {
 	if len(c.Services)+len(c.Routes)+len(c.RemoveServices)+len(c.RemoveRoutes) == 0 {
@@ -144,11 +162,8 @@
 
 // touched checks the rules for every resource that the change can have broken.
 func (v *violations) touched(next *Snapshot, c Change) {
-	for _, s := range c.Services {
-		v.service(s)
-	}
+	v.fields(c)
 	for _, r := range c.Routes {
-		v.route(r)
 		v.routed(next, r)
 	}
 	v.stillRouted(next, c)
--- a/pkg/snapshotter/validate.go
+++ b/pkg/snapshotter/validate.go
@@ -90,7 +90,9 @@
 	v.limit(label, "connections", s.Connections, max(1, s.Slots), MaxConnections)
 	v.limit(label, "queue", s.Queue, 0, MaxQueue)
 	v.limit(label, "bulk-percent", s.BulkPercent, 1, 100)
-	v.limit(label, "urgent-slots", s.UrgentSlots, 0, max(0, s.Slots-1))
+	if s.Slots >= 1 {
+		v.limit(label, "urgent-slots", s.UrgentSlots, 0, s.Slots-1)
+	}
 	v.limit(label, "retry-percent", s.RetryPercent, 0, 100)
 }
 
--- a/pkg/storer/http.go
+++ b/pkg/storer/http.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -126,7 +127,7 @@
 
 // failure turns a status into an error.
 func (a answer) failure(key string, write bool, expected uint64) error {
-	cause := &StatusError{Status: a.status, Body: string(a.body[:min(len(a.body), maxErrorBytes)])}
+	cause := &StatusError{Status: a.status, Body: strings.TrimSpace(string(a.body[:min(len(a.body), maxErrorBytes)]))}
 	switch a.status {
 	case http.StatusNotFound:
 		return &NotFoundError{Key: key}
--- a/pkg/ticketer/load.go
+++ b/pkg/ticketer/load.go
@@ -21,6 +21,9 @@
 	loadAttempts = 5
 )
 
+// emptyShard is the digest of a shard without resources, which is not stored.
+var emptyShard = snapshotter.Digest(sha256.Sum256(nil))
+
 // ShardKey returns the key of a shard.
 func ShardKey(d snapshotter.Digest) string { return ShardPrefix + d.String() }
 
@@ -30,8 +33,7 @@
 // it returns EmptyHead and revision 0.
 func LoadHead(ctx context.Context, client storer.Client) (Head, uint64, error) {
 	obj, err := client.Get(ctx, HeadKey)
-	var missing *storer.NotFoundError
-	if errors.As(err, &missing) {
+	if notFound(err) {
 		return EmptyHead(), 0, nil
 	}
 	if err != nil {
@@ -75,6 +77,9 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(parallelReads)
 	for i, want := range h.Shards {
+		if want == emptyShard {
+			continue
+		}
 		if owned[i] == want {
 			shards[i] = encoded[i]
 			continue
@@ -90,8 +95,7 @@
 
 func loadShard(ctx context.Context, client storer.Client, version uint64, want snapshotter.Digest) ([]byte, error) {
 	obj, err := client.Get(ctx, ShardKey(want))
-	var missing *storer.NotFoundError
-	if errors.As(err, &missing) {
+	if notFound(err) {
 		return nil, &ShardGoneError{Version: version, Digest: want}
 	}
 	if err != nil {
