--- /dev/null
+++ b/pkg/storer/fake_test.go
@@ -0,0 +1,54 @@
+package storer_test
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/pkg/storer"
+)
+
+// Waiting watches are counted, wake by a write, and end with an outage.
+func TestWaitingWatches(t *testing.T) {
+	play := func(t *testing.T, act func(fake *storer.Fake), check func(err error)) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
+			fake := storer.NewFake()
+			var group sync.WaitGroup
+			for range 3 {
+				group.Go(func() {
+					_, err := fake.Client().Watch(t.Context(), "a", 0)
+					check(err)
+				})
+			}
+			synctest.Wait()
+			assert.Equal(t, fake.Counts().Waiting, 3)
+			act(fake)
+			group.Wait()
+			assert.Equal(t, fake.Counts().Waiting, 0)
+			assert.Equal(t, fake.Counts().Watches, 3)
+		})
+	}
+	t.Run("a write", func(t *testing.T) {
+		write := func(fake *storer.Fake) { _, _ = fake.Client().Put(t.Context(), "a", nil, 0) }
+		play(t, write, func(err error) { assert.Check(t, err) })
+	})
+	t.Run("an outage", func(t *testing.T) {
+		outage := func(fake *storer.Fake) { fake.Set(storer.Faults{Outage: true}) }
+		play(t, outage, func(err error) { assertError[*storer.UnavailableError](t, err) })
+	})
+}
+
+func TestDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := storer.NewFake()
+		fake.Set(storer.Faults{DelayMs: 300})
+		start := time.Now()
+		_, err := fake.Client().Put(t.Context(), "a", nil, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(start), 300*time.Millisecond)
+	})
+}
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -26,7 +26,8 @@
 	Key string
 	// Value is at most MaxValueBytes long.
 	Value []byte
-	// Revision grows with each write of this key; 0 means that the object does not exist.
+	// Revision grows with each write of this key, also across its deletion, and so
+	// never repeats; 0 means that the object does not exist.
 	Revision uint64
 }
 
--- a/pkg/ticketer/load.go
+++ b/pkg/ticketer/load.go
@@ -44,12 +44,16 @@
 }
 
 // LoadSnapshot returns the snapshot that a head names, verified by its digest.
-// It fetches only the shards that differ from have, which may be nil. It
+// It applies the tickets since have where the head lists them and they are
+// few, and else fetches the shards that differ from have, which may be nil. It
 // returns *ShardGoneError when the head is too old.
 func LoadSnapshot(ctx context.Context, client storer.Client, h Head, have *snapshotter.Snapshot) (*snapshotter.Snapshot, error) {
 	if have != nil && have.Digest() == h.Digest {
 		return have, nil
 	}
+	if s := replayTickets(ctx, client, h, have); s != nil {
+		return s, nil
+	}
 	shards, err := collectShards(ctx, client, h, have)
 	if err != nil {
 		return nil, err
--- a/pkg/ticketer/settle.go
+++ b/pkg/ticketer/settle.go
@@ -96,7 +96,7 @@
 		return base, err
 	}
 	d.Replaced = replaced(head.Shards, digests[:])
-	nextHead, dropped := head.with(next, d)
+	nextHead, dropped := head.with(next, d, t.keep)
 	for _, old := range dropped {
 		if err := t.recordDropped(ctx, old); err != nil {
 			return base, err
@@ -119,10 +119,10 @@
 }
 
 // with returns the head after a decision, and the decisions that it no longer lists.
-func (h Head) with(next *snapshotter.Snapshot, d Decision) (Head, []Decision) {
+func (h Head) with(next *snapshotter.Snapshot, d Decision, keep int) (Head, []Decision) {
 	digests := snapshotter.Digests(next)
 	recent := append(slices.Clone(h.Recent), d)
-	extra := max(0, len(recent)-RecentDecisions)
+	extra := max(0, len(recent)-keep)
 	return Head{
 		Version: next.Version, Digest: next.Digest(), RemovedFloor: next.RemovedFloor,
 		Shards: digests[:], Recent: recent[extra:],
--- a/pkg/ticketer/ticketer.go
+++ b/pkg/ticketer/ticketer.go
@@ -38,11 +38,16 @@
 	NewOperationID func() string
 	// Pause waits before the given attempt, counted from 1, or returns ctx.Err().
 	Pause func(ctx context.Context, attempt int) error
+
+	// keep is how many decisions the head lists.
+	keep int
 }
 
 // New returns a ticketer with the clock and random operation ids.
 func New(store storer.Client) *Ticketer {
-	return &Ticketer{Store: store, Now: time.Now, NewOperationID: rand.Text, Pause: pause}
+	return &Ticketer{
+		Store: store, Now: time.Now, NewOperationID: rand.Text, Pause: pause, keep: RecentDecisions,
+	}
 }
 
 // stored is a ticket with the revision of its object.
