--- a/cmd/gentianctl/main.go
+++ b/cmd/gentianctl/main.go
@@ -1,5 +1,6 @@
 // Command gentianctl files, approves, withdraws and reads back tickets, and
-// shows what a node knows. Run it without arguments for its commands and exit codes.
+// shows what a node knows. "gentianctl help" lists
+// its commands and exit codes.
 package main
 
 import (
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -130,36 +129,45 @@
 func (c *Commander) Run(ctx context.Context, args []string) int {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	err := c.run(ctx, args)
+	output, err := c.run(ctx, args)
 	if err != nil {
-		c.explain(err)
+		c.explain(output, err)
 	}
 	return exitCode(err)
 }
 
-func (c *Commander) explain(err error) {
-	if errors.Is(err, flag.ErrHelp) {
+// failure is how an error is printed as JSON.
+type failure struct {
+	Error    string `json:"error"`
+	Advice   string `json:"advice,omitempty"`
+	ExitCode int    `json:"exit-code"`
+}
+
+func (c *Commander) explain(output Output, err error) {
+	if output == OutputJSON {
+		_ = json.NewEncoder(c.Err).Encode(failure{Error: err.Error(), Advice: advice(err), ExitCode: exitCode(err)})
 		return
 	}
 	fmt.Fprintln(c.Err, "gentianctl:", err)
 	if text := advice(err); text != "" {
 		fmt.Fprintln(c.Err, "advice:", text)
 	}
-	if is[*UsageError](err) {
-		c.usage()
-	}
 }
 
 func (c *Commander) usage() {
-	fmt.Fprintln(c.Err, "usage: gentianctl COMMAND [flags] [argument]")
+	fmt.Fprintln(c.Out, "usage: gentianctl COMMAND [flags] [argument]")
 	for _, cmd := range commands() {
-		fmt.Fprintf(c.Err, "  %-16s %s\n", cmd.name, cmd.usage)
+		fmt.Fprintf(c.Out, "  %-16s %s\n", cmd.name, cmd.usage)
 	}
-	fmt.Fprintln(c.Err, "flags: --platform URL, --node IP:PORT, --author NAME, --firm NAME, --output text|json, --last N")
-	fmt.Fprintln(c.Err, "exit codes: 0 done, 1 failed, 2 usage, 3 refused, 4 unreachable, 5 unknown outcome")
+	fmt.Fprintln(c.Out, "flags: --platform URL, --node IP:PORT, --author NAME, --firm NAME, --output text|json, --last N")
+	fmt.Fprintln(c.Out, "exit codes: 0 done, 1 failed, 2 usage, 3 refused, 4 unreachable, 5 unknown outcome")
 }
 
-func (c *Commander) run(ctx context.Context, args []string) error {
+func (c *Commander) run(ctx context.Context, args []string) (Output, error) {
+	if len(args) == 1 && (args[0] == "help" || args[0] == "--help" || args[0] == "-h") {
+		c.usage()
+		return OutputText, nil
+	}
 	for _, cmd := range commands() {
 		words := strings.Fields(cmd.name)
 		if len(args) < len(words) || strings.Join(args[:len(words)], " ") != cmd.name {
@@ -167,14 +175,14 @@
 		}
 		parsed, err := c.parse(args[len(words):])
 		if err != nil {
-			return err
+			return parsed.output, err
 		}
 		if len(parsed.args) != cmd.arguments {
-			return &UsageError{Text: fmt.Sprintf("%s takes %d argument(s), not %d", cmd.name, cmd.arguments, len(parsed.args))}
+			return parsed.output, &UsageError{Text: fmt.Sprintf("%s takes %d argument(s), not %d", cmd.name, cmd.arguments, len(parsed.args))}
 		}
-		return cmd.run(ctx, parsed)
+		return parsed.output, cmd.run(ctx, parsed)
 	}
-	return &UsageError{Text: "unknown command"}
+	return OutputText, &UsageError{Text: "unknown command"}
 }
 
 // parse reads flags before, between and after the arguments.
--- a/internal/commander/errors.go
+++ b/internal/commander/errors.go
@@ -53,7 +53,7 @@
 	case is[*UsageError](err), is[*parser.InvalidError](err), is[*ticketer.DraftError](err):
 		return ExitUsage
 	case is[*snapshotter.RefusedError](err), is[*ticketer.SelfApprovalError](err),
-		is[*ticketer.StateError](err), is[*ticketer.UnknownTicketError](err):
+		is[*ticketer.StateError](err), is[*ticketer.UnknownTicketError](err), is[*storer.TooLargeError](err):
 		return ExitRefused
 	case is[*storer.UnavailableError](err), is[*NodeError](err):
 		return ExitUnreachable
@@ -77,6 +77,12 @@
 		return "the change may have taken effect: look with \"gentianctl ticket list\" before repeating it"
 	case is[*storer.UnavailableError](err):
 		return "nothing was changed; nodes go on serving the configuration that they run"
+	case is[*storer.TooLargeError](err):
+		return "file the change as several tickets"
+	case is[*ticketer.DraftError](err):
+		return "give it in the file or as a flag"
+	case is[*UsageError](err):
+		return "run \"gentianctl help\" for the commands and their flags"
 	case is[*ticketer.SelfApprovalError](err):
 		return "ask somebody else to approve it"
 	default:
--- /dev/null
+++ b/internal/commander/session_test.go
@@ -0,0 +1,187 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/inspector"
+	"gentianbarrow.example/pkg/snapshotter"
+	"gentianbarrow.example/pkg/storer"
+	"gentianbarrow.example/pkg/ticketer"
+)
+
+// session records commands and their answers as an operator sees them.
+type session struct {
+	fake   *storer.Fake
+	view   inspector.View
+	record bytes.Buffer
+	// operations counts operation ids.
+	operations int
+}
+
+func (s *session) connect(string) *ticketer.Ticketer {
+	tk := ticketer.New(s.fake.Client())
+	tk.NewOperationID = func() string {
+		s.operations++
+		return fmt.Sprintf("operation-%d", s.operations)
+	}
+	return tk
+}
+
+// run carries out one command line and records it.
+func (s *session) run(ctx context.Context, line string) {
+	var out, errOut bytes.Buffer
+	c := &Commander{
+		Out: &out, Err: &errOut, Connect: s.connect,
+		ReadFile: func(path string) ([]byte, error) { return os.ReadFile(filepath.Join("testdata", path)) },
+		View:     func(context.Context, string) (inspector.View, error) { return s.view, nil },
+	}
+	fmt.Fprintf(&s.record, "$ gentianctl %s\n", line)
+	code := c.Run(ctx, strings.Fields(line))
+	s.record.Write(out.Bytes())
+	for l := range strings.Lines(errOut.String()) {
+		s.record.WriteString("! " + l)
+	}
+	fmt.Fprintf(&s.record, "(exit code %d)\n\n", code)
+}
+
+// note records a line that is not a command.
+func (s *session) note(text string) { fmt.Fprintf(&s.record, "# %s\n", text) }
+
+// play records a session under fake time and compares it with its golden file.
+func play(t *testing.T, name string, script func(t *testing.T, s *session)) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) {
+		s := &session{fake: storer.NewFake()}
+		synctest.Test(t, func(t *testing.T) { script(t, s) })
+		golden.Assert(t, s.record.String(), name+".golden")
+	})
+}
+
+// each carries out command lines one after the other, a second apart.
+func (s *session) each(t *testing.T, lines ...string) {
+	t.Helper()
+	for _, line := range lines {
+		s.run(t.Context(), line)
+		time.Sleep(time.Second)
+	}
+}
+
+func (s *session) status(t *testing.T, dataCentre string, lapses time.Duration, versions ...ticketer.VersionCount) {
+	t.Helper()
+	now := time.Now()
+	assert.NilError(t, ticketer.WriteStatus(t.Context(), s.fake.Client(), ticketer.DataCentreStatus{
+		DataCentre: dataCentre, Epoch: 1, Counted: now, Lapses: now.Add(lapses), Nodes: 4, Versions: versions,
+	}))
+}
+
+func TestSessions(t *testing.T) {
+	play(t, "accepted", func(t *testing.T, s *session) {
+		s.each(t, "ticket plan first.yaml", "ticket file --author sigga first.yaml", "ticket show 1",
+			"ticket approve 1 --author sigga", "ticket approve 1 --author jon", "ticket show 1")
+		s.note("the relays of reyk-a and hafn-c write their status, and hafn-c is cut off")
+		s.status(t, "reyk-a", time.Minute, ticketer.VersionCount{Version: 1, Nodes: 3})
+		s.status(t, "hafn-c", time.Second, ticketer.VersionCount{Version: 1, Nodes: 2})
+		time.Sleep(2 * time.Second)
+		s.each(t, "ticket show 1", "ticket plan second.yaml", "ticket file --author jon second.yaml",
+			"ticket approve 2 --author sigga", "ticket list", "ticket show 2 --output json")
+	})
+	play(t, "refused", func(t *testing.T, s *session) {
+		s.each(t, "ticket file --author sigga first.yaml", "ticket file --author sigga second.yaml",
+			"ticket file --author sigga remove.yaml", "ticket file --author sigga missing.yaml",
+			"ticket approve 2 --author jon", "ticket approve 1 --author jon", "ticket show 1",
+			"ticket approve 4 --author jon", "ticket withdraw 1 --author sigga",
+			"ticket settle 3", "ticket withdraw 3 --author sigga", "ticket approve 3 --author jon", "ticket list")
+	})
+	play(t, "removal", func(t *testing.T, s *session) {
+		s.each(t, "ticket file --author sigga first.yaml", "ticket approve 1 --author jon",
+			"ticket file --author sigga remove.yaml", "ticket approve 2 --author jon", "ticket plan remove.yaml --output json")
+	})
+	play(t, "lost-answers", func(t *testing.T, s *session) {
+		s.note("every second write takes effect without an answer")
+		writes := 0
+		s.fake.Intercept = func(op storer.Op, _ string) storer.Fault {
+			if op != storer.OpPut {
+				return storer.FaultNone
+			}
+			if writes++; writes%2 == 1 {
+				return storer.FaultAnswerLost
+			}
+			return storer.FaultNone
+		}
+		s.each(t, "ticket file --author sigga first.yaml", "ticket approve 1 --author jon", "ticket list")
+	})
+	play(t, "retried", func(t *testing.T, s *session) {
+		s.each(t, "ticket file --author sigga first.yaml")
+		s.note("the platform refuses the first write of the head")
+		s.fake.Intercept = func(op storer.Op, key string) storer.Fault {
+			if op == storer.OpPut && key == ticketer.HeadKey {
+				s.fake.Intercept = nil
+				return storer.FaultRefused
+			}
+			return storer.FaultNone
+		}
+		s.each(t, "ticket approve 1 --author jon")
+	})
+}
+
+func TestOutageSession(t *testing.T) {
+	play(t, "interrupted", func(t *testing.T, s *session) {
+		s.each(t, "ticket file --author sigga first.yaml")
+		s.note("the platform refuses every write of the head")
+		s.fake.Intercept = func(op storer.Op, key string) storer.Fault {
+			if op == storer.OpPut && key == ticketer.HeadKey {
+				return storer.FaultRefused
+			}
+			return storer.FaultNone
+		}
+		s.each(t, "ticket approve 1 --author jon", "ticket show 1", "ticket withdraw 1 --author sigga")
+		s.note("the platform is down")
+		s.fake.Set(storer.Faults{Outage: true})
+		s.each(t, "ticket show 1", "ticket show 1 --output json")
+		s.note("the platform is back")
+		s.fake.Intercept = nil
+		s.fake.Set(storer.Faults{})
+		s.each(t, "ticket settle 1", "ticket settle 1")
+	})
+	play(t, "usage", func(t *testing.T, s *session) {
+		s.each(t, "tickets", "ticket show one", "ticket approve 1", "ticket file bad.yaml --author sigga",
+			"ticket file none.yaml --author sigga", "ticket file first.yaml", "ticket list --output xml", "ticket show 1", "nodes", "help")
+	})
+}
+
+func TestNodeSession(t *testing.T) {
+	play(t, "node", func(t *testing.T, s *session) {
+		s.view = inspector.View{
+			Self:   inspector.SelfView{Host: "reyk-a-1", DataCentre: "reyk-a"},
+			Life:   blackboard.LifeServing,
+			Config: inspector.ConfigView{Running: 3, Floor: 3},
+			Members: []inspector.MemberView{
+				{Host: "reyk-a-1", Address: "10.0.0.1:7100", Rack: "r1", Status: blackboard.MemberAlive, Service: "booking", Phase: blackboard.TargetReady},
+				{Host: "reyk-a-2", Address: "10.0.0.2:7100", Rack: "r2", Status: blackboard.MemberSuspect, Incarnation: 2},
+			},
+			Remote: []inspector.RemoteView{{
+				DataCentre: "hafn-c", Received: time.Now(),
+				Services: []inspector.ServiceView{{Service: "booking", Targets: 1, Slots: 20}},
+			}},
+			Service: []snapshotter.Service{{Name: "booking", Firm: "frothvik", Slots: 20, Connections: 110, Ticket: 1}},
+			Routes: []snapshotter.Route{{
+				Name: "booking", Prefix: "/booking", Methods: []string{"POST"}, Service: "booking",
+				Class: snapshotter.ClassShort, TimeoutMs: 2000, Ticket: 2,
+			}},
+		}
+		s.each(t, "nodes --node 10.0.0.1:7200", "targets --node 10.0.0.1:7200", "config --node 10.0.0.1:7200",
+			"config --node 10.0.0.1:7200 --output json")
+	})
+}
--- a/pkg/ticketer/errors.go
+++ b/pkg/ticketer/errors.go
@@ -53,7 +53,7 @@
 // StateError tells that a ticket is not in the state that an operation needs. Nothing was changed.
 type StateError struct {
 	Number uint64
-	// Actual is where the ticket stands, and By who brought it there.
+	// Actual is where the ticket stands, and By who brought it there; empty when a rule did.
 	Actual State
 	By     string
 	// Operation that was asked for, such as "withdrawn".
@@ -61,6 +61,9 @@
 }
 
 func (e *StateError) Error() string {
+	if e.Actual == StateFiled {
+		return fmt.Sprintf("ticket %d is not approved yet", e.Number)
+	}
 	by := ""
 	if e.By != "" {
 		by = " by " + e.By
--- a/pkg/ticketer/ticketer.go
+++ b/pkg/ticketer/ticketer.go
@@ -188,14 +188,8 @@
 }
 
 func (t Ticket) stateError(operation State) error {
-	e := &StateError{Number: t.Number, Actual: t.State(), Operation: operation}
-	if step, ok := t.Step(StateApproved); ok {
-		e.By = step.By
-	}
-	if step, ok := t.Step(StateWithdrawn); ok {
-		e.By = step.By
-	}
-	return e
+	step, _ := t.Step(t.State())
+	return &StateError{Number: t.Number, Actual: t.State(), By: step.By, Operation: operation}
 }
 
 // advance adds a step to a filed ticket. allowed returns true when the step was
