--- /dev/null
+++ b/internal/blackboard/config.go
@@ -0,0 +1,182 @@
+package blackboard
+
+import (
+	"time"
+
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+// Config is the entry of the follower.
+type Config struct {
+	// Running is what requests are served by; nil until the node knows that it
+	// is not older than what this host has run. Its version never decreases.
+	Running *snapshotter.Snapshot
+	// Digest of Running, in hexadecimal.
+	Digest string
+	// Floor is the greatest version that this node has recorded for itself or
+	// for others. It never decreases. Running is never replaced by a lower one,
+	// and the first Running is at least the Floor.
+	Floor uint64
+	// Recovering is true until the node has evidence for a safe first version.
+	Recovering bool
+	// Parent is the address that the node follows; empty means none.
+	Parent string
+	// Stage holds the version that is checked but not yet in force.
+	Stage Stage
+	// Recent holds the newest versions that this node can make deltas from, oldest first. Read only.
+	Recent []Version
+	// Tree is the node's place between the relays and the other nodes.
+	Tree Tree
+	// Recovery is the progress of a restarted node; of no meaning unless Recovering.
+	Recovery Recovery
+	// Source is what a relay knows of the platform.
+	Source Source
+	// Heard is the greatest version that a peer is known to have.
+	Heard Heard
+}
+
+// Version is a snapshot with its digest.
+type Version struct {
+	Snapshot *snapshotter.Snapshot
+	Digest   string
+}
+
+// Number returns the version number; 0 when there is no snapshot.
+func (v Version) Number() uint64 {
+	if v.Snapshot == nil {
+		return 0
+	}
+	return v.Snapshot.Version
+}
+
+// Stage is a whole, validated version that waits for its witnesses.
+type Stage struct {
+	// Next is empty when nothing is staged.
+	Next Version
+	// Witnesses holds, by host, until when its acknowledgement counts. Read only; replaced on change.
+	Witnesses map[string]time.Time
+	// Asked holds, by host, when the pending question was sent. Read only; replaced on change.
+	Asked map[string]time.Time
+	// AskAt is when to ask further hosts.
+	AskAt time.Time
+	// Began is when the version was staged.
+	Began time.Time
+}
+
+// Tree is the place of a node in the distribution tree.
+type Tree struct {
+	// ParentHost is empty when the node has no parent.
+	ParentHost string
+	// Joined is true once the parent has answered.
+	Joined bool
+	// SilentAt is when the parent counts as silent.
+	SilentAt time.Time
+	// Path holds the hash of each ancestor, nearest first. Read only.
+	Path []uint32
+	// Attempt counts the parents tried since the last one that answered.
+	Attempt int
+	// Hints are addresses that a full parent named. Read only.
+	Hints []string
+	// JoinAt is when to look for a parent.
+	JoinAt time.Time
+	// ReportAt is when to report to the parent.
+	ReportAt time.Time
+	// BeatAt is when to send the next heartbeat to the children.
+	BeatAt time.Time
+	// Children by host, at most the fan-out. Read only; replaced on change.
+	Children map[string]Child
+}
+
+// Child is a node that follows this one.
+type Child struct {
+	Host    string
+	Address string
+	// Version and Digest of what the child has or was last sent.
+	Version uint64
+	Digest  string
+	// SilentAt is when the child counts as gone.
+	SilentAt time.Time
+	// InForce counts the nodes at and below the child by version. Read only.
+	InForce map[uint64]int
+}
+
+// Recovery is the progress of a restarted node towards evidence for a first version.
+type Recovery struct {
+	// Began is when the process started.
+	Began time.Time
+	// Question tells answers to this process from those to an earlier one.
+	Question uint64
+	// AskHeadAt is when to ask a peer for a fresh read of the head.
+	AskHeadAt time.Time
+	// ReadAt is when to consider a read of the platform by this node itself.
+	ReadAt time.Time
+	// AskFloorsAt is when to ask further members for their floors.
+	AskFloorsAt time.Time
+	// Answers holds, by host, the floor that it answered with. Read only; replaced on change.
+	Answers map[string]uint64
+}
+
+// Source is what a relay knows of the platform.
+type Source struct {
+	// Revision of the head object when last seen.
+	Revision uint64
+	// Watching is true while a watch waits.
+	Watching bool
+	// WatchAt is when to start the next watch.
+	WatchAt time.Time
+	// Failures counts the calls that failed since the last success.
+	Failures int
+	// ReadingHead is true while a read of the head is under way.
+	ReadingHead bool
+	// ReadHeadAt is the earliest time of the next read of the head.
+	ReadHeadAt time.Time
+	// Waiting are the questions that need a read begun after them. Read only; replaced on change.
+	Waiting []HeadQuestion
+	// StatusAt is when to write the status object.
+	StatusAt time.Time
+}
+
+// HeadQuestion is a restarted node's request for a fresh read of the head.
+type HeadQuestion struct {
+	Address  string
+	Question uint64
+}
+
+// Heard is a version that a peer has and this node lacks.
+type Heard struct {
+	Version uint64
+	Address string
+	// PullAt is when to pull it unless it has arrived by then.
+	PullAt time.Time
+}
+
+// Lease is the entry of the elector.
+type Lease struct {
+	// Slot that this node holds as a relay; negative means none.
+	Slot int
+	// Epoch of the held lease. It grows each time a slot changes hands.
+	Epoch uint64
+	// Expires is when the held lease lapses unless renewed.
+	Expires time.Time
+	// Revision of the held lease object.
+	Revision uint64
+	// RenewAt is when to renew the held lease.
+	RenewAt time.Time
+	// ReadAt is when to read the leases of the data centre; zero before the first tick.
+	ReadAt time.Time
+	// BusyUntil is when the platform call under way has ended at the latest; zero when there is none.
+	BusyUntil time.Time
+	// Failures counts the platform calls that failed since the last success.
+	Failures int
+	// Relays of this data centre as last read, by slot. Read only.
+	Relays []Relay
+}
+
+// Relay names the holder of a relay slot.
+type Relay struct {
+	Slot    int
+	Epoch   uint64
+	Host    string
+	Address string
+	Expires time.Time
+}
--- a/internal/blackboard/state.go
+++ b/internal/blackboard/state.go
@@ -1,10 +1,6 @@
 package blackboard
 
-import (
-	"time"
-
-	"gentianbarrow.example/pkg/snapshotter"
-)
+import "time"
 
 // State is all that a node knows. Each entry has one writer, named beside it.
 type State struct {
@@ -56,40 +52,6 @@
 	Phase LifePhase
 }
 
-// Config is the entry of the follower.
-type Config struct {
-	// Running is what requests are served by; nil until the node knows that it
-	// is not older than what this host has run. Its version never decreases.
-	Running *snapshotter.Snapshot
-	// Floor is the greatest version known to be in force on any host. Running is never replaced by a lower one.
-	Floor uint64
-	// Recovering is true until the node has evidence for a safe first version.
-	Recovering bool
-	// Parent is the address that the node follows; empty means none.
-	Parent string
-}
-
-// Lease is the entry of the elector.
-type Lease struct {
-	// Slot that this node holds as a relay; negative means none.
-	Slot int
-	// Epoch of the held lease. It grows each time a slot changes hands.
-	Epoch uint64
-	// Expires is when the held lease lapses unless renewed.
-	Expires time.Time
-	// Relays of this data centre as last read, by slot. Read only.
-	Relays []Relay
-}
-
-// Relay names the holder of a relay slot.
-type Relay struct {
-	Slot    int
-	Epoch   uint64
-	Host    string
-	Address string
-	Expires time.Time
-}
-
 // MemberStatus is what a node believes of another.
 type MemberStatus string
 
--- a/internal/logger/events_distribution.go
+++ b/internal/logger/events_distribution.go
@@ -1,4 +1,65 @@
 package logger
 
-// Events 200 to 299.
-var distributionEvents = []Event{}
+// Events 200 to 299: configuration, from the platform to every node.
+var (
+	ConfigApplied = Event{
+		Number: 200, Name: "config-applied", Level: LevelInfo,
+		Meaning: "A new version of the configuration is in force on this node.",
+		Action:  "None.",
+	}
+	ConfigRefused = Event{
+		Number: 201, Name: "config-refused", Level: LevelError,
+		Meaning: "A version failed validation or its digest and was not applied; the node keeps the version it runs.",
+		Action:  "Read the error field; if many nodes report the same version, withdraw the change by a new ticket.",
+	}
+	ConfigFetchedWhole = Event{
+		Number: 202, Name: "config-fetched-whole", Level: LevelInfo,
+		Meaning: "A delta did not fit, so the node asks for the whole snapshot.",
+		Action:  "None, unless it repeats; then look for nodes with different program versions.",
+	}
+	ConfigUnwitnessed = Event{
+		Number: 203, Name: "config-unwitnessed", Level: LevelWarn,
+		Meaning: "A version waits because too few nodes on other racks have recorded it.",
+		Action:  "Look for racks or links that are down; the node goes on with the version it runs.",
+	}
+	ParentChanged = Event{
+		Number: 210, Name: "parent-changed", Level: LevelInfo,
+		Meaning: "The node follows another parent.",
+		Action:  "None, unless one parent loses its children over and over.",
+	}
+	ParentSilent = Event{
+		Number: 211, Name: "parent-silent", Level: LevelWarn,
+		Meaning: "The parent missed its heartbeats, and the node looks for another.",
+		Action:  "Look at the parent's host and the link to it.",
+	}
+	LeaseTaken = Event{
+		Number: 220, Name: "lease-taken", Level: LevelInfo,
+		Meaning: "The node holds a relay slot and watches the platform for its data centre.",
+		Action:  "None.",
+	}
+	LeaseLost = Event{
+		Number: 221, Name: "lease-lost", Level: LevelInfo,
+		Meaning: "The node no longer holds its relay slot.",
+		Action:  "None; another node takes the slot. If all slots stay empty, look at the platform.",
+	}
+	PlatformSilent = Event{
+		Number: 222, Name: "platform-silent", Level: LevelWarn,
+		Meaning: "A relay could not reach the platform and tries again later.",
+		Action:  "Follow the page on a platform outage.",
+	}
+	RecoveryEnded = Event{
+		Number: 230, Name: "recovery-ended", Level: LevelInfo,
+		Meaning: "The restarted node has evidence for a safe first version.",
+		Action:  "None.",
+	}
+	RecoveryBlocked = Event{
+		Number: 231, Name: "recovery-blocked", Level: LevelWarn,
+		Meaning: "The restarted node has no evidence for a safe version and serves nothing.",
+		Action:  "Bring the platform back, or the hosts of all but one rack.",
+	}
+)
+
+var distributionEvents = []Event{
+	ConfigApplied, ConfigRefused, ConfigFetchedWhole, ConfigUnwitnessed, ParentChanged, ParentSilent,
+	LeaseTaken, LeaseLost, PlatformSilent, RecoveryEnded, RecoveryBlocked,
+}
--- /dev/null
+++ b/internal/ranker/ranker.go
@@ -0,0 +1,82 @@
+// Package ranker puts the nodes of a data centre into one order that every
+// node works out alike from its member list. The elector and the follower use
+// it to choose relays and parents without agreement.
+package ranker
+
+import (
+	"encoding/binary"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentianbarrow.example/internal/blackboard"
+)
+
+// Rank returns the members that are not known to be dead or gone, in order.
+func Rank(members map[string]blackboard.Member) []blackboard.Member {
+	type ranked struct {
+		hash   uint64
+		member blackboard.Member
+	}
+	all := make([]ranked, 0, len(members))
+	for _, m := range members {
+		if m.Status == blackboard.MemberAlive || m.Status == blackboard.MemberSuspect {
+			all = append(all, ranked{xxhash.Sum64String(m.Host), m})
+		}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		if a.hash != b.hash {
+			if a.hash < b.hash {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.member.Host, b.member.Host)
+	})
+	out := make([]blackboard.Member, len(all))
+	for i := range all {
+		out[i] = all[i].member
+	}
+	return out
+}
+
+// Index returns the place of a host, or -1.
+func Index(members []blackboard.Member, host string) int {
+	return slices.IndexFunc(members, func(m blackboard.Member) bool { return m.Host == host })
+}
+
+// Hash returns a short hash of a host, for paths and jitter.
+func Hash(host string) uint32 { return uint32(xxhash.Sum64String(host)) }
+
+// Draw returns a number that looks random and depends only on the host, the
+// time and the salt, so that a pure function can use it.
+func Draw(host string, now time.Time, salt uint64) uint64 {
+	buf := make([]byte, 0, len(host)+16)
+	buf = append(buf, host...)
+	buf = binary.LittleEndian.AppendUint64(buf, uint64(now.UnixNano()))
+	buf = binary.LittleEndian.AppendUint64(buf, salt)
+	return xxhash.Sum64(buf)
+}
+
+// Jitter returns a time between zero and span.
+func Jitter(host string, now time.Time, salt uint64, span time.Duration) time.Duration {
+	if span <= 0 {
+		return 0
+	}
+	return time.Duration(Draw(host, now, salt) % uint64(span))
+}
+
+// Backoff returns how long to wait after a number of failures in a row:
+// doubled each time up to a limit, and spread over the upper half.
+func Backoff(host string, now time.Time, failures int, first, most time.Duration) time.Duration {
+	wait := first
+	for range failures - 1 {
+		wait = min(2*wait, most)
+		if wait == most {
+			break
+		}
+	}
+	return wait/2 + Jitter(host, now, uint64(failures), wait/2)
+}
