Add the follower: tree, witnesses, recovery and its streams

Cause: a version accepted at the platform must be in force on every node within seconds, and a restarted node must not run an older one than its host has run. Ruled out: effects that order frames for each child; frames are idempotent and carry versions, so order does not matter. Seen failing: 'a bad delta' said 2 != 3 on host-0, because updates carried no sender and the pull of the whole went nowhere; 'the only node with a version restarts' said 3 != 0, because a paused node of the test still got platform answers (test fixed by cutting the platform for the other hosts). Before: no test. After: go test -race ./internal/follower passes.

--- a/internal/blackboard/config.go
+++ b/internal/blackboard/config.go
@@ -11,8 +11,6 @@
 	// Running is what requests are served by; nil until the node knows that it
 	// is not older than what this host has run. Its version never decreases.
 	Running *snapshotter.Snapshot
-	// Digest of Running, in hexadecimal.
-	Digest string
 	// Floor is the greatest version that this node has recorded for itself or
 	// for others. It never decreases. Running is never replaced by a lower one,
 	// and the first Running is at least the Floor.
@@ -24,7 +22,7 @@
 	// Stage holds the version that is checked but not yet in force.
 	Stage Stage
 	// Recent holds the newest versions that this node can make deltas from, oldest first. Read only.
-	Recent []Version
+	Recent []*snapshotter.Snapshot
 	// Tree is the node's place between the relays and the other nodes.
 	Tree Tree
 	// Recovery is the progress of a restarted node; of no meaning unless Recovering.
@@ -35,32 +33,25 @@
 	Heard Heard
 }
 
-// Version is a snapshot with its digest.
-type Version struct {
-	Snapshot *snapshotter.Snapshot
-	Digest   string
-}
-
-// Number returns the version number; 0 when there is no snapshot.
-func (v Version) Number() uint64 {
-	if v.Snapshot == nil {
-		return 0
-	}
-	return v.Snapshot.Version
-}
-
 // Stage is a whole, validated version that waits for its witnesses.
 type Stage struct {
-	// Next is empty when nothing is staged.
-	Next Version
-	// Witnesses holds, by host, until when its acknowledgement counts. Read only; replaced on change.
-	Witnesses map[string]time.Time
+	// Next is nil when nothing is staged. Its version is greater than that of Running.
+	Next *snapshotter.Snapshot
+	// Witnesses holds, by host, who has recorded the version. Read only; replaced on change.
+	Witnesses map[string]Witness
 	// Asked holds, by host, when the pending question was sent. Read only; replaced on change.
 	Asked map[string]time.Time
 	// AskAt is when to ask further hosts.
 	AskAt time.Time
-	// Began is when the version was staged.
-	Began time.Time
+	// WarnAt is when to tell the operators that the version still waits.
+	WarnAt time.Time
+}
+
+// Witness is a host that has recorded a version.
+type Witness struct {
+	Rack string
+	// Until is when the acknowledgement no longer counts.
+	Until time.Time
 }
 
 // Tree is the place of a node in the distribution tree.
@@ -91,9 +82,8 @@
 type Child struct {
 	Host    string
 	Address string
-	// Version and Digest of what the child has or was last sent.
+	// Version that the child has or was last sent.
 	Version uint64
-	Digest  string
 	// SilentAt is when the child counts as gone.
 	SilentAt time.Time
 	// InForce counts the nodes at and below the child by version. Read only.
@@ -112,8 +102,14 @@
 	ReadAt time.Time
 	// AskFloorsAt is when to ask further members for their floors.
 	AskFloorsAt time.Time
+	// Asked holds, by host, when it was last asked for its floor. Read only; replaced on change.
+	Asked map[string]time.Time
 	// Answers holds, by host, the floor that it answered with. Read only; replaced on change.
 	Answers map[string]uint64
+	// LargestView is the greatest number of members that an answer told of.
+	LargestView int
+	// WarnAt is when to tell the operators that the node still waits.
+	WarnAt time.Time
 }
 
 // Source is what a relay knows of the platform.
@@ -140,6 +136,13 @@
 type HeadQuestion struct {
 	Address  string
 	Question uint64
+	// Received is when this relay got it; only a read begun later answers it.
+	Received time.Time
+}
+
+// Same tells whether two questions are one that was repeated.
+func (q HeadQuestion) Same(o HeadQuestion) bool {
+	return q.Address == o.Address && q.Question == o.Question
 }
 
 // Heard is a version that a peer has and this node lacks.
--- /dev/null
+++ b/internal/follower/failure_test.go
@@ -0,0 +1,261 @@
+package follower
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/internal/wirepb"
+	"gentianbarrow.example/pkg/storer"
+)
+
+// runFleet runs a test against 12 nodes on 4 racks that all run version 2.
+func runFleet(t *testing.T, name string, test func(t *testing.T, fl *fleet)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			fl := newFleet(t, 12, 4, 7)
+			fl.publish()
+			fl.publish()
+			fl.startAll()
+			time.Sleep(inForceLimit)
+			fl.assertRunning(2)
+			test(t, fl)
+			fl.assertNoViolations()
+		})
+	})
+}
+
+// relays returns the hosts that hold a lease, by slot.
+func (fl *fleet) relays() []string {
+	synctest.Wait()
+	var hosts []string
+	for host, n := range fl.nodes {
+		if n.up && n.board.Read().Lease.Slot >= 0 {
+			hosts = append(hosts, host)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b string) int {
+		return fl.nodes[a].board.Read().Lease.Slot - fl.nodes[b].board.Read().Lease.Slot
+	})
+	return hosts
+}
+
+func (fl *fleet) pause(host string, paused bool) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.nodes[host].paused = paused
+}
+
+// assertConverges checks that what is accepted now is in force everywhere in time.
+func (fl *fleet) assertConverges() {
+	fl.t.Helper()
+	time.Sleep(inForceLimit)
+	fl.assertRunning(fl.head.Version)
+}
+
+func isUpdate(frame *wirepb.FollowFrame) bool {
+	return frame.GetDelta() != nil || frame.GetChunk() != nil
+}
+
+func TestFailuresOfLinks(t *testing.T) {
+	runFleet(t, "a silent connection to the parent", func(t *testing.T, fl *fleet) {
+		host := slices.MaxFunc(slices.Collect(maps.Keys(fl.nodes)), func(a, b string) int {
+			return len(fl.nodes[a].board.Read().Config.Tree.Path) - len(fl.nodes[b].board.Read().Config.Tree.Path)
+		})
+		parent := fl.nodes[host].board.Read().Config.Parent
+		assert.Assert(t, parent != "")
+		fl.loseFrames(func(from, to string, _ *wirepb.FollowFrame) bool { return from == parent && to == host })
+		fl.publish()
+		fl.assertConverges()
+		assert.Assert(t, fl.nodes[host].board.Read().Config.Parent != parent)
+	})
+	runFleet(t, "a bad delta", func(_ *testing.T, fl *fleet) {
+		fl.loseFrames(func(_, _ string, frame *wirepb.FollowFrame) bool {
+			if d := frame.GetDelta(); d != nil {
+				d.Delta = slices.Clone(d.GetDelta())
+				d.Delta[len(d.Delta)-1] ^= 1
+			}
+			return false
+		})
+		fl.publish()
+		fl.assertConverges()
+	})
+	runFleet(t, "updates that cross", func(_ *testing.T, fl *fleet) {
+		var held []*wirepb.FollowFrame
+		fl.loseFrames(func(_, to string, frame *wirepb.FollowFrame) bool {
+			if frame != nil && isUpdate(frame) && to == "host-1" {
+				held = append(held, frame)
+			}
+			return false
+		})
+		for range 4 {
+			fl.publish()
+			time.Sleep(3 * time.Second)
+		}
+		for _, frame := range slices.Backward(held) {
+			fl.mu.Lock()
+			_ = deliver(&assembler{}, frame, time.Now(), fl.nodes["host-1"].board.Post)
+			fl.mu.Unlock()
+		}
+		fl.assertConverges()
+	})
+	runFleet(t, "a data centre cut off, then back, catches up in one step", func(t *testing.T, fl *fleet) {
+		fl.cutPlatform(true)
+		time.Sleep(time.Minute)
+		for range 20 {
+			fl.publish()
+		}
+		time.Sleep(time.Minute)
+		fl.assertRunning(2)
+		fl.cutPlatform(false)
+		fl.assertConverges()
+		for _, n := range fl.nodes {
+			assert.Equal(t, len(n.inForce), 2, "versions put in force: %v", n.inForce)
+		}
+	})
+}
+
+func TestFailuresOfThePlatform(t *testing.T) {
+	runFleet(t, "an outage while a version is accepted", func(_ *testing.T, fl *fleet) {
+		fl.publish()
+		fl.fake.Set(storer.Faults{Outage: true})
+		time.Sleep(time.Minute)
+		fl.fake.Set(storer.Faults{})
+		fl.assertConverges()
+	})
+	runFleet(t, "slow answers", func(_ *testing.T, fl *fleet) {
+		fl.fake.Set(storer.Faults{DelayMs: 1000})
+		fl.publish()
+		fl.assertConverges()
+	})
+	runFleet(t, "a shard that cannot be read yet", func(_ *testing.T, fl *fleet) {
+		until := time.Now().Add(5 * time.Second)
+		fl.fake.Intercept = func(op storer.Op, key string) storer.Fault {
+			if op == storer.OpGet && key[:6] == "config" && time.Now().Before(until) {
+				return storer.FaultRefused
+			}
+			return storer.FaultNone
+		}
+		fl.publish()
+		fl.assertConverges()
+	})
+}
+
+func TestFailuresOfRelays(t *testing.T) {
+	runFleet(t, "half the relays die", func(t *testing.T, fl *fleet) {
+		relays := fl.relays()
+		assert.Equal(t, len(relays), 3)
+		fl.kill(relays[0])
+		fl.kill(relays[1])
+		fl.publish()
+		fl.assertConverges()
+		time.Sleep(inForceLimit)
+		assert.Equal(t, len(fl.relays()), 3)
+	})
+	runFleet(t, "every relay dies", func(_ *testing.T, fl *fleet) {
+		for _, host := range fl.relays() {
+			fl.kill(host)
+		}
+		fl.publish()
+		time.Sleep(inForceLimit)
+		fl.assertConverges()
+	})
+	runFleet(t, "a paused lease holder wakes", func(t *testing.T, fl *fleet) {
+		relay := fl.relays()[0]
+		fl.pause(relay, true)
+		time.Sleep(time.Minute)
+		for range 3 {
+			fl.publish()
+		}
+		time.Sleep(inForceLimit)
+		fl.pause(relay, false)
+		fl.publish()
+		fl.assertConverges()
+		assert.Equal(t, len(fl.relays()), 3)
+	})
+}
+
+func TestNeverOlder(t *testing.T) {
+	runFleet(t, "a node killed between stage and swap", func(t *testing.T, fl *fleet) {
+		fl.loseFrames(func(_, to string, frame *wirepb.FollowFrame) bool {
+			return to == "host-1" && frame.GetWitnessAck() != nil
+		})
+		fl.publish()
+		time.Sleep(inForceLimit)
+		assert.Equal(t, fl.running("host-1"), uint64(2))
+		assert.Equal(t, number(fl.nodes["host-1"].board.Read().Config.Stage.Next), uint64(3))
+		fl.kill("host-1")
+		fl.cutPlatform(true)
+		fl.loseFrames(nil)
+		fl.start("host-1")
+		fl.assertConverges()
+	})
+	runFleet(t, "a restarted node takes the head from a fresh read", func(_ *testing.T, fl *fleet) {
+		fl.kill("host-3")
+		fl.publish()
+		fl.start("host-3")
+		fl.assertConverges()
+	})
+	runFleet(t, "a restarted node takes the floors with the platform down", func(_ *testing.T, fl *fleet) {
+		fl.cutPlatform(true)
+		time.Sleep(time.Minute)
+		fl.kill("host-3")
+		time.Sleep(5 * time.Second)
+		fl.start("host-3")
+		fl.assertConverges()
+	})
+	runFleet(t, "the only node with a version restarts with the platform down", onlyHolderRestarts)
+	runFleet(t, "nodes silent on two racks leave too little evidence", func(t *testing.T, fl *fleet) {
+		fl.cutPlatform(true)
+		time.Sleep(time.Minute)
+		fl.kill("host-1")
+		fl.kill("host-2")
+		fl.kill("host-3")
+		time.Sleep(5 * time.Second)
+		fl.start("host-3")
+		time.Sleep(time.Minute)
+		assert.Equal(t, fl.running("host-3"), uint64(0))
+		fl.start("host-2")
+		time.Sleep(time.Minute)
+		assert.Equal(t, fl.running("host-3"), uint64(0), "host-1 is dead and host-2 recovers too")
+		fl.cutPlatform(false)
+		fl.assertConverges()
+	})
+	runFleet(t, "every node restarts with the platform down", func(t *testing.T, fl *fleet) {
+		fl.cutPlatform(true)
+		for host := range fl.nodes {
+			fl.kill(host)
+		}
+		fl.startAll()
+		time.Sleep(2 * time.Minute)
+		for host := range fl.nodes {
+			assert.Equal(t, fl.running(host), uint64(0), host)
+		}
+		fl.cutPlatform(false)
+		fl.assertConverges()
+	})
+}
+
+// onlyHolderRestarts lets one relay put version 3 in force while no other node
+// gets it. After its restart nobody can give it version 3, and it must not go
+// back to version 2, which all the others run.
+func onlyHolderRestarts(t *testing.T, fl *fleet) {
+	fl.loseFrames(func(_, _ string, frame *wirepb.FollowFrame) bool { return isUpdate(frame) })
+	relay := fl.relays()[0]
+	fl.cutPlatformBut(relay)
+	fl.publish()
+	time.Sleep(3 * time.Second)
+	fl.cutPlatform(true)
+	assert.Equal(t, fl.running(relay), uint64(3))
+	fl.kill(relay)
+	fl.loseFrames(nil)
+	fl.start(relay)
+	time.Sleep(time.Minute)
+	assert.Equal(t, fl.running(relay), uint64(0))
+	fl.cutPlatform(false)
+	fl.assertConverges()
+}
--- /dev/null
+++ b/internal/follower/fleet_test.go
@@ -0,0 +1,402 @@
+package follower
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/elector"
+	"gentianbarrow.example/internal/wirepb"
+	"gentianbarrow.example/pkg/snapshotter"
+	"gentianbarrow.example/pkg/storer"
+	"gentianbarrow.example/pkg/ticketer"
+)
+
+// linkDelay is how long a frame takes between two nodes of a fleet.
+const linkDelay = 500 * time.Microsecond
+
+// fleet runs the real controllers of many nodes of one data centre in one
+// synctest bubble, joined by function fields instead of sockets.
+type fleet struct {
+	t        *testing.T
+	fake     *storer.Fake
+	ctx      context.Context
+	group    sync.WaitGroup
+	baseline baseline
+	fanOut   int
+	// breakIt, when set, changes each follower before it starts.
+	breakIt func(f *Follower)
+
+	mu    sync.Mutex
+	rng   *rand.Rand
+	nodes map[string]*testNode
+	links map[[2]string]chan *wirepb.FollowFrame
+	// lost tells whether a frame between two hosts is lost.
+	lost func(from, to string, frame *wirepb.FollowFrame) bool
+	// platformLost tells whether a host cannot reach the platform.
+	platformLost func(host string) bool
+	head         *snapshotter.Snapshot
+	revision     uint64
+	accepted     map[uint64]snapshotter.Digest
+	published    map[uint64]time.Time
+	violations   []string
+	sent         map[string]int
+	frames       map[string]int
+}
+
+// testNode is one host. Its greatest version outlives its processes.
+type testNode struct {
+	host, rack string
+	board      *blackboard.Board
+	stop       context.CancelFunc
+	up         bool
+	paused     bool
+	starts     uint64
+	// ran is the greatest version that any process of this host has run.
+	ran uint64
+	// inForce holds when each version was put in force.
+	inForce map[uint64]time.Time
+}
+
+// membersSet stands for the gossip of the membership part.
+type membersSet struct{ byHost map[string]blackboard.Member }
+
+func newFleet(t *testing.T, hosts, racks int, seed uint64) *fleet {
+	ctx, cancel := context.WithCancel(t.Context())
+	fl := &fleet{
+		t: t, fake: storer.NewFake(), ctx: ctx, fanOut: DefaultFanOut, rng: rand.New(rand.NewPCG(seed, 1)),
+		nodes: map[string]*testNode{}, links: map[[2]string]chan *wirepb.FollowFrame{},
+		head: snapshotter.Empty(), accepted: map[uint64]snapshotter.Digest{}, published: map[uint64]time.Time{},
+		sent: map[string]int{}, frames: map[string]int{},
+	}
+	for i := range hosts {
+		host := fmt.Sprintf("host-%d", i)
+		fl.nodes[host] = &testNode{host: host, rack: fmt.Sprintf("rack-%d", i%racks), inForce: map[uint64]time.Time{}}
+	}
+	t.Cleanup(func() {
+		cancel()
+		fl.group.Wait()
+	})
+	return fl
+}
+
+func (fl *fleet) startAll() {
+	for host := range fl.nodes {
+		fl.start(host)
+	}
+}
+
+func (fl *fleet) start(host string) {
+	n := fl.nodes[host]
+	fl.mu.Lock()
+	n.starts++
+	n.up, n.paused = true, false
+	ctx, stop := context.WithCancel(fl.ctx)
+	n.stop = stop
+	self := blackboard.Self{
+		Host: host, DataCentre: "reyk-a", Rack: n.rack, Address: host, Incarnation: n.starts,
+	}
+	s := blackboard.State{Self: self, Config: NewConfig(), Lease: elector.NoLease()}
+	s.Members.ByHost = map[string]blackboard.Member{host: fl.member(n)}
+	offset := time.Duration(fl.rng.Int64N(int64(blackboard.TickEvery)))
+	fl.mu.Unlock()
+	n.board = blackboard.New(s, fl.controllers(n))
+	fl.group.Go(func() { _ = n.board.Run(ctx) })
+	fl.group.Go(func() { fl.tick(ctx, n, offset) })
+	fl.gossip()
+}
+
+func (fl *fleet) controllers(n *testNode) []blackboard.Controller {
+	client := fl.client(n.host)
+	f := newFollower(NewPlatform(client))
+	f.FanOut = fl.fanOut
+	f.baseline = fl.baseline
+	f.Drop = func(string) {}
+	f.Send = func(_ context.Context, address string, frame *wirepb.FollowFrame) error {
+		fl.send(n.host, address, frame)
+		return nil
+	}
+	if fl.breakIt != nil {
+		fl.breakIt(f)
+	}
+	watched := f.controller()
+	watched.Reduce = func(s blackboard.State, msg blackboard.Msg) (blackboard.State, []blackboard.Effect) {
+		next, effects := f.reduce(s, msg)
+		fl.check(n, s, next)
+		return next, effects
+	}
+	members := blackboard.Controller{Name: "members", Reduce: func(s blackboard.State, msg blackboard.Msg) (blackboard.State, []blackboard.Effect) {
+		if m, ok := msg.(membersSet); ok {
+			s.Members.ByHost = m.byHost
+		}
+		return s, nil
+	}}
+	controllers := []blackboard.Controller{members, watched}
+	if fl.baseline != baselineWatch {
+		controllers = append(controllers, elector.New(client, "reyk-a"))
+	}
+	return controllers
+}
+
+// check records what must never happen.
+func (fl *fleet) check(n *testNode, before, after blackboard.State) {
+	running := after.Config.Running
+	if running == before.Config.Running {
+		return
+	}
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if running == nil || running.Version < n.ran {
+		fl.violations = append(fl.violations, fmt.Sprintf("%s runs %d after %d", n.host, number(running), n.ran))
+		return
+	}
+	if running.Digest() != fl.accepted[running.Version] {
+		fl.violations = append(fl.violations, fmt.Sprintf("%s runs a version %d that was not accepted", n.host, running.Version))
+	}
+	n.ran = running.Version
+	n.inForce[running.Version] = time.Now()
+}
+
+// tick drives a node, and passes its version to one random peer a second as the gossip would.
+func (fl *fleet) tick(ctx context.Context, n *testNode, offset time.Duration) {
+	time.Sleep(offset)
+	ticker := time.NewTicker(blackboard.TickEvery)
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			fl.mu.Lock()
+			paused := n.paused
+			fl.mu.Unlock()
+			if paused {
+				continue
+			}
+			n.board.Post(blackboard.Tick{Now: now})
+			if i%10 == 9 && fl.baseline != baselineTree && fl.baseline != baselineWatch {
+				fl.hint(n)
+			}
+		}
+	}
+}
+
+func (fl *fleet) hint(n *testNode) {
+	fl.mu.Lock()
+	peer := fl.nodes[fmt.Sprintf("host-%d", fl.rng.IntN(len(fl.nodes)))]
+	ok := peer.up && peer != n && !fl.losing(n.host, peer.host, nil)
+	fl.mu.Unlock()
+	if v := number(n.board.Read().Config.Running); ok && v > 0 {
+		peer.board.Post(blackboard.HeardVersion{Host: n.host, Address: n.host, Version: v})
+	}
+}
+
+func (fl *fleet) send(from, to string, frame *wirepb.FollowFrame) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.sent[from] += proto.Size(frame) + frameOverheadBytes
+	fl.frames[fmt.Sprintf("%T", frame.GetBody())]++
+	key := [2]string{from, to}
+	link := fl.links[key]
+	if link == nil {
+		link = make(chan *wirepb.FollowFrame, 4096)
+		fl.links[key] = link
+		fl.group.Go(func() { fl.carry(key, link) })
+	}
+	select {
+	case link <- frame:
+	default:
+	}
+}
+
+// carry delivers the frames of one link in order.
+func (fl *fleet) carry(key [2]string, link chan *wirepb.FollowFrame) {
+	var parts assembler
+	for {
+		select {
+		case <-fl.ctx.Done():
+			return
+		case frame := <-link:
+			time.Sleep(linkDelay)
+			fl.mu.Lock()
+			to := fl.nodes[key[1]]
+			ok := to != nil && to.up && !to.paused && fl.nodes[key[0]].up && !fl.losing(key[0], key[1], frame)
+			fl.mu.Unlock()
+			if ok {
+				_ = deliver(&parts, frame, time.Now(), to.board.Post)
+			}
+		}
+	}
+}
+
+// losing tells whether a frame is lost on its way. fl.mu is held.
+func (fl *fleet) losing(from, to string, frame *wirepb.FollowFrame) bool {
+	return fl.lost != nil && fl.lost(from, to, frame)
+}
+
+// client is the platform as a host reaches it.
+func (fl *fleet) client(host string) storer.Client {
+	inner := fl.fake.Client()
+	cut := func(key string) error {
+		fl.mu.Lock()
+		defer fl.mu.Unlock()
+		if fl.platformLost != nil && fl.platformLost(host) {
+			return &storer.UnavailableError{Key: key, Cause: &storer.OutageError{}}
+		}
+		return nil
+	}
+	outer := inner
+	outer.Get = func(ctx context.Context, key string) (storer.Object, error) {
+		if err := cut(key); err != nil {
+			return storer.Object{}, err
+		}
+		return inner.Get(ctx, key)
+	}
+	outer.Put = func(ctx context.Context, key string, value []byte, revision uint64) (storer.Object, error) {
+		if err := cut(key); err != nil {
+			return storer.Object{}, err
+		}
+		return inner.Put(ctx, key, value, revision)
+	}
+	outer.Watch = func(ctx context.Context, key string, after uint64) (storer.Object, error) {
+		if err := cut(key); err != nil {
+			return storer.Object{}, err
+		}
+		obj, err := inner.Watch(ctx, key, after)
+		if late := cut(key); late != nil {
+			return storer.Object{}, late
+		}
+		return obj, err
+	}
+	return outer
+}
+
+func (fl *fleet) cutPlatform(cut bool) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.platformLost = func(string) bool { return cut }
+}
+
+func (fl *fleet) cutPlatformBut(host string) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.platformLost = func(h string) bool { return h != host }
+}
+
+func (fl *fleet) loseFrames(lost func(from, to string, frame *wirepb.FollowFrame) bool) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.lost = lost
+}
+
+func (fl *fleet) member(n *testNode) blackboard.Member {
+	status := blackboard.MemberAlive
+	if !n.up {
+		status = blackboard.MemberDead
+	}
+	return blackboard.Member{
+		Host: n.host, Address: n.host, DataCentre: "reyk-a", Rack: n.rack, Incarnation: n.starts, Status: status,
+	}
+}
+
+// gossip tells every node of the members after a moment.
+func (fl *fleet) gossip() {
+	fl.group.Go(func() {
+		time.Sleep(time.Second)
+		fl.mu.Lock()
+		byHost := map[string]blackboard.Member{}
+		var boards []*blackboard.Board
+		for host, n := range fl.nodes {
+			byHost[host] = fl.member(n)
+			if n.up {
+				boards = append(boards, n.board)
+			}
+		}
+		fl.mu.Unlock()
+		for _, b := range boards {
+			b.Post(membersSet{byHost: byHost})
+		}
+	})
+}
+
+// kill ends a process at once.
+func (fl *fleet) kill(host string) {
+	fl.mu.Lock()
+	n := fl.nodes[host]
+	n.up = false
+	fl.mu.Unlock()
+	if n.stop != nil {
+		n.stop()
+	}
+	fl.gossip()
+}
+
+// publish accepts the next version at the platform.
+func (fl *fleet) publish() uint64 {
+	fl.t.Helper()
+	version := fl.head.Version + 1
+	name := fmt.Sprintf("service-%d", version%7)
+	next, err := snapshotter.Apply(fl.head, snapshotter.Change{Services: []snapshotter.Service{{
+		Name: name, Firm: "frothvik", Slots: 20, Connections: 110, Queue: int(version % 100), BulkPercent: 50,
+	}}}, version)
+	assert.NilError(fl.t, err)
+	fl.store(next)
+	return version
+}
+
+func (fl *fleet) store(next *snapshotter.Snapshot) {
+	fl.t.Helper()
+	client := fl.fake.Client()
+	shards := snapshotter.EncodeShards(next)
+	digests := snapshotter.Digests(next)
+	for i, d := range snapshotter.Digests(fl.head) {
+		if d != digests[i] || fl.head.Version == 0 {
+			_, _ = client.Put(fl.ctx, ticketer.ShardKey(digests[i]), shards[i], 0)
+		}
+	}
+	head := ticketer.Head{Version: next.Version, Digest: next.Digest(), RemovedFloor: next.RemovedFloor, Shards: digests[:]}
+	fl.mu.Lock()
+	fl.head = next
+	fl.accepted[next.Version] = next.Digest()
+	fl.published[next.Version] = time.Now()
+	fl.mu.Unlock()
+	obj, err := client.Put(fl.ctx, ticketer.HeadKey, head.Encode(), fl.revision)
+	assert.NilError(fl.t, err)
+	fl.revision = obj.Revision
+}
+
+func (fl *fleet) running(host string) uint64 {
+	return number(fl.nodes[host].board.Read().Config.Running)
+}
+
+// assertRunning checks that every node that is up runs a version.
+func (fl *fleet) assertRunning(version uint64) {
+	fl.t.Helper()
+	synctest.Wait()
+	for host, n := range fl.nodes {
+		if n.up {
+			assert.Equal(fl.t, fl.running(host), version, "%s: %+v", host, n.board.Read().Config.Stage)
+		}
+	}
+}
+
+func (fl *fleet) assertNoViolations() {
+	fl.t.Helper()
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	assert.DeepEqual(fl.t, fl.violations, []string(nil))
+}
+
+// inForceLimit is how long an accepted version may take to be in force everywhere.
+const inForceLimit = 17 * time.Second
+
+// frameOverheadBytes stands for the headers of a frame below protobuf: length, yamux, TCP and IP.
+const frameOverheadBytes = 3 + 12 + 20 + 20
--- /dev/null
+++ b/internal/follower/platform.go
@@ -0,0 +1,64 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"gentianbarrow.example/pkg/snapshotter"
+	"gentianbarrow.example/pkg/storer"
+	"gentianbarrow.example/pkg/ticketer"
+)
+
+const (
+	platformTimeout = 3 * time.Second
+	// watchTimeout bounds one waiting watch, so that a silent connection to the platform is found.
+	watchTimeout = 30 * time.Second
+)
+
+// Head is the head object with its revision.
+type Head struct {
+	ticketer.Head
+	Revision uint64
+}
+
+// Platform is what the follower asks of the platform.
+type Platform struct {
+	// Read returns the head as it is.
+	Read func(ctx context.Context) (Head, error)
+	// Watch waits for a head with a greater revision. When none comes for a
+	// while it returns a head with the revision that it was given and no version.
+	Watch func(ctx context.Context, after uint64) (Head, error)
+	// Load returns the snapshot of a head, verified by its digest. It reads only what differs from have.
+	Load func(ctx context.Context, h Head, have *snapshotter.Snapshot) (*snapshotter.Snapshot, error)
+	// WriteStatus stores how many nodes of the data centre run each version.
+	WriteStatus func(ctx context.Context, inForce map[uint64]int) error
+}
+
+// NewPlatform returns the calls to the object store of the platform.
+func NewPlatform(client storer.Client) Platform {
+	return Platform{
+		Read: func(ctx context.Context) (Head, error) {
+			h, revision, err := ticketer.LoadHead(ctx, client)
+			return Head{Head: h, Revision: revision}, err
+		},
+		Watch: func(ctx context.Context, after uint64) (Head, error) { return watchHead(ctx, client, after) },
+		Load: func(ctx context.Context, h Head, have *snapshotter.Snapshot) (*snapshotter.Snapshot, error) {
+			return ticketer.LoadSnapshot(ctx, client, h.Head, have)
+		},
+		WriteStatus: func(context.Context, map[uint64]int) error { return nil },
+	}
+}
+
+func watchHead(ctx context.Context, client storer.Client, after uint64) (Head, error) {
+	waiting, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	obj, err := client.Watch(waiting, ticketer.HeadKey, after)
+	if err != nil && waiting.Err() != nil && ctx.Err() == nil {
+		return Head{Revision: after}, nil
+	}
+	if err != nil {
+		return Head{}, err
+	}
+	h, err := ticketer.DecodeHead(obj.Value)
+	return Head{Head: h, Revision: obj.Revision}, err
+}
--- /dev/null
+++ b/internal/follower/streams_test.go
@@ -0,0 +1,129 @@
+package follower
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/linker"
+	"gentianbarrow.example/internal/wirepb"
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+// end is one node's streams on a real listener.
+type end struct {
+	streams *Streams
+	address string
+	arrived chan blackboard.Msg
+}
+
+func newEnd(ctx context.Context, t *testing.T, group *sync.WaitGroup) *end {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := linker.New()
+	e := &end{streams: NewStreams(l), address: ln.Addr().String(), arrived: make(chan blackboard.Msg, 100)}
+	e.streams.Post = func(msg blackboard.Msg) { e.arrived <- msg }
+	l.Handle(StreamKind, e.streams.Serve)
+	group.Go(func() { _ = l.Serve(ctx, ln) })
+	context.AfterFunc(ctx, l.Close)
+	return e
+}
+
+func (e *end) next(t *testing.T) blackboard.Msg {
+	t.Helper()
+	select {
+	case msg := <-e.arrived:
+		return msg
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing arrived")
+		return nil
+	}
+}
+
+func TestStreams(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	a, b := newEnd(ctx, t, &group), newEnd(ctx, t, &group)
+	ask := func(from *end, version uint64) *wirepb.FollowFrame {
+		return &wirepb.FollowFrame{Host: from.address, Address: from.address, Body: &wirepb.FollowFrame_WitnessAsk{
+			WitnessAsk: &wirepb.WitnessAsk{Version: version},
+		}}
+	}
+	received := func(t *testing.T, e *end, version uint64) {
+		t.Helper()
+		m, ok := e.next(t).(Received)
+		assert.Assert(t, ok)
+		assert.Equal(t, m.Frame.GetWitnessAsk().GetVersion(), version)
+	}
+	t.Run("the answer comes back on the stream of the question", func(t *testing.T) {
+		assert.NilError(t, a.streams.Send(ctx, b.address, ask(a, 1)))
+		received(t, b, 1)
+		b.streams.Open = func(context.Context, string) (*linker.Stream, error) {
+			t.Error("a second stream was opened")
+			return nil, &linker.UnreachableError{Address: a.address}
+		}
+		assert.NilError(t, b.streams.Send(ctx, a.address, ask(b, 2)))
+		received(t, a, 2)
+	})
+	t.Run("a whole snapshot arrives in parts", func(t *testing.T) {
+		s := largeSnapshot(t)
+		f := &Follower{Send: a.streams.Send}
+		f.sendUpdate(ctx, SendUpdate{Address: b.address, Next: s})
+		whole, ok := b.next(t).(WholeReceived)
+		assert.Assert(t, ok)
+		assert.Assert(t, len(whole.Data) > 2*chunkBytes)
+		assert.Equal(t, whole.Digest, s.Digest())
+	})
+	t.Run("a dropped peer is reached on a new stream", func(t *testing.T) {
+		a.streams.Drop(b.address)
+		assert.NilError(t, a.streams.Send(ctx, b.address, ask(a, 3)))
+		received(t, b, 3)
+	})
+	cancel()
+	group.Wait()
+	a.streams.Wait()
+	b.streams.Wait()
+}
+
+func largeSnapshot(t *testing.T) *snapshotter.Snapshot {
+	t.Helper()
+	var c snapshotter.Change
+	for i := range 3600 {
+		c.Services = append(c.Services, snapshotter.Service{
+			Name: fmt.Sprintf("service-%d", i), Firm: "frothvik", Slots: 20, Connections: 110, BulkPercent: 50,
+		})
+	}
+	s, err := snapshotter.Apply(snapshotter.Empty(), c, 1)
+	assert.NilError(t, err)
+	return s
+}
+
+// FuzzFrame feeds arbitrary bytes to the reader of a stream.
+func FuzzFrame(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Add([]byte{4, 0x7a, 2, 0x18, 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		client, server := net.Pipe()
+		defer client.Close()
+		defer server.Close()
+		var group sync.WaitGroup
+		group.Go(func() {
+			_, _ = client.Write(data)
+			_ = client.Close()
+		})
+		s := &Streams{Now: time.Now, Post: func(blackboard.Msg) {}, peers: map[string]*peer{}}
+		s.Serve(t.Context(), &linker.Stream{Conn: server, Reader: bufio.NewReader(server)})
+		group.Wait()
+	})
+}
