Guard the board of a test node, so that the fleet passes the race detector

TestNeverOlder and 'updates that cross' said 'race detected during execution of test', in the test fleet only. Change: the board of a test node is an atomic pointer, and the crossing test stops holding frames before it reads them. Conclusion: no change outside test files.

--- a/internal/follower/failure_test.go
+++ b/internal/follower/failure_test.go
@@ -34,12 +34,12 @@
 	synctest.Wait()
 	var hosts []string
 	for host, n := range fl.nodes {
-		if n.up && n.board.Read().Lease.Slot >= 0 {
+		if n.up && n.board.Load().Read().Lease.Slot >= 0 {
 			hosts = append(hosts, host)
 		}
 	}
 	slices.SortFunc(hosts, func(a, b string) int {
-		return fl.nodes[a].board.Read().Lease.Slot - fl.nodes[b].board.Read().Lease.Slot
+		return fl.nodes[a].board.Load().Read().Lease.Slot - fl.nodes[b].board.Load().Read().Lease.Slot
 	})
 	return hosts
 }
@@ -64,14 +64,14 @@
 func TestFailuresOfLinks(t *testing.T) {
 	runFleet(t, "a silent connection to the parent", func(t *testing.T, fl *fleet) {
 		host := slices.MaxFunc(slices.Collect(maps.Keys(fl.nodes)), func(a, b string) int {
-			return len(fl.nodes[a].board.Read().Config.Tree.Path) - len(fl.nodes[b].board.Read().Config.Tree.Path)
+			return len(fl.nodes[a].board.Load().Read().Config.Tree.Path) - len(fl.nodes[b].board.Load().Read().Config.Tree.Path)
 		})
-		parent := fl.nodes[host].board.Read().Config.Parent
+		parent := fl.nodes[host].board.Load().Read().Config.Parent
 		assert.Assert(t, parent != "")
 		fl.loseFrames(func(from, to string, _ *wirepb.FollowFrame) bool { return from == parent && to == host })
 		fl.publish()
 		fl.assertConverges()
-		assert.Assert(t, fl.nodes[host].board.Read().Config.Parent != parent)
+		assert.Assert(t, fl.nodes[host].board.Load().Read().Config.Parent != parent)
 	})
 	runFleet(t, "a bad delta", func(_ *testing.T, fl *fleet) {
 		fl.loseFrames(func(_, _ string, frame *wirepb.FollowFrame) bool {
@@ -96,10 +96,9 @@
 			fl.publish()
 			time.Sleep(3 * time.Second)
 		}
+		fl.loseFrames(nil)
 		for _, frame := range slices.Backward(held) {
-			fl.mu.Lock()
-			_ = deliver(&assembler{}, frame, time.Now(), fl.nodes["host-1"].board.Post)
-			fl.mu.Unlock()
+			_ = deliver(&assembler{}, frame, time.Now(), fl.nodes["host-1"].board.Load().Post)
 		}
 		fl.assertConverges()
 	})
@@ -187,7 +186,7 @@
 		fl.publish()
 		time.Sleep(inForceLimit)
 		assert.Equal(t, fl.running("host-1"), uint64(2))
-		assert.Equal(t, number(fl.nodes["host-1"].board.Read().Config.Stage.Next), uint64(3))
+		assert.Equal(t, number(fl.nodes["host-1"].board.Load().Read().Config.Stage.Next), uint64(3))
 		fl.kill("host-1")
 		fl.cutPlatform(true)
 		fl.loseFrames(nil)
--- a/internal/follower/fleet_test.go
+++ b/internal/follower/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,7 +56,7 @@
 // testNode is one host. Its greatest version outlives its processes.
 type testNode struct {
 	host, rack string
-	board      *blackboard.Board
+	board      atomic.Pointer[blackboard.Board]
 	stop       context.CancelFunc
 	up         bool
 	paused     bool
@@ -107,9 +108,10 @@
 	s := blackboard.State{Self: self, Config: NewConfig(), Lease: elector.NoLease()}
 	s.Members.ByHost = map[string]blackboard.Member{host: fl.member(n)}
 	offset := time.Duration(fl.rng.Int64N(int64(blackboard.TickEvery)))
+	board := blackboard.New(s, fl.controllers(n))
+	n.board.Store(board)
 	fl.mu.Unlock()
-	n.board = blackboard.New(s, fl.controllers(n))
-	fl.group.Go(func() { _ = n.board.Run(ctx) })
+	fl.group.Go(func() { _ = board.Run(ctx) })
 	fl.group.Go(func() { fl.tick(ctx, n, offset) })
 	fl.gossip()
 }
@@ -181,7 +183,7 @@
 			if paused {
 				continue
 			}
-			n.board.Post(blackboard.Tick{Now: now})
+			n.board.Load().Post(blackboard.Tick{Now: now})
 			if i%10 == 9 && fl.baseline != baselineTree && fl.baseline != baselineWatch {
 				fl.hint(n)
 			}
@@ -194,8 +196,8 @@
 	peer := fl.nodes[fmt.Sprintf("host-%d", fl.rng.IntN(len(fl.nodes)))]
 	ok := peer.up && peer != n && !fl.losing(n.host, peer.host, nil)
 	fl.mu.Unlock()
-	if v := number(n.board.Read().Config.Running); ok && v > 0 {
-		peer.board.Post(blackboard.HeardVersion{Host: n.host, Address: n.host, Version: v})
+	if v := number(n.board.Load().Read().Config.Running); ok && v > 0 {
+		peer.board.Load().Post(blackboard.HeardVersion{Host: n.host, Address: n.host, Version: v})
 	}
 }
 
@@ -231,7 +233,7 @@
 			ok := to != nil && to.up && !to.paused && fl.nodes[key[0]].up && !fl.losing(key[0], key[1], frame)
 			fl.mu.Unlock()
 			if ok {
-				_ = deliver(&parts, frame, time.Now(), to.board.Post)
+				_ = deliver(&parts, frame, time.Now(), to.board.Load().Post)
 			}
 		}
 	}
@@ -317,7 +319,7 @@
 		for host, n := range fl.nodes {
 			byHost[host] = fl.member(n)
 			if n.up {
-				boards = append(boards, n.board)
+				boards = append(boards, n.board.Load())
 			}
 		}
 		fl.mu.Unlock()
@@ -374,7 +376,7 @@
 }
 
 func (fl *fleet) running(host string) uint64 {
-	return number(fl.nodes[host].board.Read().Config.Running)
+	return number(fl.nodes[host].board.Load().Read().Config.Running)
 }
 
 // assertRunning checks that every node that is up runs a version.
@@ -383,7 +385,7 @@
 	synctest.Wait()
 	for host, n := range fl.nodes {
 		if n.up {
-			assert.Equal(fl.t, fl.running(host), version, "%s: %+v", host, n.board.Read().Config.Stage)
+			assert.Equal(fl.t, fl.running(host), version, "%s: %+v", host, n.board.Load().Read().Config.Stage)
 		}
 	}
 }
