Admit by exact counts, shares and a short queue that keeps deadlines

Cause: the thin gate counted slots only; uploads, urgent checks and firms had no share, and nothing waited.

--- /dev/null
+++ b/internal/limiter/adapter.go
@@ -0,0 +1,115 @@
+package limiter
+
+import (
+	"time"
+
+	"gentianbarrow.example/internal/retrier"
+)
+
+const (
+	// adaptEvery is the time between two changes of the limit.
+	adaptEvery = 50 * time.Millisecond
+	// slowRatio of the recent service time to the usual one lowers the limit.
+	slowRatio = 2.5
+	// lowerBy is the factor by which a slow target's limit shrinks.
+	lowerBy = 0.8
+	// raiseDivisor of the slots is added to the limit of a target that keeps its pace.
+	raiseDivisor = 10
+	// floorDivisor of the slots is the least limit.
+	floorDivisor = 5
+	// ratioWeight is the weight of one sample in the recent ratio.
+	ratioWeight = 0.05
+	// usualUpWeight and usualDownWeight move the usual service time slowly, so
+	// that a slow spell does not become usual but a lasting change does.
+	usualUpWeight   = 0.001
+	usualDownWeight = 0.01
+	// usualClip bounds a sample's effect on the usual service time, as a multiple of it.
+	usualClip = 2.0
+	// ratioClip bounds a sample's effect on the recent ratio.
+	ratioClip = 10.0
+)
+
+// adapter lowers the number of slots in use while the target is slower than
+// usual, and raises it again when it has recovered.
+type adapter struct {
+	limits Limits
+	// limit lies between floor and limits.Slots.
+	limit float64
+	// usual service time of each class in nanoseconds; 0 before the first sample.
+	usual [classes]float64
+	// ratio of recent service times to the usual ones.
+	ratio float64
+	// nextAt is when the limit may change again.
+	nextAt time.Time
+	// full tells that the limit was reached since the last change.
+	full bool
+}
+
+func newAdapter(l Limits) adapter {
+	return adapter{limits: l, limit: float64(l.Slots), ratio: 1}
+}
+
+func (a *adapter) resize(l Limits) {
+	grown := float64(l.Slots) / float64(a.limits.Slots)
+	a.limits = l
+	a.limit = min(max(a.limit*grown, a.floor()), float64(l.Slots))
+}
+
+func (a *adapter) slots() int {
+	if a.limits.FixedSlots {
+		return a.limits.Slots
+	}
+	return int(a.limit)
+}
+
+func (a *adapter) floor() float64 { return float64(floorSlots(a.limits)) }
+
+// floorSlots returns the least number of slots that a slow or cold target keeps.
+func floorSlots(l Limits) int {
+	return min(max(l.Slots/floorDivisor, l.UrgentSlots+1, 2), l.Slots)
+}
+
+// observe records the end of a request and changes the limit when it is time.
+// A request that did not end with an answer counts as slow when it ran longer
+// than usual, and not at all otherwise.
+func (a *adapter) observe(now time.Time, c class, ran time.Duration, res Result, full bool) {
+	a.full = a.full || full
+	answered := res.Outcome == retrier.OutcomeDone
+	if answered || float64(ran) > a.usual[c] && a.usual[c] > 0 {
+		a.sample(c, float64(ran), answered)
+	}
+	if res.Shed {
+		a.ratio = max(a.ratio, slowRatio+1)
+	}
+	if now.Before(a.nextAt) {
+		return
+	}
+	a.nextAt = now.Add(adaptEvery)
+	a.change()
+}
+
+func (a *adapter) sample(c class, ran float64, answered bool) {
+	if a.usual[c] == 0 {
+		a.usual[c] = ran
+	}
+	ratio := min(ran/max(a.usual[c], 1), ratioClip)
+	a.ratio = smooth(a.ratio, ratio, ratioWeight)
+	if !answered {
+		return
+	}
+	weight := usualDownWeight
+	if ran > a.usual[c] {
+		weight = usualUpWeight
+	}
+	a.usual[c] = smooth(a.usual[c], min(ran, usualClip*a.usual[c]), weight)
+}
+
+func (a *adapter) change() {
+	slots := float64(a.limits.Slots)
+	if a.ratio > slowRatio {
+		a.limit = max(a.limit*lowerBy, a.floor())
+	} else if a.full {
+		a.limit = min(a.limit+max(slots/raiseDivisor, 1), slots)
+	}
+	a.full = false
+}
--- a/internal/limiter/gate.go
+++ b/internal/limiter/gate.go
@@ -2,64 +2,261 @@
 
 import (
 	"time"
+
+	"gentianbarrow.example/internal/retrier"
 )
 
+// running is a request that holds a slot.
+type running struct {
+	class   class
+	firm    string
+	started time.Time
+}
+
 // Gate admits requests to one target. It is not safe for concurrent use.
 type Gate struct {
 	limits   Limits
-	running  map[uint64]Request
+	running  map[uint64]running
+	tally    tally
+	queue    queue
+	pace     pace
+	adapter  adapter
+	ramp     ramp
 	draining bool
+	// changes is handed out and reused by the next call.
+	changes Changes
 }
 
 // New returns a gate that admits at once.
-func New(l Limits) *Gate { return &Gate{limits: l, running: map[uint64]Request{}} }
+func New(l Limits) *Gate {
+	l = l.normal()
+	return &Gate{
+		limits:  l,
+		running: map[uint64]running{},
+		tally:   newTally(),
+		queue:   newQueue(l),
+		adapter: newAdapter(l),
+	}
+}
 
 // Offer decides on a new request.
-func (g *Gate) Offer(_ time.Time, r Request) Decision {
+func (g *Gate) Offer(now time.Time, r Request) Decision {
+	g.begin()
+	c := classOf(r.Class)
+	if g.holds(r.ID) {
+		return g.refuse(now, ReasonDuplicate)
+	}
 	if g.draining {
 		return Decision{Verdict: VerdictRefused, Reason: ReasonDraining}
 	}
-	if len(g.running) >= g.limits.Slots {
-		return Decision{Verdict: VerdictRefused, Reason: ReasonQueueFull}
+	g.settle(now)
+	if g.late(now, r, c) {
+		return g.refuse(now, ReasonLate)
+	}
+	if g.room(now).admits(c, g.tally) {
+		g.start(now, r.ID, c, r.Firm)
+		return Decision{Verdict: VerdictAdmitted, Changes: g.changes}
 	}
-	g.running[r.ID] = r
-	return Decision{Verdict: VerdictAdmitted}
+	return g.enqueue(now, r, c)
 }
 
 // Done frees the slot of a request and tells which waiting ones start or end.
 // It does nothing for a request that holds no slot.
-func (g *Gate) Done(_ time.Time, id uint64, _ Result) Changes {
+func (g *Gate) Done(now time.Time, id uint64, res Result) Changes {
+	g.begin()
+	run, ok := g.running[id]
+	if !ok {
+		return g.changes
+	}
+	full := !g.room(now).admits(short, g.tally)
 	delete(g.running, id)
-	return Changes{}
+	g.tally.remove(run.class, run.firm)
+	if res.Outcome == retrier.OutcomeDone {
+		g.pace.add(run.class, now.Sub(run.started))
+	}
+	g.pace.freed(now)
+	g.adapter.observe(now, run.class, now.Sub(run.started), res, full)
+	g.settle(now)
+	return g.changes
 }
 
 // Cancel ends a waiting request. It returns false when the request is not
 // waiting: one that holds a slot keeps it until Done.
-func (g *Gate) Cancel(time.Time, uint64) (Changes, bool) { return Changes{}, false }
+func (g *Gate) Cancel(now time.Time, id uint64) (Changes, bool) {
+	g.begin()
+	ok := g.queue.remove(id)
+	g.settle(now)
+	return g.changes, ok
+}
 
 // Expire drops waiting requests that can no longer end in time and starts
 // those for which a slot has come free with time.
-func (g *Gate) Expire(time.Time) Changes { return Changes{} }
+func (g *Gate) Expire(now time.Time) Changes {
+	g.begin()
+	g.settle(now)
+	return g.changes
+}
 
 // Drain refuses new requests from now on and drops all waiting ones.
 func (g *Gate) Drain(time.Time) Changes {
+	g.begin()
 	g.draining = true
-	return Changes{}
+	for _, w := range g.queue.clear() {
+		g.changes.Dropped = append(g.changes.Dropped, Drop{ID: w.id, Reason: ReasonDraining})
+	}
+	return g.changes
 }
 
-// Resume takes new requests again after Drain; slots are ramped from readySince.
-func (g *Gate) Resume(time.Time) { g.draining = false }
+// Resume takes new requests again after Drain; slots are ramped from now.
+func (g *Gate) Resume(now time.Time) {
+	if !g.draining {
+		return
+	}
+	g.draining = false
+	g.SetReadySince(now)
+}
 
 // SetReadySince sets when the target last became ready: slots are ramped from then.
-func (g *Gate) SetReadySince(time.Time) {}
+func (g *Gate) SetReadySince(t time.Time) { g.ramp = newRamp(t) }
 
-// SetLimits changes the limits. Requests in flight keep their slots.
-func (g *Gate) SetLimits(_ time.Time, l Limits) Changes {
-	g.limits = l
-	return Changes{}
+// SetLimits changes the limits. Requests in flight keep their slots; waiting
+// ones for which no place is left are dropped.
+func (g *Gate) SetLimits(now time.Time, l Limits) Changes {
+	g.begin()
+	g.limits = l.normal()
+	g.adapter.resize(g.limits)
+	for _, w := range g.queue.resize(g.limits) {
+		g.drop(now, w.id, ReasonQueueFull)
+	}
+	g.settle(now)
+	return g.changes
 }
 
 // Load returns the state of the target.
-func (g *Gate) Load(time.Time) Load {
-	return Load{Slots: g.limits.Slots, InFlight: len(g.running), Draining: g.draining}
+func (g *Gate) Load(now time.Time) Load {
+	return Load{
+		Slots:    g.slots(now),
+		InFlight: len(g.running),
+		Queued:   g.queue.len(),
+		Draining: g.draining,
+		Service:  g.pace.service(),
+	}
+}
+
+func (g *Gate) begin() {
+	g.changes.Started = g.changes.Started[:0]
+	g.changes.Dropped = g.changes.Dropped[:0]
+}
+
+func (g *Gate) holds(id uint64) bool {
+	if _, ok := g.running[id]; ok {
+		return true
+	}
+	return g.queue.holds(id)
+}
+
+// slots returns how many requests may run now.
+func (g *Gate) slots(now time.Time) int {
+	return min(g.adapter.slots(), g.ramp.slots(now, g.limits), g.limits.Connections)
+}
+
+func (g *Gate) room(now time.Time) room { return newRoom(g.limits, g.slots(now)) }
+
+// late tells whether a request would not end in time even if it started now.
+// While none of its class runs it is tried all the same, so that an estimate
+// that has become wrong does not stand for ever.
+func (g *Gate) late(now time.Time, r Request, c class) bool {
+	if !now.Before(r.Deadline) {
+		return true
+	}
+	return g.tally.classes[c] > 0 && now.Add(g.pace.expected(c)).After(r.Deadline)
+}
+
+func (g *Gate) enqueue(now time.Time, r Request, c class) Decision {
+	newest := g.queue.newestFirst(now, c)
+	if !newest && g.waitsTooLong(now, r, c) {
+		return g.refuse(now, ReasonLate)
+	}
+	if !g.queue.hasPlace(c) {
+		victim, ok := g.queue.victim(c, r.Firm, newest)
+		if !ok {
+			return g.refuse(now, ReasonQueueFull)
+		}
+		g.queue.remove(victim)
+		g.drop(now, victim, ReasonQueueFull)
+	}
+	startBy := g.startBy(now, r, c)
+	g.queue.push(now, waiting{id: r.ID, class: c, firm: r.Firm, deadline: r.Deadline, startBy: startBy})
+	return Decision{Verdict: VerdictQueued, StartBy: startBy, Changes: g.changes}
+}
+
+// waitsTooLong tells whether a request at the end of the queue would miss its deadline.
+func (g *Gate) waitsTooLong(now time.Time, r Request, c class) bool {
+	freed := now.Add(g.pace.wait(now, g.queue.lenOf(c), g.slots(now), c))
+	return freed.Add(g.pace.expected(c)).After(r.Deadline)
+}
+
+// startBy returns when a waiting request is dropped: when it could no longer
+// end in time, or when it has waited so long that another target is the better try.
+func (g *Gate) startBy(now time.Time, r Request, c class) time.Time {
+	by := r.Deadline.Add(-g.pace.expected(c))
+	if by.Before(now) {
+		by = r.Deadline
+	}
+	if patience := now.Add(g.pace.patience(c)); c != bulk && patience.Before(by) {
+		return patience
+	}
+	return by
+}
+
+// settle drops the waiting requests that are due and starts those that have room.
+func (g *Gate) settle(now time.Time) {
+	for {
+		w, ok := g.queue.due(now)
+		if !ok {
+			break
+		}
+		g.queue.remove(w.id)
+		g.drop(now, w.id, dueReason(now, w))
+	}
+	if g.draining {
+		return
+	}
+	room := g.room(now)
+	for {
+		w, ok := g.queue.next(now, room, &g.tally)
+		if !ok {
+			return
+		}
+		g.queue.remove(w.id)
+		g.start(now, w.id, w.class, w.firm)
+		g.changes.Started = append(g.changes.Started, w.id)
+	}
+}
+
+func dueReason(now time.Time, w waiting) Reason {
+	if w.startBy.Before(w.deadline) && now.Before(w.deadline) {
+		return ReasonWaited
+	}
+	return ReasonLate
+}
+
+func (g *Gate) start(now time.Time, id uint64, c class, firm string) {
+	if len(g.running) == 0 {
+		g.pace.freed(now)
+	}
+	g.running[id] = running{class: c, firm: firm, started: now}
+	g.tally.add(c, firm)
+}
+
+func (g *Gate) refuse(now time.Time, r Reason) Decision {
+	return Decision{Verdict: VerdictRefused, Reason: r, RetryAfter: g.retryAfter(now), Changes: g.changes}
+}
+
+func (g *Gate) drop(now time.Time, id uint64, r Reason) {
+	g.changes.Dropped = append(g.changes.Dropped, Drop{ID: id, Reason: r, RetryAfter: g.retryAfter(now)})
+}
+
+func (g *Gate) retryAfter(now time.Time) time.Time {
+	return now.Add(g.pace.wait(now, g.queue.lenOf(short), g.slots(now), short))
 }
--- /dev/null
+++ b/internal/limiter/gate_test.go
@@ -0,0 +1,220 @@
+package limiter
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func done() Result { return Result{Outcome: retrier.OutcomeDone} }
+
+func request(id uint64, c snapshotter.Class, firm string) Request {
+	return Request{ID: id, Class: c, Firm: firm, Deadline: at(10_000)}
+}
+
+func pazaLimits() Limits {
+	return Limits{Slots: 10, Connections: 120, Queue: 20, BulkPercent: 40, UrgentSlots: 2}
+}
+
+// offerMany offers n requests of one kind and asserts the verdict on each.
+func offerMany(t *testing.T, g *Gate, now time.Time, first uint64, n int, c snapshotter.Class, firm string, want Verdict) {
+	t.Helper()
+	for i := range n {
+		d := g.Offer(now, request(first+uint64(i), c, firm))
+		assert.Equal(t, d.Verdict, want, "request %d: %s", i, d.Reason)
+	}
+}
+
+func assertLoad(t *testing.T, g *Gate, now time.Time, inFlight, queued int) {
+	t.Helper()
+	l := g.Load(now)
+	assert.Equal(t, l.InFlight, inFlight)
+	assert.Equal(t, l.Queued, queued)
+}
+
+func assertDropped(t *testing.T, c Changes, want Reason, ids ...uint64) {
+	t.Helper()
+	assert.Equal(t, len(c.Dropped), len(ids))
+	for i, d := range c.Dropped {
+		assert.Equal(t, d.ID, ids[i])
+		assert.Equal(t, d.Reason, want)
+	}
+}
+
+func TestShares(t *testing.T) {
+	t.Run("ordinary requests leave the urgent slots free", func(t *testing.T) {
+		g := New(pazaLimits())
+		offerMany(t, g, at(0), 1, 8, snapshotter.ClassShort, "paza", VerdictAdmitted)
+		offerMany(t, g, at(0), 9, 1, snapshotter.ClassShort, "paza", VerdictQueued)
+		offerMany(t, g, at(0), 20, 2, snapshotter.ClassUrgent, "paza", VerdictAdmitted)
+		assertLoad(t, g, at(0), 10, 1)
+	})
+	t.Run("uploads hold at most their share", func(t *testing.T) {
+		g := New(pazaLimits())
+		offerMany(t, g, at(0), 1, 4, snapshotter.ClassBulk, "paza", VerdictAdmitted)
+		offerMany(t, g, at(0), 5, 1, snapshotter.ClassBulk, "paza", VerdictQueued)
+		offerMany(t, g, at(0), 20, 4, snapshotter.ClassShort, "paza", VerdictAdmitted)
+	})
+	t.Run("one upload runs although short requests wait", func(t *testing.T) {
+		g := New(pazaLimits())
+		offerMany(t, g, at(0), 1, 8, snapshotter.ClassShort, "paza", VerdictAdmitted)
+		offerMany(t, g, at(0), 20, 5, snapshotter.ClassShort, "paza", VerdictQueued)
+		offerMany(t, g, at(0), 30, 2, snapshotter.ClassBulk, "paza", VerdictQueued)
+		assert.DeepEqual(t, g.Done(at(1), 1, done()).Started, []uint64{30})
+		assert.DeepEqual(t, g.Done(at(1), 2, done()).Started, []uint64{20})
+	})
+	t.Run("urgent requests leave a share to others that wait", func(t *testing.T) {
+		g := New(pazaLimits())
+		offerMany(t, g, at(0), 1, 10, snapshotter.ClassUrgent, "paza", VerdictAdmitted)
+		offerMany(t, g, at(0), 20, 3, snapshotter.ClassUrgent, "paza", VerdictQueued)
+		offerMany(t, g, at(0), 30, 3, snapshotter.ClassShort, "paza", VerdictQueued)
+		assert.DeepEqual(t, g.Done(at(1), 1, done()).Started, []uint64{30})
+		assert.DeepEqual(t, g.Done(at(1), 2, done()).Started, []uint64{31})
+		assert.DeepEqual(t, g.Done(at(1), 3, done()).Started, []uint64{20})
+	})
+	t.Run("a freed slot goes to the firm that runs the fewest", func(t *testing.T) {
+		g := New(pazaLimits())
+		offerMany(t, g, at(0), 1, 8, snapshotter.ClassShort, "paza", VerdictAdmitted)
+		offerMany(t, g, at(0), 10, 10, snapshotter.ClassShort, "paza", VerdictQueued)
+		offerMany(t, g, at(0), 30, 2, snapshotter.ClassShort, "frothvik", VerdictQueued)
+		assert.DeepEqual(t, g.Done(at(1), 1, done()).Started, []uint64{30})
+	})
+	t.Run("a full queue takes a place from the firm that holds the most", func(t *testing.T) {
+		g := New(pazaLimits())
+		offerMany(t, g, at(0), 1, 8, snapshotter.ClassShort, "paza", VerdictAdmitted)
+		offerMany(t, g, at(0), 10, 12, snapshotter.ClassShort, "paza", VerdictQueued)
+		d := g.Offer(at(0), request(30, snapshotter.ClassShort, "paza"))
+		assert.Equal(t, d.Reason, ReasonQueueFull)
+		d = g.Offer(at(0), request(31, snapshotter.ClassShort, "frothvik"))
+		assert.Equal(t, d.Verdict, VerdictQueued)
+		assertDropped(t, d.Changes, ReasonQueueFull, 21)
+	})
+}
+
+func TestQueue(t *testing.T) {
+	full := func(t *testing.T) *Gate {
+		g := New(pazaLimits())
+		offerMany(t, g, at(0), 1, 8, snapshotter.ClassShort, "paza", VerdictAdmitted)
+		return g
+	}
+	t.Run("the newest starts first once the queue is overloaded", func(t *testing.T) {
+		g := full(t)
+		g.Offer(at(0), request(20, snapshotter.ClassShort, "paza"))
+		g.Offer(at(40), request(21, snapshotter.ClassShort, "paza"))
+		assert.DeepEqual(t, g.Done(at(41), 1, done()).Started, []uint64{20})
+		g.Offer(at(85), request(22, snapshotter.ClassShort, "paza"))
+		g.Offer(at(110), request(23, snapshotter.ClassShort, "paza"))
+		assert.DeepEqual(t, g.Done(at(110), 2, done()).Started, []uint64{23})
+	})
+	t.Run("expiry racing admission ends a request once", func(t *testing.T) {
+		g := full(t)
+		r := request(20, snapshotter.ClassShort, "paza")
+		r.Deadline = at(30)
+		assert.Equal(t, g.Offer(at(0), r).Verdict, VerdictQueued)
+		c := g.Done(at(30), 1, done())
+		assert.Equal(t, len(c.Started), 0)
+		assertDropped(t, c, ReasonLate, 20)
+		_, waiting := g.Cancel(at(30), 20)
+		assert.Assert(t, !waiting)
+		assertDropped(t, g.Expire(at(31)), ReasonNone)
+	})
+	t.Run("a request that can't end in time is refused at once", func(t *testing.T) {
+		g := full(t)
+		g.Done(at(20), 1, done())
+		r := request(20, snapshotter.ClassShort, "paza")
+		r.Deadline = at(30)
+		d := g.Offer(at(20), r)
+		assert.Equal(t, d.Reason, ReasonLate)
+		assert.Assert(t, d.RetryAfter.After(at(20)))
+	})
+	t.Run("a stale estimate does not refuse for ever", func(t *testing.T) {
+		g := New(pazaLimits())
+		g.Offer(at(0), request(1, snapshotter.ClassShort, "paza"))
+		g.Done(at(9000), 1, done())
+		r := request(2, snapshotter.ClassShort, "paza")
+		r.Deadline = at(9100)
+		assert.Equal(t, g.Offer(at(9000), r).Verdict, VerdictAdmitted)
+	})
+	t.Run("drain with a full queue drops the waiting and cuts nothing", func(t *testing.T) {
+		g := full(t)
+		offerMany(t, g, at(0), 20, 3, snapshotter.ClassShort, "paza", VerdictQueued)
+		assertDropped(t, g.Drain(at(1)), ReasonDraining, 20, 21, 22)
+		assertLoad(t, g, at(1), 8, 0)
+		assert.Equal(t, g.Offer(at(2), request(30, snapshotter.ClassUrgent, "paza")).Reason, ReasonDraining)
+		assert.Equal(t, len(g.Done(at(3), 1, done()).Started), 0)
+	})
+	t.Run("limits lowered under load cut nothing", func(t *testing.T) {
+		g := full(t)
+		offerMany(t, g, at(0), 20, 3, snapshotter.ClassShort, "paza", VerdictQueued)
+		l := pazaLimits()
+		l.Slots, l.Queue, l.UrgentSlots = 4, 2, 0
+		assertDropped(t, g.SetLimits(at(1), l), ReasonQueueFull, 22, 21)
+		assertLoad(t, g, at(1), 8, 1)
+		for id := range uint64(4) {
+			assert.Equal(t, len(g.Done(at(2), id+1, done()).Started), 0)
+		}
+		assert.DeepEqual(t, g.Done(at(2), 5, done()).Started, []uint64{20})
+	})
+	t.Run("limits raised start the waiting", func(t *testing.T) {
+		g := full(t)
+		offerMany(t, g, at(0), 20, 3, snapshotter.ClassShort, "paza", VerdictQueued)
+		l := pazaLimits()
+		l.Slots = 12
+		assert.DeepEqual(t, g.SetLimits(at(1), l).Started, []uint64{20, 21})
+	})
+	t.Run("a completion counts once", func(t *testing.T) {
+		g := full(t)
+		offerMany(t, g, at(0), 20, 3, snapshotter.ClassShort, "paza", VerdictQueued)
+		assert.Equal(t, len(g.Done(at(1), 1, done()).Started), 1)
+		assert.Equal(t, len(g.Done(at(1), 1, done()).Started), 0)
+		assertLoad(t, g, at(1), 8, 2)
+	})
+}
+
+func TestRamp(t *testing.T) {
+	g := New(pazaLimits())
+	g.SetReadySince(at(0))
+	assert.Equal(t, g.Load(at(0)).Slots, 3)
+	assert.Equal(t, g.Load(at(5000)).Slots, 6)
+	assert.Equal(t, g.Load(at(10_000)).Slots, 10)
+	t.Run("a slot that comes with time starts a waiting request", func(t *testing.T) {
+		g := New(pazaLimits())
+		g.SetReadySince(at(0))
+		offerMany(t, g, at(5700), 1, 4, snapshotter.ClassShort, "paza", VerdictAdmitted)
+		offerMany(t, g, at(5700), 20, 1, snapshotter.ClassShort, "paza", VerdictQueued)
+		assert.DeepEqual(t, g.Expire(at(5720)).Started, []uint64{20})
+	})
+}
+
+func TestAdaptation(t *testing.T) {
+	// serve keeps the gate full for a while, each request taking service.
+	serve := func(g *Gate, id *uint64, from, until, service int) {
+		for ms := from; ms < until; ms += service {
+			first := *id
+			for g.Offer(at(ms), request(*id, snapshotter.ClassShort, "paza")).Verdict == VerdictAdmitted {
+				*id++
+			}
+			for i := first; i < *id; i++ {
+				g.Done(at(ms+service), i, done())
+			}
+			*id++
+		}
+	}
+	l := pazaLimits()
+	l.Queue = 0
+	g, id := New(l), uint64(1)
+	serve(g, &id, 0, 2000, 10)
+	assert.Equal(t, g.Load(at(2000)).Slots, 10)
+	serve(g, &id, 2000, 4000, 100)
+	assert.Equal(t, g.Load(at(4000)).Slots, 3, "a slow target keeps the floor")
+	serve(g, &id, 4000, 6000, 10)
+	assert.Equal(t, g.Load(at(6000)).Slots, 10, "a recovered target gets all slots back")
+}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -37,6 +37,8 @@
 	UrgentSlots int
 	// Order of the waiting requests of one firm and class; empty means OrderAdaptive.
 	Order Order
+	// FixedSlots keeps all slots in use while the target is slow.
+	FixedSlots bool
 }
 
 // Order says which of the waiting requests of one firm and class starts first.
--- /dev/null
+++ b/internal/limiter/pace.go
@@ -0,0 +1,61 @@
+package limiter
+
+import "time"
+
+const (
+	// serviceWeight is the weight of one sample in a smoothed service time.
+	serviceWeight = 0.1
+	// patienceTimes is how many service times a request may wait.
+	patienceTimes = 5
+	// leastPatience is how long a request may wait however short its service time is.
+	leastPatience = 50 * time.Millisecond
+)
+
+// pace estimates how long requests run and wait.
+type pace struct {
+	// mean service time of each class in nanoseconds; 0 before the first sample.
+	mean [classes]float64
+	// lastFreed is when a slot last came free or the target went from idle to busy.
+	lastFreed time.Time
+}
+
+func (p *pace) add(c class, service time.Duration) {
+	p.mean[c] = smooth(p.mean[c], float64(service), serviceWeight)
+}
+
+func (p *pace) freed(now time.Time) { p.lastFreed = now }
+
+// expected returns how long a request of the class runs; 0 while that is not known.
+func (p *pace) expected(c class) time.Duration { return time.Duration(p.mean[c]) }
+
+// service returns how long requests that are not bulk run.
+func (p *pace) service() time.Duration {
+	if p.mean[short] == 0 {
+		return p.expected(urgent)
+	}
+	return p.expected(short)
+}
+
+// wait returns how long a request waits behind the given number of others. A
+// target that frees no slot for longer than usual makes the wait longer.
+func (p *pace) wait(now time.Time, ahead, slots int, c class) time.Duration {
+	gap := p.expected(c) / time.Duration(slots)
+	stalled := max(gap, now.Sub(p.lastFreed))
+	if p.lastFreed.IsZero() {
+		stalled = gap
+	}
+	return stalled + time.Duration(ahead)*gap
+}
+
+// patience returns how long a request may wait before another target is the better try.
+func (p *pace) patience(c class) time.Duration {
+	return max(leastPatience, patienceTimes*p.expected(c))
+}
+
+// smooth moves a mean towards a sample; the first sample is the mean.
+func smooth(mean, sample, weight float64) float64 {
+	if mean == 0 {
+		return sample
+	}
+	return mean + weight*(sample-mean)
+}
--- /dev/null
+++ b/internal/limiter/queue.go
@@ -0,0 +1,234 @@
+package limiter
+
+import (
+	"slices"
+	"time"
+)
+
+// overloadAfter is how long a queue may go without becoming empty before its order turns.
+const overloadAfter = 100 * time.Millisecond
+
+// waiting is a request in the queue.
+type waiting struct {
+	id       uint64
+	class    class
+	firm     string
+	deadline time.Time
+	// startBy is when the request is dropped; not after deadline.
+	startBy time.Time
+}
+
+// queue holds the waiting requests of each class in order of arrival. It is
+// short, so it is searched from end to end.
+type queue struct {
+	order Order
+	// places for urgent and short requests together, and for bulk ones.
+	places, bulkPlaces int
+	byClass            [classes][]waiting
+	// tally counts the waiting requests.
+	tally tally
+	// overloadAt is when the class counts as overloaded unless its queue empties before.
+	overloadAt [classes]time.Time
+}
+
+func newQueue(l Limits) queue {
+	q := queue{tally: newTally()}
+	q.setPlaces(l)
+	return q
+}
+
+func (q *queue) setPlaces(l Limits) {
+	q.order = l.Order
+	q.bulkPlaces = l.Queue * l.BulkPercent / 100
+	if l.Queue > 1 {
+		q.bulkPlaces = min(max(q.bulkPlaces, 1), l.Queue/2)
+	}
+	q.places = l.Queue - q.bulkPlaces
+}
+
+// resize sets the places and returns the waiting requests that lost theirs, the newest first.
+func (q *queue) resize(l Limits) []waiting {
+	q.setPlaces(l)
+	var lost []waiting
+	for _, c := range []class{bulk, short, urgent} {
+		for q.overfull(c) && len(q.byClass[c]) > 0 {
+			w := q.byClass[c][len(q.byClass[c])-1]
+			q.remove(w.id)
+			lost = append(lost, w)
+		}
+	}
+	return lost
+}
+
+func (q *queue) clear() []waiting {
+	all := slices.Concat(q.byClass[urgent], q.byClass[short], q.byClass[bulk])
+	for _, w := range all {
+		q.remove(w.id)
+	}
+	return all
+}
+
+func (q *queue) len() int { return q.tally.total }
+
+// lenOf counts the waiting requests that share places with the class.
+func (q *queue) lenOf(c class) int {
+	if c == bulk {
+		return q.tally.classes[bulk]
+	}
+	return q.tally.classes[urgent] + q.tally.classes[short]
+}
+
+func (q *queue) placesOf(c class) int {
+	if c == bulk {
+		return q.bulkPlaces
+	}
+	return q.places
+}
+
+func (q *queue) hasPlace(c class) bool { return q.lenOf(c) < q.placesOf(c) }
+
+func (q *queue) overfull(c class) bool { return q.lenOf(c) > q.placesOf(c) }
+
+func (q *queue) holds(id uint64) bool {
+	for c := range q.byClass {
+		if q.find(class(c), id) >= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (q *queue) find(c class, id uint64) int {
+	return slices.IndexFunc(q.byClass[c], func(w waiting) bool { return w.id == id })
+}
+
+func (q *queue) push(now time.Time, w waiting) {
+	if len(q.byClass[w.class]) == 0 {
+		q.overloadAt[w.class] = now.Add(overloadAfter)
+	}
+	q.byClass[w.class] = append(q.byClass[w.class], w)
+	q.tally.add(w.class, w.firm)
+}
+
+func (q *queue) remove(id uint64) bool {
+	for c := range q.byClass {
+		i := q.find(class(c), id)
+		if i < 0 {
+			continue
+		}
+		w := q.byClass[c][i]
+		q.byClass[c] = slices.Delete(q.byClass[c], i, i+1)
+		q.tally.remove(w.class, w.firm)
+		return true
+	}
+	return false
+}
+
+// due returns a waiting request whose time to start is over.
+func (q *queue) due(now time.Time) (waiting, bool) {
+	for c := range q.byClass {
+		for _, w := range q.byClass[c] {
+			if !now.Before(w.startBy) {
+				return w, true
+			}
+		}
+	}
+	return waiting{}, false
+}
+
+// newestFirst tells whether the newest request of a firm starts before its older ones.
+func (q *queue) newestFirst(now time.Time, c class) bool {
+	if q.order == OrderAdaptive {
+		return len(q.byClass[c]) > 0 && !now.Before(q.overloadAt[c])
+	}
+	return q.order == OrderNewest
+}
+
+// next returns the waiting request that starts next, if any has room.
+func (q *queue) next(now time.Time, r room, running *tally) (waiting, bool) {
+	if q.tally.total == 0 {
+		return waiting{}, false
+	}
+	for _, c := range r.order(*running) {
+		if len(q.byClass[c]) > 0 && r.admits(c, *running) {
+			return q.pick(now, c, q.neediest(c, running)), true
+		}
+	}
+	return waiting{}, false
+}
+
+// neediest returns the firm that runs the fewest requests of the class, of
+// equals the one that has waited longest.
+func (q *queue) neediest(c class, running *tally) string {
+	list := q.byClass[c]
+	firm, fewest := list[0].firm, running.firms[shareKey{c, list[0].firm}]
+	for _, w := range list[1:] {
+		if n := running.firms[shareKey{c, w.firm}]; n < fewest {
+			firm, fewest = w.firm, n
+		}
+	}
+	return firm
+}
+
+// pick returns the request of the firm that comes first in the queue's order.
+func (q *queue) pick(now time.Time, c class, firm string) waiting {
+	newest := q.newestFirst(now, c)
+	var best waiting
+	found := false
+	for _, w := range q.byClass[c] {
+		if w.firm != firm {
+			continue
+		}
+		if !found || newest || q.order == OrderDeadline && w.deadline.Before(best.deadline) {
+			best, found = w, true
+		}
+	}
+	return best
+}
+
+// victim returns the waiting request that gives up its place to a new one: one
+// of a less urgent class, or of a firm with more waiting requests, or, when
+// the newest starts first, the firm's own oldest.
+func (q *queue) victim(c class, firm string, newest bool) (uint64, bool) {
+	if c == urgent && len(q.byClass[short]) > 0 {
+		return q.crowded(short, newest), true
+	}
+	if len(q.byClass[c]) == 0 {
+		return 0, false
+	}
+	own := q.tally.firms[shareKey{c, firm}]
+	id := q.crowded(c, newest)
+	other := q.byClass[c][q.find(c, id)].firm
+	if other != firm && q.tally.firms[shareKey{c, other}] > own+1 {
+		return id, true
+	}
+	if newest && own > 0 {
+		return q.oldest(c, firm), true
+	}
+	return 0, false
+}
+
+// crowded returns a request of the firm with the most waiting requests of the
+// class: the one that would start last.
+func (q *queue) crowded(c class, newest bool) uint64 {
+	list := q.byClass[c]
+	firm, most := "", 0
+	for _, w := range list {
+		if n := q.tally.firms[shareKey{c, w.firm}]; n > most {
+			firm, most = w.firm, n
+		}
+	}
+	if newest {
+		return q.oldest(c, firm)
+	}
+	i := len(list) - 1
+	for list[i].firm != firm {
+		i--
+	}
+	return list[i].id
+}
+
+func (q *queue) oldest(c class, firm string) uint64 {
+	i := slices.IndexFunc(q.byClass[c], func(w waiting) bool { return w.firm == firm })
+	return q.byClass[c][i].id
+}
--- a/internal/limiter/waiter.go
+++ b/internal/limiter/waiter.go
@@ -9,6 +9,9 @@
 	"gentianbarrow.example/internal/retrier"
 )
 
+// expireAgain is the time to the next look at a request whose timer ran early.
+const expireAgain = time.Millisecond
+
 // RefusedError tells that a request was not run, and why.
 type RefusedError struct {
 	Reason Reason
@@ -74,6 +77,7 @@
 			return w.releaser(id), nil
 		case <-timer.C:
 			w.Expire()
+			timer.Reset(expireAgain)
 		case <-ctx.Done():
 			return nil, w.cancel(id)
 		}
