--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -6,7 +6,7 @@
 //	table := router.New()
 //	choice, _ := table.Choose(now, router.Request{Service: "roster"}, candidates, rnd)
 //	if choice.OK {
-//		table.Started("roster", choice.Host)
+//		table.Started(now, choice.Host)
 //		// forward, then:
 //		table.Finished(now, "roster", choice.Host, router.Result{Outcome: outcome, Latency: latency, Load: load})
 //	}
@@ -17,6 +17,7 @@
 
 	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/pkg/snapshotter"
 )
 
 // Candidate is a target that a request may go to.
@@ -42,6 +43,7 @@
 // Request asks for a target.
 type Request struct {
 	Service string
+	Class   snapshotter.Class
 	// Tried names the hosts that this request was sent to before; none is chosen again.
 	Tried []string
 	// Explain asks for a full Explanation; without it nothing is allocated.
@@ -69,13 +71,11 @@
 	RejectionTried Rejection = "tried"
 	// RejectionDraining means that the target takes no new work.
 	RejectionDraining Rejection = "draining"
-	// RejectionRefused means that the target refused a request and has asked for time.
+	// RejectionRefused means that the target refused a request of the class, or failed, a moment ago.
 	RejectionRefused Rejection = "refused"
-	// RejectionSlow means that the target is slower than its service and is avoided.
-	RejectionSlow Rejection = "slow"
 	// RejectionCost means that another sampled candidate cost less.
 	RejectionCost Rejection = "cost"
-	// RejectionDistance means that a nearer target had room.
+	// RejectionDistance means that a nearer target was taken.
 	RejectionDistance Rejection = "distance"
 	// RejectionSample means that the candidate was not looked at.
 	RejectionSample Rejection = "not-sampled"
@@ -98,15 +98,14 @@
 	Load limiter.Load
 	// Reported is when Load was received; zero means never.
 	Reported time.Time
-	// Latency is the smoothed latency that this node saw.
-	Latency time.Duration
+	// Slowness is how much slower the target is than its service; at least 1.
+	Slowness float64
 }
 
 // Result tells what became of an attempt.
 type Result struct {
 	Outcome retrier.Outcome
-	// Reason of an outcome other than done, in kebab case.
-	Reason string
+	Class   snapshotter.Class
 	// Latency from sending the request to its answer.
 	Latency time.Duration
 	// Load that came with the answer; nil when none came.
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -4,38 +4,236 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+const (
+	// sampleSize is how many candidates of a distance are compared.
+	sampleSize = 3
+	// sampleDraws is how many random draws find the sample.
+	sampleDraws = 4 * sampleSize
+	// spillFactor is how much cheaper a farther target must be than a nearer one without room.
+	spillFactor = 1.5
 )
 
 // Table is what a node has seen of targets. It is not safe for concurrent use.
 type Table struct {
-	inFlight map[string]int
+	// targets by host.
+	targets map[string]*target
+	// services by name.
+	services map[string]*level
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{inFlight: map[string]int{}} }
+func New() *Table {
+	return &Table{targets: map[string]*target{}, services: map[string]*level{}}
+}
 
 // Choose picks a target among candidates, which must be ordered by Distance.
-func (t *Table) Choose(_ time.Time, r Request, candidates []Candidate, rnd *rand.Rand) (Choice, Explanation) {
-	if len(candidates) == 0 {
-		return Choice{}, Explanation{}
-	}
-	start := rnd.IntN(len(candidates))
-	for n := range candidates {
-		i := (start + n) % len(candidates)
-		c := &candidates[i]
-		if c.Draining || slices.Contains(r.Tried, c.Host) {
-			continue
+func (t *Table) Choose(now time.Time, r Request, candidates []Candidate, rnd *rand.Rand) (Choice, Explanation) {
+	s := search{table: t, now: now, request: &r, candidates: candidates, level: t.services[r.Service], best: -1}
+	for low := 0; low < len(candidates); {
+		high := endOfDistance(candidates, low)
+		s.sample(low, high, rnd)
+		if s.best >= 0 && s.bestRoom {
+			break
 		}
-		return Choice{OK: true, Host: c.Host, Address: c.Address, Index: i}, Explanation{}
+		low = high
+	}
+	if s.best < 0 {
+		s.leastRefused()
+	}
+	var e Explanation
+	if r.Explain {
+		e = s.explain()
+	}
+	if s.best < 0 {
+		return Choice{}, e
 	}
-	return Choice{}, Explanation{}
+	c := &candidates[s.best]
+	return Choice{OK: true, Host: c.Host, Address: c.Address, Index: s.best}, e
 }
 
 // Started counts a request that is being sent to a target.
-func (t *Table) Started(_, host string) { t.inFlight[host]++ }
+func (t *Table) Started(now time.Time, host string) { t.target(host).started(now) }
 
 // Finished records what became of a request that Started counted.
-func (t *Table) Finished(_ time.Time, _, host string, _ Result) { t.inFlight[host]-- }
+func (t *Table) Finished(now time.Time, service, host string, r Result) {
+	l := t.services[service]
+	if l == nil {
+		l = &level{}
+		t.services[service] = l
+	}
+	t.target(host).finished(now, l, r)
+}
+
+// Forget drops what is known of idle targets that were not used since before.
+func (t *Table) Forget(before time.Time) {
+	for host, x := range t.targets {
+		if x.inFlight == 0 && x.progressed.Before(before) {
+			delete(t.targets, host)
+		}
+	}
+}
+
+func (t *Table) target(host string) *target {
+	x := t.targets[host]
+	if x == nil {
+		x = &target{}
+		t.targets[host] = x
+	}
+	return x
+}
+
+// endOfDistance returns the index after the last candidate as near as the one at low.
+func endOfDistance(candidates []Candidate, low int) int {
+	high := low + 1
+	for high < len(candidates) && candidates[high].Distance == candidates[low].Distance {
+		high++
+	}
+	return high
+}
+
+// search is one decision under way.
+type search struct {
+	table      *Table
+	now        time.Time
+	request    *Request
+	candidates []Candidate
+	// level of the service; nil when nothing is known of it.
+	level *level
+	// best is the index of the cheapest candidate so far; negative means none.
+	best     int
+	bestCost float64
+	// bestRoom tells that the best candidate is believed to have a free slot.
+	bestRoom bool
+	// sampled holds the indices that were compared, of every distance.
+	sampled [3 * sampleSize]int
+	count   int
+}
+
+// sample compares a few usable candidates between low and high, all of one distance.
+func (s *search) sample(low, high int, rnd *rand.Rand) {
+	first := s.count
+	for range sampleDraws {
+		if s.count-first == sampleSize || s.count == len(s.sampled) {
+			return
+		}
+		s.consider(low + rnd.IntN(high-low))
+	}
+	if s.count > first {
+		return
+	}
+	start := rnd.IntN(high - low)
+	for n := range high - low {
+		if s.consider(low + (start+n)%(high-low)) {
+			return
+		}
+	}
+}
 
-// Forget drops what is known of targets that no answer came from since before.
-func (t *Table) Forget(_ time.Time) {}
+// consider compares one candidate with the best and tells whether it was usable and new.
+func (s *search) consider(i int) bool {
+	c := &s.candidates[i]
+	x := s.table.targets[c.Host]
+	x.renew(c)
+	if slices.Contains(s.sampled[:s.count], i) || s.rejected(c, x) != RejectionNone {
+		return false
+	}
+	s.sampled[s.count] = i
+	s.count++
+	cost, room := x.cost(s.now, c, s.level)
+	if s.best >= 0 && c.Distance > s.candidates[s.best].Distance {
+		cost *= spillFactor
+	}
+	if s.best < 0 || cost < s.bestCost {
+		s.best, s.bestCost, s.bestRoom = i, cost, room
+	}
+	return true
+}
+
+// rejected tells why a candidate is out of the question at this moment.
+func (s *search) rejected(c *Candidate, x *target) Rejection {
+	switch {
+	case slices.Contains(s.request.Tried, c.Host):
+		return RejectionTried
+	case c.Draining || x.saysDraining(s.now):
+		return RejectionDraining
+	case x.refuses(s.now, s.request.Class):
+		return RejectionRefused
+	}
+	return RejectionNone
+}
+
+// leastRefused falls back, where every target has refused, to the one whose refusal ends first.
+func (s *search) leastRefused() {
+	var until time.Time
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		x := s.table.targets[c.Host]
+		if s.rejected(c, x) != RejectionRefused {
+			continue
+		}
+		ends := x.refusals[classIndex(s.request.Class)]
+		if s.best < 0 || ends.Before(until) {
+			s.best, until = i, ends
+		}
+	}
+}
+
+// explain lists every candidate as the decision saw it.
+func (s *search) explain() Explanation {
+	e := Explanation{Considered: make([]Considered, 0, len(s.candidates))}
+	for i := range s.candidates {
+		e.Considered = append(e.Considered, s.describe(i))
+	}
+	return e
+}
+
+func (s *search) describe(i int) Considered {
+	c := &s.candidates[i]
+	x := s.table.targets[c.Host]
+	d := Considered{Host: c.Host, Rejection: s.rejected(c, x), Slowness: x.slowness(s.now, s.level)}
+	if x != nil {
+		d.InFlight, d.Load, d.Reported = x.inFlight, x.load, x.reported
+	}
+	if i == s.best {
+		d.Rejection = RejectionNone
+	} else if d.Rejection == RejectionNone {
+		d.Rejection = s.passedOver(i)
+	}
+	if slices.Contains(s.sampled[:s.count], i) {
+		d.Cost, _ = x.cost(s.now, c, s.level)
+	}
+	return d
+}
+
+// passedOver tells why a usable candidate was not taken.
+func (s *search) passedOver(i int) Rejection {
+	switch {
+	case slices.Contains(s.sampled[:s.count], i):
+		return RejectionCost
+	case s.candidates[i].Distance > s.candidates[s.best].Distance:
+		return RejectionDistance
+	}
+	return RejectionSample
+}
+
+// The indices of classes in a target's refusals.
+const (
+	urgentIndex = iota
+	shortIndex
+	bulkIndex
+	classCount
+)
+
+func classIndex(c snapshotter.Class) int {
+	switch c {
+	case snapshotter.ClassUrgent:
+		return urgentIndex
+	case snapshotter.ClassBulk:
+		return bulkIndex
+	}
+	return shortIndex
+}
--- /dev/null
+++ b/internal/router/target.go
@@ -0,0 +1,195 @@
+package router
+
+import (
+	"math"
+	"time"
+
+	"gentianbarrow.example/internal/limiter"
+	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+const (
+	// reportFades is the time in which the weight of a reported load falls to a third.
+	reportFades = 250 * time.Millisecond
+	// slownessFades is the time in which a seen slowness falls to a third.
+	slownessFades = time.Second
+	// slownessClip bounds how much a slow target costs, so that it is still
+	// taken when all others are full.
+	slownessClip = 10.0
+	// upWeight and downWeight of one sample in a smoothed latency. It rises
+	// faster than it falls, so that a straggler is noticed by its first answers.
+	upWeight   = 0.5
+	downWeight = 0.2
+	// levelWeight of one sample in a service's level.
+	levelWeight = 0.02
+	// drainTrusted is how long a target's word that it drains counts.
+	drainTrusted = 5 * time.Second
+	// leastPause and mostPause bound how long a target that refused or failed is left alone.
+	leastPause = 5 * time.Millisecond
+	mostPause  = time.Second
+	// failurePause is how long a target is left alone after its first failure; it doubles with each.
+	failurePause = 50 * time.Millisecond
+	// coldDivisor of the announced slots is what a cold target is believed to have.
+	coldDivisor = 5
+	// oldAfter is the age at which knowledge of a candidate counts half.
+	oldAfter = 10 * time.Second
+)
+
+// level is what is usual at a service.
+type level struct {
+	// latency and service time in nanoseconds; 0 before the first sample.
+	latency, service float64
+}
+
+// target is what this node has seen of one target. A nil target is one that nothing is known of.
+type target struct {
+	// inFlight counts this node's requests; at least 0.
+	inFlight int
+	// load is what the target's node reported at reported.
+	load     limiter.Load
+	reported time.Time
+	// others is how many requests of other nodes the report counted.
+	others int
+	// incarnation that the knowledge belongs to.
+	incarnation uint64
+	// latency is smoothed, in nanoseconds, as of answered; 0 before the first sample.
+	latency  float64
+	answered time.Time
+	// progressed is when an answer came or, from idle, a request was sent.
+	progressed time.Time
+	// refusals holds, for each class, when the target may be asked again.
+	refusals [classCount]time.Time
+	// failures in a row.
+	failures int
+}
+
+func (x *target) started(now time.Time) {
+	if x.inFlight == 0 {
+		x.progressed = now
+	}
+	x.inFlight++
+}
+
+func (x *target) finished(now time.Time, l *level, r Result) {
+	if r.Load != nil {
+		x.load, x.reported = *r.Load, now
+		x.others = max(r.Load.InFlight+r.Load.Queued-x.inFlight, 0)
+		l.service = smooth(l.service, float64(r.Load.Service), levelWeight)
+	}
+	x.inFlight = max(x.inFlight-1, 0)
+	x.progressed = now
+	if r.Outcome == retrier.OutcomeDone {
+		x.succeeded(now, l, r)
+		return
+	}
+	x.failed(now, r)
+}
+
+func (x *target) succeeded(now time.Time, l *level, r Result) {
+	x.failures = 0
+	if r.Class == snapshotter.ClassBulk {
+		return
+	}
+	sample := float64(r.Latency)
+	weight := downWeight
+	if sample > x.latency {
+		weight = upWeight
+	}
+	x.latency = smooth(x.latency, sample, weight)
+	x.answered = now
+	l.latency = smooth(l.latency, sample, levelWeight)
+}
+
+// failed leaves the target alone for as long as its refusal says, or, when no
+// answer came, for a time that doubles with each failure.
+func (x *target) failed(now time.Time, r Result) {
+	if r.Load != nil {
+		pause := min(max(r.RetryAfter.Sub(now), leastPause), mostPause)
+		x.refusals[classIndex(r.Class)] = now.Add(pause)
+		return
+	}
+	pause := min(failurePause<<min(x.failures, 10), mostPause)
+	x.failures++
+	for i := range x.refusals {
+		x.refusals[i] = now.Add(pause)
+	}
+}
+
+func (x *target) refuses(now time.Time, c snapshotter.Class) bool {
+	return x != nil && now.Before(x.refusals[classIndex(c)])
+}
+
+// renew forgets what an earlier incarnation of the target's node has shown.
+func (x *target) renew(c *Candidate) {
+	if x == nil || c.Incarnation <= x.incarnation {
+		return
+	}
+	if x.incarnation > 0 {
+		*x = target{inFlight: x.inFlight, progressed: x.progressed}
+	}
+	x.incarnation = c.Incarnation
+}
+
+// saysDraining tells whether the target's node itself reported that it drains.
+func (x *target) saysDraining(now time.Time) bool {
+	return x != nil && x.load.Draining && now.Before(x.reported.Add(drainTrusted))
+}
+
+// cost is lower for better candidates: the share of the slots in use with this
+// request added, times the target's slowness. The second result tells whether
+// a slot is believed to be free.
+func (x *target) cost(now time.Time, c *Candidate, l *level) (float64, bool) {
+	slots := float64(max(c.Slots, 1))
+	if c.Cold {
+		slots = max(slots/coldDivisor, 1)
+	}
+	pending := 0.0
+	if x != nil {
+		weight := fade(now.Sub(x.reported), reportFades)
+		pending = float64(x.inFlight) + weight*float64(x.others)
+		if x.load.Slots > 0 {
+			slots += weight * (float64(x.load.Slots) - slots)
+		}
+	}
+	cost := (pending + 1) / slots * x.slowness(now, l)
+	if !c.Learned.IsZero() {
+		cost *= 1 + float64(max(now.Sub(c.Learned), 0))/float64(oldAfter)
+	}
+	return cost, pending+1 <= slots
+}
+
+// slowness returns how much slower the target is than its service, by its
+// answers, by the service time that its node reports, and by how long it owes
+// an answer. What was seen fades, so that a recovered target is soon tried again.
+func (x *target) slowness(now time.Time, l *level) float64 {
+	if x == nil || l == nil || l.latency == 0 {
+		return 1
+	}
+	slow := faded(x.latency/l.latency, now.Sub(x.answered), slownessFades)
+	if l.service > 0 {
+		slow = max(slow, faded(float64(x.load.Service)/l.service, now.Sub(x.reported), slownessFades))
+	}
+	if x.inFlight > 0 {
+		slow = max(slow, float64(now.Sub(x.progressed))/l.latency)
+	}
+	return min(max(slow, 1), slownessClip)
+}
+
+// faded moves a ratio towards 1 with its age.
+func faded(ratio float64, age, fades time.Duration) float64 {
+	return 1 + (ratio-1)*fade(age, fades)
+}
+
+// fade returns a weight that falls from 1 towards 0 with age.
+func fade(age, fades time.Duration) float64 {
+	return math.Exp(-float64(max(age, 0)) / float64(fades))
+}
+
+// smooth moves a mean towards a sample; the first sample is the mean.
+func smooth(mean, sample, weight float64) float64 {
+	if mean == 0 {
+		return sample
+	}
+	return mean + weight*(sample-mean)
+}
