--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -9,6 +9,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 )
@@ -64,25 +66,59 @@
 // Read receives one message of at most limit bytes. It returns io.EOF only
 // when the stream ends between two messages.
 func Read(r *bufio.Reader, m proto.Message, limit int) error {
+	size, err := readSize(r, limit)
+	if err != nil {
+		return err
+	}
+	buf, err := readGrowing(r, size)
+	if err != nil {
+		return err
+	}
+	if err := proto.Unmarshal(buf, m); err != nil {
+		return &MalformedError{Cause: err}
+	}
+	return nil
+}
+
+// growBytes is how much a reader allocates ahead of the bytes that have come.
+const growBytes = 32 << 10
+
+// readGrowing allocates no more than growBytes beyond what the peer has sent.
+func readGrowing(r io.Reader, size int) ([]byte, error) {
+	buf := make([]byte, 0, min(size, growBytes))
+	for len(buf) < size {
+		step := min(size-len(buf), growBytes)
+		buf = slices.Grow(buf, step)
+		n, err := io.ReadFull(r, buf[len(buf):len(buf)+step])
+		buf = buf[:len(buf)+n]
+		if err != nil {
+			return nil, &TruncatedError{Cause: err}
+		}
+	}
+	return buf, nil
+}
+
+func readSize(r *bufio.Reader, limit int) (int, error) {
 	size, err := binary.ReadUvarint(r)
 	if errors.Is(err, io.EOF) {
-		return io.EOF
-	}
-	if errors.Is(err, io.ErrUnexpectedEOF) {
-		return &TruncatedError{Cause: err}
+		return 0, io.EOF
 	}
 	if err != nil {
-		return err
+		return 0, sizeError(err)
 	}
 	if size > uint64(limit) {
-		return &TooLargeError{Bytes: size, Limit: uint64(limit)}
+		return 0, &TooLargeError{Bytes: size, Limit: uint64(limit)}
 	}
-	buf := make([]byte, size)
-	if _, err := io.ReadFull(r, buf); err != nil {
+	return int(size), nil
+}
+
+func sizeError(err error) error {
+	if errors.Is(err, io.ErrUnexpectedEOF) {
 		return &TruncatedError{Cause: err}
 	}
-	if err := proto.Unmarshal(buf, m); err != nil {
-		return &MalformedError{Cause: err}
+	var netErr net.Error
+	if errors.As(err, &netErr) {
+		return err
 	}
-	return nil
+	return &MalformedError{Cause: err}
 }
--- /dev/null
+++ b/internal/exchanger/exchanger.go
@@ -0,0 +1,142 @@
+// Package exchanger describes one exchange, a request and its answer, in the
+// form in which the parts of the request path hand it to each other.
+package exchanger
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+// MaxDepth is how deep calls between services may nest.
+const MaxDepth = 11
+
+// Outcome tells what is known of a request that has been answered.
+type Outcome string
+
+// The outcomes of a request.
+const (
+	// OutcomeDone means that a target answered: the answer is the target's own.
+	OutcomeDone Outcome = "done"
+	// OutcomeNotRun means that provably no target started the request.
+	OutcomeNotRun Outcome = "not-run"
+	// OutcomeUnknown means that a target may have run the request, wholly or in part.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Reason tells why an outcome is not "done". The words are part of the interface to callers.
+type Reason string
+
+// The reasons of refusals and failures.
+const (
+	ReasonNone             Reason = ""
+	ReasonNoRoute          Reason = "no-route"
+	ReasonNoConfig         Reason = "no-config"
+	ReasonBadRequest       Reason = "bad-request"
+	ReasonTooDeep          Reason = "too-deep"
+	ReasonNoTarget         Reason = "no-target"
+	ReasonNodeDraining     Reason = "node-draining"
+	ReasonTargetDraining   Reason = "target-draining"
+	ReasonTargetFailed     Reason = "target-failed"
+	ReasonWrongTarget      Reason = "wrong-target"
+	ReasonOverloaded       Reason = "overloaded"
+	ReasonTargetShed       Reason = "target-shed"
+	ReasonUnreachable      Reason = "unreachable"
+	ReasonDeadline         Reason = "deadline"
+	ReasonCancelled        Reason = "cancelled"
+	ReasonConnectionLost   Reason = "connection-lost"
+	ReasonSilent           Reason = "silent-connection"
+	ReasonCrossedAnswer    Reason = "crossed-answer"
+	ReasonMalformedAnswer  Reason = "malformed-answer"
+	ReasonKeyRunning       Reason = "key-running"
+	ReasonKeyUnknown       Reason = "key-unknown-outcome"
+	ReasonKeyReused        Reason = "key-reused"
+	ReasonKeyHomeLost      Reason = "key-home-lost"
+	ReasonKeyTableFull     Reason = "key-table-full"
+	ReasonRequestTruncated Reason = "request-truncated"
+)
+
+// Request is one request on its way to a target.
+type Request struct {
+	// ID is the same on every hop and is returned with the answer.
+	ID     string
+	Method string
+	// Path includes the query.
+	Path   string
+	Host   string
+	Header http.Header
+
+	Service string
+	Route   string
+	Firm    string
+	Class   snapshotter.Class
+	// Idempotent tells that running the request twice is harmless.
+	Idempotent bool
+	// Deadline is after the request's arrival.
+	Deadline time.Time
+	// Depth is 1 for a request that no other request caused; at most MaxDepth.
+	Depth int
+	// Attempt counts from 1 at the node that took the request.
+	Attempt int
+	// IdempotencyKey is empty when the caller sent none.
+	IdempotencyKey string
+	// ContentLength is -1 when unknown.
+	ContentLength int64
+	// ConfigVersion is that of the snapshot by which the request was routed.
+	ConfigVersion uint64
+	// Body ends with io.EOF only when it is whole. It is nil when ContentLength is 0.
+	Body io.Reader
+}
+
+// Load is the state of a target as its own node counts it.
+type Load struct {
+	Slots    int
+	InFlight int
+	Queued   int
+	Draining bool
+	// Incarnation of the node that counted; 0 means that no load is known.
+	Incarnation uint64
+	// Service is the smoothed service time.
+	Service time.Duration
+}
+
+// Answer is what came of a request.
+type Answer struct {
+	Outcome Outcome
+	// Reason is empty when Outcome is "done".
+	Reason Reason
+	// Status is the target's HTTP status; 0 unless Outcome is "done".
+	Status int
+	Header http.Header
+	// ContentLength is -1 when unknown.
+	ContentLength int64
+	// Body is never nil when Outcome is "done". Its Read returns io.EOF only
+	// when the answer is whole. Close ends the exchange; it is safe to call twice.
+	Body io.ReadCloser
+	// Target is the host whose target the request was sent to, when known.
+	Target string
+	Load   Load
+	// RetryAt is when the caller may try again; zero means that nothing is known.
+	RetryAt time.Time
+	// Err is the cause, for logs.
+	Err error
+}
+
+// Close ends the exchange.
+func (a *Answer) Close() {
+	if a.Body != nil {
+		_ = a.Body.Close()
+	}
+}
+
+// NotRun returns the answer to a request that no target has started.
+func NotRun(reason Reason, err error) *Answer {
+	return &Answer{Outcome: OutcomeNotRun, Reason: reason, Err: err}
+}
+
+// Unknown returns the answer to a request that a target may have run.
+func Unknown(reason Reason, err error) *Answer {
+	return &Answer{Outcome: OutcomeUnknown, Reason: reason, Err: err}
+}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -8,16 +8,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
-	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
 	"gentianbarrow.example/internal/encoder"
 	"gentianbarrow.example/internal/wirepb"
@@ -34,11 +32,10 @@
 )
 
 const (
-	dialTimeout       = 2 * time.Second
-	keepAliveInterval = 1 * time.Second
-	writeTimeout      = 3 * time.Second
-	openTimeout       = 2 * time.Second
-	maxKindBytes      = 256
+	dialTimeout  = 2 * time.Second
+	writeTimeout = 3 * time.Second
+	openTimeout  = 2 * time.Second
+	maxKindBytes = 256
 )
 
 // UnreachableError tells that no stream to the peer could be opened: nothing was sent.
@@ -54,6 +51,20 @@
 // Unwrap returns the cause.
 func (e *UnreachableError) Unwrap() error { return e.Cause }
 
+// InterruptedError tells that the connection failed while the first message was
+// being sent: the peer may have received it.
+type InterruptedError struct {
+	Address string
+	Cause   error
+}
+
+func (e *InterruptedError) Error() string {
+	return fmt.Sprintf("connection to the node at %s failed during a send: %v", e.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *InterruptedError) Unwrap() error { return e.Cause }
+
 // Stream is one exchange with a peer. Reader buffers what the peer sends and
 // must be used for all reads.
 type Stream struct {
@@ -61,14 +72,17 @@
 	Reader *bufio.Reader
 }
 
+// Abort ends the stream at once in both directions, reads under way included.
+func (s *Stream) Abort() {
+	_ = s.SetDeadline(longAgo)
+	_ = s.Close()
+}
+
+var longAgo = time.Unix(1, 0)
+
 // Handler serves one stream and returns when it is done with it.
 type Handler func(ctx context.Context, s *Stream)
 
-type sessionKey struct {
-	address string
-	traffic Traffic
-}
-
 // Linker opens and serves streams.
 type Linker struct {
 	// Dial connects to a peer. Tests replace it.
@@ -76,10 +90,10 @@
 
 	handlers map[string]Handler
 	mu       sync.Mutex
-	// sessions holds at most one live session for each peer and traffic class. Guarded by mu.
-	sessions map[sessionKey]*yamux.Session
-	// dials serialises connecting to one peer and class. Guarded by mu.
-	dials map[sessionKey]*sync.Mutex
+	// slots holds what is known of each peer and traffic class. Guarded by mu.
+	slots map[slotKey]*slot
+	// watchers are the goroutines that check sessions.
+	watchers sync.WaitGroup
 }
 
 // New returns a linker that dials TCP.
@@ -90,141 +104,59 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		},
 		handlers: map[string]Handler{},
-		sessions: map[sessionKey]*yamux.Session{},
-		dials:    map[sessionKey]*sync.Mutex{},
+		slots:    map[slotKey]*slot{},
 	}
 }
 
 // Handle registers the handler of a kind of stream. Call it before Serve.
 func (l *Linker) Handle(kind string, h Handler) { l.handlers[kind] = h }
 
-func yamuxConfig() *yamux.Config {
-	cfg := yamux.DefaultConfig()
-	cfg.EnableKeepAlive = true
-	cfg.KeepAliveInterval = keepAliveInterval
-	cfg.ConnectionWriteTimeout = writeTimeout
-	cfg.StreamOpenTimeout = openTimeout
-	cfg.LogOutput = io.Discard
-	return cfg
-}
-
 // Open starts a stream of the given kind. On *UnreachableError the peer has received nothing.
 func (l *Linker) Open(ctx context.Context, address string, traffic Traffic, kind string) (*Stream, error) {
-	session, err := l.session(ctx, sessionKey{address, traffic})
-	if err != nil {
-		return nil, &UnreachableError{Address: address, Cause: err}
-	}
-	conn, err := session.Open()
-	if err != nil {
-		_ = session.Close()
-		return nil, &UnreachableError{Address: address, Cause: err}
-	}
-	if err := encoder.Write(conn, &wirepb.StreamOpen{Kind: kind}, maxKindBytes); err != nil {
-		_ = conn.Close()
-		return nil, &UnreachableError{Address: address, Cause: err}
-	}
-	return &Stream{Conn: conn, Reader: bufio.NewReader(conn)}, nil
+	return l.open(ctx, address, traffic, kind, nil, 0)
 }
 
-func (l *Linker) session(ctx context.Context, key sessionKey) (*yamux.Session, error) {
-	l.mu.Lock()
-	if s := l.sessions[key]; s != nil && !s.IsClosed() {
-		l.mu.Unlock()
-		return s, nil
-	}
-	dial := l.dials[key]
-	if dial == nil {
-		dial = &sync.Mutex{}
-		l.dials[key] = dial
-	}
-	l.mu.Unlock()
-
-	dial.Lock()
-	defer dial.Unlock()
-	l.mu.Lock()
-	s := l.sessions[key]
-	l.mu.Unlock()
-	if s != nil && !s.IsClosed() {
-		return s, nil
-	}
-	conn, err := l.Dial(ctx, key.address)
-	if err != nil {
-		return nil, err
-	}
-	s, err = yamux.Client(conn, yamuxConfig())
-	if err != nil {
-		_ = conn.Close()
-		return nil, err
-	}
-	l.mu.Lock()
-	l.sessions[key] = s
-	l.mu.Unlock()
-	return s, nil
+// OpenWith starts a stream and sends the first message, of at most limit
+// bytes, in one frame with the opening. On *UnreachableError the peer has
+// received nothing; on *InterruptedError it may have.
+func (l *Linker) OpenWith(ctx context.Context, address string, traffic Traffic, kind string, first proto.Message, limit int) (*Stream, error) {
+	return l.open(ctx, address, traffic, kind, first, limit)
 }
 
-// Serve accepts sessions until ctx ends or the listener fails.
-func (l *Linker) Serve(ctx context.Context, ln net.Listener) error {
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		<-ctx.Done()
-		return ln.Close()
-	})
-	for {
-		conn, err := ln.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				break
-			}
-			return err
+func (l *Linker) open(ctx context.Context, address string, traffic Traffic, kind string, first proto.Message, limit int) (*Stream, error) {
+	var buf bytes.Buffer
+	if err := encoder.Write(&buf, &wirepb.StreamOpen{Kind: kind}, maxKindBytes); err != nil {
+		return nil, &UnreachableError{Address: address, Cause: err}
+	}
+	if first != nil {
+		if err := encoder.Write(&buf, first, limit); err != nil {
+			return nil, &UnreachableError{Address: address, Cause: err}
 		}
-		group.Go(func() error {
-			l.serveSession(ctx, conn)
-			return nil
-		})
 	}
-	return group.Wait()
-}
-
-func (l *Linker) serveSession(ctx context.Context, conn net.Conn) {
-	session, err := yamux.Server(conn, yamuxConfig())
+	link, err := l.link(ctx, slotKey{address, traffic})
 	if err != nil {
-		_ = conn.Close()
-		return
-	}
-	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
-	defer stop()
-	var group errgroup.Group
-	for {
-		stream, err := session.Accept()
-		if err != nil {
-			break
-		}
-		group.Go(func() error {
-			l.serveStream(ctx, stream)
-			return nil
-		})
+		return nil, &UnreachableError{Address: address, Cause: err}
 	}
-	_ = group.Wait()
-}
-
-func (l *Linker) serveStream(ctx context.Context, conn net.Conn) {
-	defer conn.Close() //nolint:errcheck // the stream is done with
-	r := bufio.NewReader(conn)
-	var open wirepb.StreamOpen
-	if err := encoder.Read(r, &open, maxKindBytes); err != nil {
-		return
+	conn, err := link.session.Open()
+	if err != nil {
+		_ = link.session.Close()
+		return nil, &UnreachableError{Address: address, Cause: err}
 	}
-	if h := l.handlers[open.GetKind()]; h != nil {
-		h(ctx, &Stream{Conn: conn, Reader: r})
+	if _, err := conn.Write(buf.Bytes()); err != nil {
+		_ = conn.Close()
+		return nil, &InterruptedError{Address: address, Cause: err}
 	}
+	return &Stream{Conn: conn, Reader: bufio.NewReader(conn)}, nil
 }
 
 // Close ends every session that this node opened.
 func (l *Linker) Close() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	for key, s := range l.sessions {
-		_ = s.Close()
-		delete(l.sessions, key)
+	for _, s := range l.slots {
+		for _, link := range s.links() {
+			_ = link.session.Close()
+		}
 	}
+	l.mu.Unlock()
+	l.watchers.Wait()
 }
