--- a/internal/blackboard/config.go
+++ b/internal/blackboard/config.go
@@ -167,6 +167,8 @@
 	RenewAt time.Time
 	// ReadAt is when to read the leases of the data centre; zero before the first tick.
 	ReadAt time.Time
+	// Waited is when the first wait ended; zero before.
+	Waited time.Time
 	// BusyUntil is when the platform call under way has ended at the latest; zero when there is none.
 	BusyUntil time.Time
 	// Failures counts the platform calls that failed since the last success.
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -22,13 +22,16 @@
 const DefaultSlots = 3
 
 const (
-	leaseTerm         = 15 * time.Second
-	renewAfter        = 5 * time.Second
-	lapseGrace        = 2 * time.Second
-	readEvery         = 8 * time.Second
-	readSpread        = 4 * time.Second
-	startWait         = 500 * time.Millisecond
-	startSpread       = 2 * time.Second
+	leaseTerm   = 15 * time.Second
+	renewAfter  = 5 * time.Second
+	lapseGrace  = 2 * time.Second
+	readEvery   = 8 * time.Second
+	readSpread  = 4 * time.Second
+	startWait   = 2 * time.Second
+	startSpread = 2 * time.Second
+	// aloneWait is how much longer a node waits that knows no other member yet:
+	// it may be one of many that start together.
+	aloneWait         = 3 * time.Second
 	callTimeout       = 3 * time.Second
 	backoffFirst      = 1 * time.Second
 	backoffMost       = 15 * time.Second
@@ -105,6 +108,13 @@
 	if now.Before(l.ReadAt) {
 		return s, effects
 	}
+	if l.Waited.IsZero() {
+		l.Waited = now
+		if len(s.Members.ByHost) <= 1 {
+			l.ReadAt = now.Add(aloneWait)
+			return s, effects
+		}
+	}
 	if l.Slot < 0 && e.rank(s) >= Candidates(e.Slots) {
 		l.Relays = nil
 		l.ReadAt = now.Add(readEvery)
@@ -116,7 +126,7 @@
 
 // rank returns the place of this node among those that may become relays.
 func (e *Elector) rank(s blackboard.State) int {
-	return max(0, ranker.Index(ranker.Rank(s.Members.ByHost), s.Self.Host))
+	return ranker.Place(s.Members.ByHost, s.Self.Host)
 }
 
 func (e *Elector) drop(self blackboard.Self, l *blackboard.Lease, reason string) blackboard.Effect {
--- a/internal/follower/recovery.go
+++ b/internal/follower/recovery.go
@@ -20,6 +20,7 @@
 	askHeadFirst    = 300 * time.Millisecond
 	askHeadEvery    = 1 * time.Second
 	ownReadFirst    = 8 * time.Second
+	ownReadSpread   = 4 * time.Second
 	ownReadEvery    = 1 * time.Second
 	askFloorsEvery  = 500 * time.Millisecond
 	askFloorAgain   = 3 * time.Second
@@ -41,7 +42,7 @@
 		Began:       st.now,
 		Question:    ranker.Draw(host, st.now, st.s.Self.Incarnation),
 		AskHeadAt:   st.now.Add(askHeadFirst + ranker.Jitter(host, st.now, 6, askHeadEvery)),
-		ReadAt:      st.now.Add(ownReadFirst + ranker.Jitter(host, st.now, 7, ownReadEvery)),
+		ReadAt:      st.now.Add(ownReadFirst + ranker.Jitter(host, st.now, 7, ownReadSpread)),
 		AskFloorsAt: st.now.Add(recoveryWait + ranker.Jitter(host, st.now, 8, askFloorsEvery)),
 		WarnAt:      st.now.Add(warnRecovery),
 	}
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -4,6 +4,7 @@
 package ranker
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"strings"
@@ -16,25 +17,13 @@
 
 // Rank returns the members that are not known to be dead or gone, in order.
 func Rank(members map[string]blackboard.Member) []blackboard.Member {
-	type ranked struct {
-		hash   uint64
-		member blackboard.Member
-	}
 	all := make([]ranked, 0, len(members))
 	for _, m := range members {
-		if m.Status == blackboard.MemberAlive || m.Status == blackboard.MemberSuspect {
+		if present(m) {
 			all = append(all, ranked{xxhash.Sum64String(m.Host), m})
 		}
 	}
-	slices.SortFunc(all, func(a, b ranked) int {
-		if a.hash != b.hash {
-			if a.hash < b.hash {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a.member.Host, b.member.Host)
-	})
+	slices.SortFunc(all, ranked.compare)
 	out := make([]blackboard.Member, len(all))
 	for i := range all {
 		out[i] = all[i].member
@@ -42,6 +31,31 @@
 	return out
 }
 
+// Place returns how many members stand before a host, without sorting them.
+func Place(members map[string]blackboard.Member, host string) int {
+	self := ranked{xxhash.Sum64String(host), blackboard.Member{Host: host}}
+	place := 0
+	for _, m := range members {
+		if present(m) && (ranked{xxhash.Sum64String(m.Host), m}).compare(self) < 0 {
+			place++
+		}
+	}
+	return place
+}
+
+type ranked struct {
+	hash   uint64
+	member blackboard.Member
+}
+
+func (a ranked) compare(b ranked) int {
+	return cmp.Or(cmp.Compare(a.hash, b.hash), strings.Compare(a.member.Host, b.member.Host))
+}
+
+func present(m blackboard.Member) bool {
+	return m.Status == blackboard.MemberAlive || m.Status == blackboard.MemberSuspect
+}
+
 // Index returns the place of a host, or -1.
 func Index(members []blackboard.Member, host string) int {
 	return slices.IndexFunc(members, func(m blackboard.Member) bool { return m.Host == host })
