--- /dev/null
+++ b/internal/experimenter/experiments.go
@@ -0,0 +1,218 @@
+package experimenter
+
+import (
+	"time"
+
+	"gentianbarrow.example/internal/limiter"
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+// The sizes of the two users' services, and what they share.
+const (
+	rosterTargets, rosterSlots, rosterConnections = 5, 10, 120
+	mediaTargets, mediaSlots, mediaConnections    = 3, 20, 110
+	// hosts of a user that take callers' requests.
+	userHosts = 11
+	// work of a short request.
+	work = 10 * time.Millisecond
+	// uploadWork of a bulk request.
+	uploadWork = 2 * time.Second
+	// shortTimeout and urgentTimeout of callers, and uploadTimeout.
+	shortTimeout  = 500 * time.Millisecond
+	urgentTimeout = 200 * time.Millisecond
+	uploadTimeout = 30 * time.Second
+	// retryPercent of the services.
+	retryPercent = 20
+)
+
+// The firms whose requests are told apart.
+const (
+	FirmPaza     = "paza"
+	FirmFrothvik = "frothvik"
+	FirmSteady   = "steady"
+)
+
+func rosterLimits() limiter.Limits {
+	return limiter.Limits{
+		Slots: rosterSlots, Connections: rosterConnections, Queue: 2 * rosterSlots, BulkPercent: 40, UrgentSlots: 2,
+	}
+}
+
+func mediaLimits() limiter.Limits {
+	return limiter.Limits{
+		Slots: mediaSlots, Connections: mediaConnections, Queue: 2 * mediaSlots, BulkPercent: 40, UrgentSlots: 2,
+	}
+}
+
+// rosterCapacity is how many short requests a second all roster targets serve.
+const rosterCapacity = rosterTargets * rosterSlots * float64(time.Second/work)
+
+// mediaCapacity is how many short requests a second all media targets serve.
+const mediaCapacity = mediaTargets * mediaSlots * float64(time.Second/work)
+
+func steady(rate float64) func(time.Time) float64 {
+	return func(time.Time) float64 { return rate }
+}
+
+func onePhase(name string, d time.Duration) []Phase { return []Phase{{Name: name, Until: At(d)}} }
+
+// PhaseAll is the only phase of scenarios that have one.
+const PhaseAll = "all"
+
+// base returns Paza's roster at 60% of its capacity, all targets well.
+func base(seed uint64) Scenario {
+	return Scenario{
+		Seed: seed, Entries: userHosts, Targets: make([]Target, rosterTargets), Limits: rosterLimits(),
+		Flows: []Flow{{
+			Class: snapshotter.ClassShort, Firm: FirmPaza, Rate: steady(0.6 * rosterCapacity),
+			Work: work, Timeout: shortTimeout, Idempotent: true,
+		}},
+		Phases:  onePhase(PhaseAll, 20*time.Second),
+		Routing: RouteTable, Admission: AdmitGate, RetryPercent: retryPercent,
+	}
+}
+
+// SlowTarget slows one of five targets ten times, a different one each two
+// seconds, for half a second.
+func SlowTarget(seed uint64) Scenario {
+	s := base(seed)
+	for k := range 10 {
+		from := At(time.Duration(2*k+1) * time.Second)
+		t := &s.Targets[k%len(s.Targets)]
+		t.Spells = append(t.Spells, Spell{From: from, Until: from.Add(500 * time.Millisecond), Slowness: 10, Loss: 1})
+	}
+	return s
+}
+
+// AllSlow slows every target ten times for five seconds.
+func AllSlow(seed uint64) Scenario {
+	s := base(seed)
+	for i := range s.Targets {
+		s.Targets[i].Spells = []Spell{{From: At(5 * time.Second), Until: At(10 * time.Second), Slowness: 10, Loss: 1}}
+	}
+	s.Phases = []Phase{
+		{Name: "before", Until: At(5 * time.Second)},
+		{Name: "slow", Until: At(10 * time.Second)},
+		{Name: "settling", Until: At(12 * time.Second)},
+		{Name: "after", Until: At(20 * time.Second)},
+	}
+	return s
+}
+
+// Liar slows one target ten times for the whole run while its reports say that it is idle.
+func Liar(seed uint64) Scenario {
+	s := base(seed)
+	s.Targets[0] = Target{
+		Lies:   true,
+		Spells: []Spell{{From: Epoch, Until: At(time.Hour), Slowness: 10, Loss: 1}},
+	}
+	return s
+}
+
+// Contention takes four fifths of the capacity of one of five targets, a
+// different one each two seconds, for a second: the more runs there, the slower.
+func Contention(seed uint64) Scenario {
+	s := SlowTarget(seed)
+	for i := range s.Targets {
+		for k := range s.Targets[i].Spells {
+			p := &s.Targets[i].Spells[k]
+			p.Slowness, p.Loss, p.Until = 1, 5, p.From.Add(time.Second)
+		}
+	}
+	return s
+}
+
+// ColdStart adds a sixth target at ten seconds that is five times slower in
+// its first three.
+func ColdStart(seed uint64) Scenario {
+	s := base(seed)
+	ready := At(10 * time.Second)
+	s.Targets = append(s.Targets, Target{
+		Ready:  ready,
+		Spells: []Spell{{From: ready, Until: ready.Add(3 * time.Second), Slowness: 5, Loss: 1}},
+	})
+	s.Phases = []Phase{
+		{Name: "before", Until: ready},
+		{Name: "cold", Until: ready.Add(3 * time.Second)},
+		{Name: "after", Until: At(20 * time.Second)},
+	}
+	return s
+}
+
+// Crest raises one firm's short requests so that all requests together go
+// from once to four times the capacity and back, each within a second, while
+// the flows of a steady firm, of urgent checks and of uploads stay as they are.
+func Crest(seed uint64) Scenario {
+	s := base(seed)
+	s.Flows = []Flow{
+		{Class: snapshotter.ClassShort, Firm: FirmPaza, Rate: swing(0.65*rosterCapacity, 3*rosterCapacity), Work: work, Timeout: shortTimeout, Idempotent: true},
+		{Class: snapshotter.ClassShort, Firm: FirmSteady, Rate: steady(0.15 * rosterCapacity), Work: work, Timeout: shortTimeout, Idempotent: true},
+		{Class: snapshotter.ClassUrgent, Firm: FirmPaza, Rate: steady(0.1 * rosterCapacity), Work: work, Timeout: urgentTimeout, Idempotent: true},
+		{Class: snapshotter.ClassBulk, Firm: FirmPaza, Rate: steady(0.1 * rosterCapacity * float64(work) / float64(uploadWork)), Work: uploadWork, Timeout: uploadTimeout},
+	}
+	s.Phases = []Phase{
+		{Name: "warm-up", Until: At(5 * time.Second)},
+		{Name: "1x", Until: At(10 * time.Second)},
+		{Name: "rise", Until: At(11 * time.Second)},
+		{Name: "4x", Until: At(16 * time.Second)},
+		{Name: "fall", Until: At(17 * time.Second)},
+		{Name: "1x again", Until: At(22 * time.Second)},
+	}
+	return s
+}
+
+// swing returns a rate that rises by extra between 10 s and 11 s and falls back between 16 s and 17 s.
+func swing(usual, extra float64) func(time.Time) float64 {
+	return func(t time.Time) float64 {
+		rise := t.Sub(At(10 * time.Second)).Seconds()
+		fall := At(17 * time.Second).Sub(t).Seconds()
+		return usual + extra*min(max(min(rise, fall), 0), 1)
+	}
+}
+
+// Uploads sends Frothvik's bench-media lookups at a third of its capacity
+// beside uploads that ask for the whole of it.
+func Uploads(seed uint64) Scenario {
+	s := base(seed)
+	s.Targets, s.Limits = make([]Target, mediaTargets), mediaLimits()
+	s.Flows = []Flow{
+		{Class: snapshotter.ClassShort, Firm: FirmFrothvik, Rate: steady(0.3 * mediaCapacity), Work: work, Timeout: shortTimeout, Idempotent: true},
+		{Class: snapshotter.ClassUrgent, Firm: FirmFrothvik, Rate: steady(0.05 * mediaCapacity), Work: work, Timeout: urgentTimeout, Idempotent: true},
+		{Class: snapshotter.ClassBulk, Firm: FirmFrothvik, Rate: steady(mediaCapacity * float64(work) / float64(uploadWork)), Work: uploadWork, Timeout: uploadTimeout},
+	}
+	s.Phases = []Phase{{Name: "warm-up", Until: At(10 * time.Second)}, {Name: PhaseAll, Until: At(30 * time.Second)}}
+	return s
+}
+
+// WithoutUploads returns the scenario without its bulk flows.
+func WithoutUploads(s Scenario) Scenario {
+	var flows []Flow
+	for _, f := range s.Flows {
+		if f.Class != snapshotter.ClassBulk {
+			flows = append(flows, f)
+		}
+	}
+	s.Flows = flows
+	return s
+}
+
+// WithoutShares returns the scenario with every slot open to every class.
+func WithoutShares(s Scenario) Scenario {
+	s.Limits.BulkPercent, s.Limits.UrgentSlots = 100, 0
+	return s
+}
+
+// Fleet spreads the callers of the roster, at four fifths of its capacity,
+// over many entry nodes, each of which sees little of it.
+func Fleet(seed uint64, entries int) Scenario {
+	s := base(seed)
+	s.Entries = entries
+	s.Flows[0].Rate = steady(0.8 * rosterCapacity)
+	return s
+}
+
+// With returns the scenario with another way of choosing and of admitting.
+func With(s Scenario, r Routing, a Admission) Scenario {
+	s.Routing, s.Admission = r, a
+	return s
+}
