Carry requests from callers to targets and whole answers back

Cause: nothing took a caller's request yet.

Change: the receiver takes requests at any node, chooses a target, retries and hedges by the retrier's rules and tells outcome and reason in headers. The executor admits at the target's node, where the count is exact, and looks up idempotency keys. The dispatcher proves 'not-run' by the bytes that it handed over: a connection is sealed before the claim is made. The forwarder carries one exchange a stream; bodies end with their total length, so that a cut one cannot look whole. The drainer closes the tracker on the first stop request and ends the node when nothing is in flight. Two stand-ins, a target that counts executions and a bounded caller, are for demonstrations and tests.

The Life entry of the blackboard has four more fields. ForwardRequest carries the remaining time, since clocks of hosts may differ. Keys whose home is lost are refused, not run elsewhere.

Tests run whole paths over pipes under fake time.

--- a/internal/blackboard/state.go
+++ b/internal/blackboard/state.go
@@ -54,6 +54,14 @@
 // Life is the entry of the drainer.
 type Life struct {
 	Phase LifePhase
+	// StopRequests counts the requests to stop. The second logs what an end would cut, the third ends.
+	StopRequests int
+	// CountFrom is when requests in flight are first counted. Set while draining.
+	CountFrom time.Time
+	// CutAt is when the node ends also with requests in flight; zero means never.
+	CutAt time.Time
+	// InFlight is the latest count while draining.
+	InFlight int
 }
 
 // Config is the entry of the follower.
--- /dev/null
+++ b/internal/drainer/drainer.go
@@ -0,0 +1,153 @@
+// Package drainer takes a node out of service without cutting a request. It
+// writes the Life entry of the blackboard.
+//
+// The first StopRequested closes the tracker: callers and peers are refused
+// with "not-run" while requests in flight finish, however long they take. A
+// second one logs what an end would cut. Only a third, or a deadline that the
+// operator has set, ends the node with requests in flight.
+package drainer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/logger"
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+// stopsThatCut is how many stop requests end the node with requests in flight.
+const stopsThatCut = 3
+
+// settleTime passes between closing and the first count, so that peers learn
+// of the drain before the node may end.
+const settleTime = 1 * time.Second
+
+// Counted reports the requests in flight of a draining node.
+type Counted struct {
+	Now   time.Time
+	Total int
+}
+
+// Effects of this controller.
+type (
+	closeTracker  struct{}
+	countRequests struct{ now time.Time }
+	reportCut     struct{ final bool }
+)
+
+// Option changes a drainer.
+type Option func(*drainer)
+
+// WithCutAfter ends the node at the latest this long after the first stop
+// request, also with requests in flight. Without it only a third request does.
+func WithCutAfter(d time.Duration) Option { return func(c *drainer) { c.cutAfter = d } }
+
+type drainer struct {
+	tracker *Tracker
+	log     *logger.Logger
+	// cutAfter is added to the time of the first stop request; 0 means never.
+	cutAfter time.Duration
+}
+
+// New returns the controller.
+func New(t *Tracker, log *logger.Logger, options ...Option) blackboard.Controller {
+	d := &drainer{tracker: t, log: log}
+	for _, o := range options {
+		o(d)
+	}
+	return blackboard.Controller{Name: "drainer", Reduce: d.reduce, Run: d.run}
+}
+
+func (d *drainer) reduce(s blackboard.State, msg blackboard.Msg) (blackboard.State, []blackboard.Effect) {
+	switch msg := msg.(type) {
+	case blackboard.StopRequested:
+		return d.stopRequested(s, msg.Now)
+	case blackboard.Tick:
+		return d.tick(s, msg.Now)
+	case Counted:
+		return counted(s, msg)
+	}
+	return s, nil
+}
+
+func (d *drainer) stopRequested(s blackboard.State, now time.Time) (blackboard.State, []blackboard.Effect) {
+	if s.Life.Phase == blackboard.LifeStopped {
+		return s, nil
+	}
+	s.Life.StopRequests++
+	switch {
+	case s.Life.StopRequests == 1:
+		s.Life.Phase = blackboard.LifeDraining
+		s.Life.CountFrom = now.Add(settleTime)
+		if d.cutAfter > 0 {
+			s.Life.CutAt = now.Add(d.cutAfter)
+		}
+		return s, []blackboard.Effect{closeTracker{}}
+	case s.Life.StopRequests < stopsThatCut:
+		return s, []blackboard.Effect{reportCut{}}
+	default:
+		s.Life.Phase = blackboard.LifeStopped
+		return s, []blackboard.Effect{reportCut{final: true}}
+	}
+}
+
+func (d *drainer) tick(s blackboard.State, now time.Time) (blackboard.State, []blackboard.Effect) {
+	switch {
+	case s.Life.Phase == blackboard.LifeStarting && s.Config.Running != nil:
+		s.Life.Phase = blackboard.LifeServing
+		return s, nil
+	case s.Life.Phase != blackboard.LifeDraining:
+		return s, nil
+	case !s.Life.CutAt.IsZero() && !now.Before(s.Life.CutAt):
+		s.Life.Phase = blackboard.LifeStopped
+		return s, []blackboard.Effect{reportCut{final: true}}
+	case now.Before(s.Life.CountFrom):
+		return s, nil
+	default:
+		return s, []blackboard.Effect{countRequests{now: now}}
+	}
+}
+
+func counted(s blackboard.State, msg Counted) (blackboard.State, []blackboard.Effect) {
+	if s.Life.Phase != blackboard.LifeDraining {
+		return s, nil
+	}
+	s.Life.InFlight = msg.Total
+	if msg.Total == 0 {
+		s.Life.Phase = blackboard.LifeStopped
+	}
+	return s, nil
+}
+
+func (d *drainer) run(_ context.Context, e blackboard.Effect, post blackboard.Post) {
+	switch e := e.(type) {
+	case closeTracker:
+		d.tracker.Close()
+		d.log.Write(logger.DrainStarted, logger.Fields{Count: d.tracker.Count().Total})
+	case countRequests:
+		post(Counted{Now: e.now, Total: d.tracker.Count().Total})
+	case reportCut:
+		d.report(e.final)
+	}
+}
+
+// report logs one event for each class with requests in flight.
+func (d *drainer) report(final bool) {
+	event := logger.DrainWouldCut
+	if final {
+		event = logger.DrainCut
+	}
+	c := d.tracker.Count()
+	age := fmt.Sprintf("oldest began %s ago", time.Since(c.Oldest).Round(time.Second))
+	if c.Total == 0 {
+		d.log.Write(event, logger.Fields{Reason: "no request is in flight"})
+		return
+	}
+	for _, class := range []snapshotter.Class{snapshotter.ClassUrgent, snapshotter.ClassShort, snapshotter.ClassBulk} {
+		if n := c.ByClass[class]; n > 0 {
+			d.log.Write(event, logger.Fields{Class: string(class), Count: n, Reason: age})
+		}
+	}
+}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -7,29 +7,18 @@
 	"net/http"
 	"time"
 
+	"gentianbarrow.example/internal/limiter"
+	"gentianbarrow.example/internal/retrier"
 	"gentianbarrow.example/pkg/snapshotter"
 )
 
 // MaxDepth is how deep calls between services may nest.
 const MaxDepth = 11
 
-// Outcome tells what is known of a request that has been answered.
-type Outcome string
-
-// The outcomes of a request.
-const (
-	// OutcomeDone means that a target answered: the answer is the target's own.
-	OutcomeDone Outcome = "done"
-	// OutcomeNotRun means that provably no target started the request.
-	OutcomeNotRun Outcome = "not-run"
-	// OutcomeUnknown means that a target may have run the request, wholly or in part.
-	OutcomeUnknown Outcome = "unknown"
-)
-
 // Reason tells why an outcome is not "done". The words are part of the interface to callers.
 type Reason string
 
-// The reasons of refusals and failures.
+// The reasons of refusals and failures. Those of limiter.Reason are used as well.
 const (
 	ReasonNone             Reason = ""
 	ReasonNoRoute          Reason = "no-route"
@@ -41,7 +30,6 @@
 	ReasonTargetDraining   Reason = "target-draining"
 	ReasonTargetFailed     Reason = "target-failed"
 	ReasonWrongTarget      Reason = "wrong-target"
-	ReasonOverloaded       Reason = "overloaded"
 	ReasonTargetShed       Reason = "target-shed"
 	ReasonUnreachable      Reason = "unreachable"
 	ReasonDeadline         Reason = "deadline"
@@ -54,6 +42,7 @@
 	ReasonKeyUnknown       Reason = "key-unknown-outcome"
 	ReasonKeyReused        Reason = "key-reused"
 	ReasonKeyHomeLost      Reason = "key-home-lost"
+	ReasonKeyAnswerDropped Reason = "key-answer-dropped"
 	ReasonKeyTableFull     Reason = "key-table-full"
 	ReasonRequestTruncated Reason = "request-truncated"
 )
@@ -80,6 +69,8 @@
 	Depth int
 	// Attempt counts from 1 at the node that took the request.
 	Attempt int
+	// RetriedAbove tells that the request belongs to a retry of a node nearer the caller.
+	RetriedAbove bool
 	// IdempotencyKey is empty when the caller sent none.
 	IdempotencyKey string
 	// ContentLength is -1 when unknown.
@@ -90,21 +81,9 @@
 	Body io.Reader
 }
 
-// Load is the state of a target as its own node counts it.
-type Load struct {
-	Slots    int
-	InFlight int
-	Queued   int
-	Draining bool
-	// Incarnation of the node that counted; 0 means that no load is known.
-	Incarnation uint64
-	// Service is the smoothed service time.
-	Service time.Duration
-}
-
 // Answer is what came of a request.
 type Answer struct {
-	Outcome Outcome
+	Outcome retrier.Outcome
 	// Reason is empty when Outcome is "done".
 	Reason Reason
 	// Status is the target's HTTP status; 0 unless Outcome is "done".
@@ -117,7 +96,8 @@
 	Body io.ReadCloser
 	// Target is the host whose target the request was sent to, when known.
 	Target string
-	Load   Load
+	// Load of that target as its own node counts it; nil when none came.
+	Load *limiter.Load
 	// RetryAt is when the caller may try again; zero means that nothing is known.
 	RetryAt time.Time
 	// Err is the cause, for logs.
@@ -133,10 +113,10 @@
 
 // NotRun returns the answer to a request that no target has started.
 func NotRun(reason Reason, err error) *Answer {
-	return &Answer{Outcome: OutcomeNotRun, Reason: reason, Err: err}
+	return &Answer{Outcome: retrier.OutcomeNotRun, Reason: reason, Err: err}
 }
 
 // Unknown returns the answer to a request that a target may have run.
 func Unknown(reason Reason, err error) *Answer {
-	return &Answer{Outcome: OutcomeUnknown, Reason: reason, Err: err}
+	return &Answer{Outcome: retrier.OutcomeUnknown, Reason: reason, Err: err}
 }
--- a/internal/exchanger/header.go
+++ b/internal/exchanger/header.go
@@ -17,6 +17,8 @@
 	HeaderDepth    = "Gentian-Depth"
 	// HeaderIdempotencyKey names a request, so that sending it again does not run it again.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderAttempt is greater than 1 on a request that was sent before. A target passes it on with its own calls.
+	HeaderAttempt = "Gentian-Attempt"
 	// HeaderReplayed is "true" on an answer that was recorded for an idempotency key.
 	HeaderReplayed = "Gentian-Replayed"
 )
@@ -24,7 +26,7 @@
 const reservedPrefix = "Gentian-"
 
 var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
--- /dev/null
+++ b/internal/executor/controller.go
@@ -0,0 +1,25 @@
+package executor
+
+import (
+	"context"
+
+	"gentianbarrow.example/internal/blackboard"
+)
+
+// syncLimits is the effect of a tick.
+type syncLimits struct{}
+
+// Controller returns the controller that passes changes of target and
+// configuration on to waiting requests. It writes no entry.
+func (e *Executor) Controller() blackboard.Controller {
+	return blackboard.Controller{
+		Name: "executor",
+		Reduce: func(s blackboard.State, msg blackboard.Msg) (blackboard.State, []blackboard.Effect) {
+			if _, ok := msg.(blackboard.Tick); !ok {
+				return s, nil
+			}
+			return s, []blackboard.Effect{syncLimits{}}
+		},
+		Run: func(context.Context, blackboard.Effect, blackboard.Post) { e.Sync() },
+	}
+}
--- /dev/null
+++ b/internal/executor/exchange.go
@@ -0,0 +1,114 @@
+package executor
+
+import (
+	"bytes"
+	"io"
+	"sync"
+	"time"
+
+	"gentianbarrow.example/internal/deduplicator"
+	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/limiter"
+	"gentianbarrow.example/internal/retrier"
+)
+
+// exchange follows one request from its slot to the end of its answer.
+type exchange struct {
+	executor *Executor
+	request  *exchanger.Request
+	release  func(limiter.Result)
+	// entry of the idempotency key; nil when there is none.
+	entry   *deduplicator.Entry
+	arrived time.Time
+	started time.Time
+}
+
+// track makes the end of the answer end the exchange.
+func (x *exchange) track(a *exchanger.Answer) {
+	if a.Outcome != retrier.OutcomeDone {
+		x.failed(a)
+		return
+	}
+	a.Body = &trackedBody{body: a.Body, exchange: x, answer: *a}
+}
+
+func (x *exchange) failed(a *exchanger.Answer) {
+	x.end(a)
+	if x.entry == nil {
+		return
+	}
+	if a.Outcome == retrier.OutcomeNotRun {
+		x.entry.NotRun()
+		return
+	}
+	x.entry.Unknown(time.Now())
+}
+
+func (x *exchange) end(a *exchanger.Answer) {
+	x.release(resultOf(a))
+	if x.executor.cfg.Observe != nil {
+		x.executor.cfg.Observe(x.request, x.started.Sub(x.arrived), time.Since(x.started))
+	}
+}
+
+// trackedBody frees the slot when the answer has ended and records the answer
+// for the idempotency key.
+type trackedBody struct {
+	body     io.ReadCloser
+	exchange *exchange
+	answer   exchanger.Answer
+	// copied is the start of the body, at most one byte over the recorded size.
+	copied bytes.Buffer
+	whole  bool
+	once   sync.Once
+}
+
+// Read returns io.EOF only when the answer is whole.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if b.exchange.entry != nil {
+		room := deduplicator.MaxAnswerBytes + 1 - b.copied.Len()
+		b.copied.Write(p[:min(n, room)])
+	}
+	if err == io.EOF { //nolint:errorlint // readers return io.EOF itself
+		b.whole = true
+		b.finish()
+	}
+	return n, err
+}
+
+// Close ends the exchange.
+func (b *trackedBody) Close() error {
+	err := b.body.Close()
+	b.finish()
+	return err
+}
+
+func (b *trackedBody) finish() {
+	b.once.Do(func() {
+		b.exchange.end(&b.answer)
+		if b.exchange.entry != nil {
+			b.exchange.entry.Done(time.Now(), b.recorded())
+		}
+	})
+}
+
+func (b *trackedBody) recorded() deduplicator.Recorded {
+	out := deduplicator.Recorded{Status: b.answer.Status, Header: b.answer.Header}
+	if !b.whole {
+		out.BodyDropped = true
+		return out
+	}
+	out.Body = b.copied.Bytes()
+	return out
+}
+
+// replay returns a recorded answer.
+func replay(r deduplicator.Recorded) *exchanger.Answer {
+	header := r.Header.Clone()
+	header.Set(exchanger.HeaderReplayed, "true")
+	return &exchanger.Answer{
+		Outcome: retrier.OutcomeDone, Status: r.Status, Header: header,
+		ContentLength: int64(len(r.Body)), Body: io.NopCloser(bytes.NewReader(r.Body)),
+	}
+}
--- /dev/null
+++ b/internal/executor/executor.go
@@ -0,0 +1,251 @@
+// Package executor runs requests on the target of this host. The node in front
+// of a target is the only way to it, so what the executor refuses does not run:
+// it checks the target's phase, looks up the idempotency key, waits for a slot
+// and only then dispatches.
+package executor
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/deduplicator"
+	"gentianbarrow.example/internal/dispatcher"
+	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/limiter"
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+// keyRunningRetry is when a caller may ask again for a key whose request runs.
+const keyRunningRetry = 1 * time.Second
+
+// Config holds what an executor needs.
+type Config struct {
+	// Host is this node's own.
+	Host string
+	// Target returns the target of this host.
+	Target func() blackboard.Target
+	// Service returns the running configuration of a service.
+	Service func(name string) (snapshotter.Service, bool)
+	Client  dispatcher.Client
+	// Observe is told of each request that held a slot; nil means nobody.
+	Observe func(r *exchanger.Request, queued, served time.Duration)
+}
+
+// Executor runs requests on one target.
+type Executor struct {
+	cfg  Config
+	keys *deduplicator.Table
+
+	mu sync.Mutex
+	// waiter admits requests to the target of service. Guarded by mu.
+	waiter  *limiter.Waiter
+	service string
+	limits  limiter.Limits
+	// draining and readySince were last told to the waiter. Guarded by mu.
+	draining   bool
+	readySince time.Time
+}
+
+// New returns an executor.
+func New(cfg Config) *Executor { return &Executor{cfg: cfg, keys: deduplicator.New()} }
+
+// Execute runs the request on the target. The answer must be closed.
+func (e *Executor) Execute(ctx context.Context, r *exchanger.Request) *exchanger.Answer {
+	t := e.cfg.Target()
+	if reason := refusal(t, r.Service, time.Now()); reason != exchanger.ReasonNone {
+		return e.Refuse(r, reason)
+	}
+	if !keyed(r) {
+		return e.stamp(e.admit(ctx, t, r, nil))
+	}
+	entry, known, fresh, err := e.keys.Begin(time.Now(), r.IdempotencyKey, fingerprint(r))
+	if err != nil {
+		return e.stamp(exchanger.NotRun(keyRefusal(err), err))
+	}
+	if !fresh {
+		return e.stamp(recall(known))
+	}
+	return e.stamp(e.admit(ctx, t, r, entry))
+}
+
+// Refuse answers a request that is not to be run: with what is known of its
+// idempotency key, else with "not-run" and the reason.
+func (e *Executor) Refuse(r *exchanger.Request, reason exchanger.Reason) *exchanger.Answer {
+	if !keyed(r) {
+		return e.stamp(exchanger.NotRun(reason, nil))
+	}
+	if known, ok := e.keys.Find(time.Now(), r.IdempotencyKey, fingerprint(r)); ok {
+		return e.stamp(recall(known))
+	}
+	return e.stamp(exchanger.NotRun(reason, nil))
+}
+
+// keyed tells that an idempotency key protects the request.
+func keyed(r *exchanger.Request) bool { return r.IdempotencyKey != "" && !r.Idempotent }
+
+// refusal tells why the target takes no request of the service now.
+func refusal(t blackboard.Target, service string, now time.Time) exchanger.Reason {
+	switch {
+	case t.Record.Phase == "" || t.Record.Phase == blackboard.TargetNone:
+		return exchanger.ReasonNoTarget
+	case t.Record.Service != service:
+		return exchanger.ReasonWrongTarget
+	case t.Record.Phase == blackboard.TargetDraining:
+		return exchanger.ReasonTargetDraining
+	case t.Record.Phase == blackboard.TargetFailed:
+		return exchanger.ReasonTargetFailed
+	case !t.Lapses.IsZero() && !now.Before(t.Lapses):
+		return exchanger.ReasonTargetFailed
+	default:
+		return exchanger.ReasonNone
+	}
+}
+
+// fingerprint tells requests with one key apart. The body is not part of it.
+func fingerprint(r *exchanger.Request) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{r.Method, r.Path, r.Service, r.Firm} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
+func keyRefusal(err error) exchanger.Reason {
+	var reused *deduplicator.ReusedError
+	if errors.As(err, &reused) {
+		return exchanger.ReasonKeyReused
+	}
+	return exchanger.ReasonKeyTableFull
+}
+
+// admit waits for a slot and runs the request.
+func (e *Executor) admit(ctx context.Context, t blackboard.Target, r *exchanger.Request, entry *deduplicator.Entry) *exchanger.Answer {
+	arrived := time.Now()
+	waiter := e.sync(t)
+	if waiter == nil {
+		forget(entry)
+		return exchanger.NotRun(exchanger.ReasonNoConfig, nil)
+	}
+	release, err := waiter.Acquire(ctx, limiter.Request{Class: r.Class, Firm: r.Firm, Deadline: r.Deadline})
+	if err != nil {
+		forget(entry)
+		return refused(err)
+	}
+	started := time.Now()
+	a := e.cfg.Client.Dispatch(ctx, t.Address, r)
+	x := &exchange{executor: e, request: r, release: release, entry: entry, arrived: arrived, started: started}
+	x.track(a)
+	return a
+}
+
+func forget(entry *deduplicator.Entry) {
+	if entry != nil {
+		entry.NotRun()
+	}
+}
+
+func refused(err error) *exchanger.Answer {
+	var refusal *limiter.RefusedError
+	if !errors.As(err, &refusal) {
+		return exchanger.NotRun(exchanger.ReasonNoTarget, err)
+	}
+	reason := exchanger.Reason(refusal.Reason)
+	if refusal.Reason == limiter.ReasonDraining {
+		reason = exchanger.ReasonTargetDraining
+	}
+	a := exchanger.NotRun(reason, err)
+	a.RetryAt = refusal.RetryAfter
+	return a
+}
+
+// recall answers a request whose key is known.
+func recall(s deduplicator.Snapshot) *exchanger.Answer {
+	switch {
+	case s.State == deduplicator.StateRunning:
+		a := exchanger.Unknown(exchanger.ReasonKeyRunning, nil)
+		a.RetryAt = time.Now().Add(keyRunningRetry)
+		return a
+	case s.State == deduplicator.StateUnknown:
+		return exchanger.Unknown(exchanger.ReasonKeyUnknown, nil)
+	case s.Answer.BodyDropped:
+		return exchanger.Unknown(exchanger.ReasonKeyAnswerDropped, nil)
+	default:
+		return replay(s.Answer)
+	}
+}
+
+// stamp adds the host and the load to an answer.
+func (e *Executor) stamp(a *exchanger.Answer) *exchanger.Answer {
+	a.Target = e.cfg.Host
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.waiter != nil {
+		load := e.waiter.Load()
+		a.Load = &load
+	}
+	return a
+}
+
+// Sync tells the limits of the current target and configuration to those who wait.
+func (e *Executor) Sync() { e.sync(e.cfg.Target()) }
+
+func (e *Executor) sync(t blackboard.Target) *limiter.Waiter {
+	s, ok := e.cfg.Service(t.Record.Service)
+	if !ok {
+		return nil
+	}
+	limits := limiter.LimitsOf(s)
+	if t.Record.Slots > 0 {
+		limits.Slots = min(limits.Slots, t.Record.Slots)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.waiter == nil || e.service != s.Name {
+		e.waiter = limiter.NewWaiter(limits)
+		e.service, e.limits = s.Name, limits
+		e.draining, e.readySince = false, time.Time{}
+	}
+	if e.limits != limits {
+		e.waiter.SetLimits(limits)
+		e.limits = limits
+	}
+	e.syncPhase(t)
+	return e.waiter
+}
+
+// syncPhase passes a change of the target's phase on. The caller holds mu.
+func (e *Executor) syncPhase(t blackboard.Target) {
+	draining := t.Record.Phase == blackboard.TargetDraining || t.Record.Phase == blackboard.TargetFailed
+	switch {
+	case draining && !e.draining:
+		e.waiter.Drain()
+	case !draining && e.draining:
+		e.waiter.Resume()
+	}
+	e.draining = draining
+	if !t.ReadySince.Equal(e.readySince) {
+		e.waiter.SetReadySince(t.ReadySince)
+		e.readySince = t.ReadySince
+	}
+}
+
+// Load returns the state of the target as counted here.
+func (e *Executor) Load() (limiter.Load, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.waiter == nil {
+		return limiter.Load{}, false
+	}
+	return e.waiter.Load(), true
+}
+
+// resultOf tells the gate how an exchange ended.
+func resultOf(a *exchanger.Answer) limiter.Result {
+	return limiter.Result{Outcome: a.Outcome, Shed: a.Reason == exchanger.ReasonTargetShed}
+}
--- /dev/null
+++ b/internal/forwarder/message.go
@@ -0,0 +1,166 @@
+package forwarder
+
+import (
+	"math"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/limiter"
+	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/internal/wirepb"
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+const (
+	maxRequestIDBytes = 128
+	// maxRemaining bounds how far ahead a deadline may be.
+	maxRemaining = 24 * time.Hour
+)
+
+func encodeRequest(r *exchanger.Request) *wirepb.ForwardRequest {
+	return &wirepb.ForwardRequest{
+		RequestId: r.ID, Method: r.Method, Path: r.Path, Host: r.Host,
+		Headers: encodeHeaders(r.Header),
+		Service: r.Service, Route: r.Route, Firm: r.Firm, Class: string(r.Class),
+		Idempotent:     r.Idempotent,
+		RemainingMicro: remaining(r.Deadline),
+		Depth:          uint32(r.Depth), Attempt: uint32(r.Attempt), RetriedAbove: r.RetriedAbove,
+		IdempotencyKey: r.IdempotencyKey, ContentLength: r.ContentLength, ConfigVersion: r.ConfigVersion,
+	}
+}
+
+func decodeRequest(m *wirepb.ForwardRequest, now time.Time) (*exchanger.Request, error) {
+	if field := invalidField(m); field != "" {
+		return nil, &InvalidError{Field: field}
+	}
+	return &exchanger.Request{
+		ID: m.GetRequestId(), Method: m.GetMethod(), Path: m.GetPath(), Host: m.GetHost(),
+		Header:  decodeHeaders(m.GetHeaders()),
+		Service: m.GetService(), Route: m.GetRoute(), Firm: m.GetFirm(), Class: snapshotter.Class(m.GetClass()),
+		Idempotent: m.GetIdempotent(),
+		Deadline:   now.Add(time.Duration(m.GetRemainingMicro()) * time.Microsecond),
+		Depth:      int(m.GetDepth()), Attempt: int(m.GetAttempt()), RetriedAbove: m.GetRetriedAbove(),
+		IdempotencyKey: m.GetIdempotencyKey(), ContentLength: m.GetContentLength(), ConfigVersion: m.GetConfigVersion(),
+	}, nil
+}
+
+// invalidField names the first field that no node of this system sends.
+func invalidField(m *wirepb.ForwardRequest) string {
+	classes := []snapshotter.Class{snapshotter.ClassUrgent, snapshotter.ClassShort, snapshotter.ClassBulk}
+	switch {
+	case m.GetRequestId() == "" || len(m.GetRequestId()) > maxRequestIDBytes:
+		return "request_id"
+	case !validMethod(m.GetMethod()):
+		return "method"
+	case !strings.HasPrefix(m.GetPath(), "/"):
+		return "path"
+	case m.GetService() == "":
+		return "service"
+	case !slices.Contains(classes, snapshotter.Class(m.GetClass())):
+		return "class"
+	case m.GetRemainingMicro() < 0 || m.GetRemainingMicro() > maxRemaining.Microseconds():
+		return "remaining_micro"
+	case m.GetDepth() < 1 || m.GetDepth() > exchanger.MaxDepth:
+		return "depth"
+	case m.GetAttempt() < 1 || m.GetAttempt() > math.MaxInt16:
+		return "attempt"
+	case m.GetContentLength() < -1:
+		return "content_length"
+	default:
+		return ""
+	}
+}
+
+func validMethod(method string) bool {
+	if method == "" {
+		return false
+	}
+	for _, c := range method {
+		if c < 'A' || c > 'Z' {
+			return false
+		}
+	}
+	return true
+}
+
+func encodeHeaders(h http.Header) []*wirepb.Header {
+	out := make([]*wirepb.Header, 0, len(h))
+	for name, values := range h {
+		for _, value := range values {
+			out = append(out, &wirepb.Header{Name: name, Value: value})
+		}
+	}
+	return out
+}
+
+func decodeHeaders(list []*wirepb.Header) http.Header {
+	out := make(http.Header, len(list))
+	for _, h := range list {
+		out.Add(h.GetName(), h.GetValue())
+	}
+	return out
+}
+
+func encodeAnswer(r *exchanger.Request, a *exchanger.Answer, incarnation uint64) *wirepb.ForwardResponse {
+	m := &wirepb.ForwardResponse{
+		RequestId: r.ID, Outcome: string(a.Outcome), Reason: string(a.Reason), Target: a.Target,
+	}
+	if !a.RetryAt.IsZero() {
+		m.RetryAfterMicro = remaining(a.RetryAt)
+	}
+	if a.Load != nil {
+		m.Load = &wirepb.TargetLoad{
+			Slots: uint32(a.Load.Slots), InFlight: uint32(a.Load.InFlight), Queued: uint32(a.Load.Queued),
+			Draining: a.Load.Draining, Incarnation: incarnation, ServiceMicro: a.Load.Service.Microseconds(),
+		}
+	}
+	if a.Outcome == retrier.OutcomeDone {
+		m.Status = int32(a.Status)
+		m.Headers = encodeHeaders(a.Header)
+		m.ContentLength = a.ContentLength
+	}
+	return m
+}
+
+// malformedAnswerError tells that an answer has fields that no node sends.
+type malformedAnswerError struct{ InvalidError }
+
+func decodeAnswer(m *wirepb.ForwardResponse, now time.Time) (*exchanger.Answer, error) {
+	a := &exchanger.Answer{
+		Outcome: retrier.Outcome(m.GetOutcome()), Reason: exchanger.Reason(m.GetReason()),
+		Target: m.GetTarget(), Load: decodeLoad(m.GetLoad()),
+	}
+	if after := m.GetRetryAfterMicro(); after > 0 && after < maxRemaining.Microseconds() {
+		a.RetryAt = now.Add(time.Duration(after) * time.Microsecond)
+	}
+	switch a.Outcome {
+	case retrier.OutcomeNotRun, retrier.OutcomeUnknown:
+		return a, nil
+	case retrier.OutcomeDone:
+	default:
+		return nil, &malformedAnswerError{InvalidError{Field: "outcome"}}
+	}
+	if m.GetStatus() < 200 || m.GetStatus() > 999 {
+		return nil, &malformedAnswerError{InvalidError{Field: "status"}}
+	}
+	if m.GetContentLength() < -1 {
+		return nil, &malformedAnswerError{InvalidError{Field: "content_length"}}
+	}
+	a.Status = int(m.GetStatus())
+	a.Header = decodeHeaders(m.GetHeaders())
+	a.ContentLength = m.GetContentLength()
+	return a, nil
+}
+
+func decodeLoad(m *wirepb.TargetLoad) *limiter.Load {
+	if m == nil {
+		return nil
+	}
+	return &limiter.Load{
+		Slots: int(m.GetSlots()), InFlight: int(m.GetInFlight()), Queued: int(m.GetQueued()),
+		Draining: m.GetDraining(), Service: time.Duration(m.GetServiceMicro()) * time.Microsecond,
+	}
+}
--- /dev/null
+++ b/internal/receiver/mesh_test.go
@@ -0,0 +1,277 @@
+package receiver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/dispatcher"
+	"gentianbarrow.example/internal/drainer"
+	"gentianbarrow.example/internal/executor"
+	"gentianbarrow.example/internal/explainer"
+	"gentianbarrow.example/internal/forwarder"
+	"gentianbarrow.example/internal/linker"
+	"gentianbarrow.example/internal/targeter"
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+// network is what a mesh runs on: pipes under fake time, TCP for measurements.
+type network struct {
+	listen func(name string) net.Listener
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+func overPipes(p *pipes) network {
+	return network{listen: func(name string) net.Listener { return p.listen(name) }, dial: p.dial}
+}
+
+// Ports of a host on a network of pipes.
+const (
+	targetPort  = ":1"
+	callersPort = ":2"
+	nodePort    = ":3"
+)
+
+// mesh is a number of nodes, each with a target of one service, "booking".
+type mesh struct {
+	pipes  *pipes
+	nodes  []*node
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  errgroup.Group
+}
+
+// node is the request path of one process.
+type node struct {
+	host       string
+	address    string
+	callers    string
+	state      atomic.Pointer[blackboard.State]
+	tracker    *drainer.Tracker
+	linker     *linker.Linker
+	executor   *executor.Executor
+	dispatcher dispatcher.Client
+	receiver   *Receiver
+	ring       *explainer.Ring
+	target     *targeter.Targeter
+	server     *http.Server
+	back       *http.Server
+	cancel     context.CancelFunc
+}
+
+// bookingSnapshot routes /book (not idempotent), /read (idempotent), /upload (bulk) and /check (urgent).
+func bookingSnapshot() *snapshotter.Snapshot {
+	s := snapshotter.Service{
+		Name: "booking", Firm: "frothvik", Slots: 20, Connections: 110, Queue: 20,
+		BulkPercent: 50, UrgentSlots: 2, RetryPercent: 100,
+	}
+	route := func(name string, class snapshotter.Class, idempotent bool, timeoutMs int) snapshotter.Route {
+		return snapshotter.Route{
+			Name: name, Prefix: "/" + name, Service: s.Name, Class: class, Idempotent: idempotent, TimeoutMs: timeoutMs,
+		}
+	}
+	return &snapshotter.Snapshot{
+		Version:  7,
+		Services: map[string]snapshotter.Service{s.Name: s},
+		Routes: map[string]snapshotter.Route{
+			"book":   route("book", snapshotter.ClassShort, false, 10_000),
+			"read":   route("read", snapshotter.ClassShort, true, 10_000),
+			"upload": route("upload", snapshotter.ClassBulk, false, 600_000),
+			"check":  route("check", snapshotter.ClassUrgent, true, 2_000),
+		},
+	}
+}
+
+// matchPrefix is the smallest matcher.
+func matchPrefix(s *snapshotter.Snapshot, _, path string) (snapshotter.Route, snapshotter.Service, bool) {
+	for _, r := range s.Routes {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, s.Services[r.Service], true
+		}
+	}
+	return snapshotter.Route{}, snapshotter.Service{}, false
+}
+
+// newMesh starts nodes on the network. Stop it with close.
+func newMesh(n network, nodes int, cfg targeter.Config) *mesh {
+	m := &mesh{}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	for i := range nodes {
+		m.nodes = append(m.nodes, m.start(n, i, cfg))
+	}
+	m.introduce()
+	return m
+}
+
+func newPipeMesh(nodes int, cfg targeter.Config) *mesh {
+	p := newPipes()
+	m := newMesh(overPipes(p), nodes, cfg)
+	m.pipes = p
+	return m
+}
+
+func (m *mesh) start(net network, i int, cfg targeter.Config) *node {
+	n := &node{host: fmt.Sprintf("reyk-a-%d", i), tracker: drainer.NewTracker(), ring: explainer.New()}
+	if cfg.Slots == 0 {
+		cfg.Slots = 20
+	}
+	n.target = targeter.New(cfg)
+	n.back = &http.Server{Handler: n.target.Handler()}
+	targetListener := net.listen(n.host + targetPort)
+	callerListener := net.listen(n.host + callersPort)
+	linkListener := net.listen(n.host + nodePort)
+	n.address = linkListener.Addr().String()
+	n.callers = callerListener.Addr().String()
+	n.state.Store(n.firstState(targetListener.Addr().String()))
+
+	ctx, cancel := context.WithCancel(m.ctx)
+	n.cancel = cancel
+	n.linker = linker.New()
+	n.linker.Dial = func(ctx context.Context, address string) (netConn, error) { return net.dial(ctx, "tcp", address) }
+	n.dispatcher = dispatcher.NewHTTP(dispatcher.WithDial(net.dial))
+	n.executor = executor.New(executor.Config{
+		Host: n.host, Client: n.dispatcher,
+		Target: func() blackboard.Target { return n.state.Load().Target },
+		Service: func(name string) (snapshotter.Service, bool) {
+			s, ok := n.state.Load().Config.Running.Services[name]
+			return s, ok
+		},
+	})
+	fw := forwarder.New(forwarder.Config{
+		Open: n.linker.OpenWith, Execute: n.executor.Execute, Refuse: n.executor.Refuse, Tracker: n.tracker, Incarnation: 1,
+	})
+	n.linker.Handle(forwarder.Kind, fw.Handle)
+	n.receiver = New(Config{
+		State: n.state.Load, Match: matchPrefix, Execute: n.executor.Execute, Forward: fw.Forward,
+		Tracker: n.tracker, Explanations: n.ring, Seed: uint64(i + 1),
+	})
+	n.server = &http.Server{Handler: n.receiver}
+	m.group.Go(func() error { return closed(n.back.Serve(targetListener)) })
+	m.group.Go(func() error { return closed(n.server.Serve(callerListener)) })
+	m.group.Go(func() error { return n.linker.Serve(ctx, linkListener) })
+	return n
+}
+
+type netConn = net.Conn
+
+func closed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (n *node) firstState(target string) *blackboard.State {
+	return &blackboard.State{
+		Self:   blackboard.Self{Host: n.host, DataCentre: "reyk-a", Region: "is-south", Address: n.address, Incarnation: 1},
+		Config: blackboard.Config{Running: bookingSnapshot()},
+		Life:   blackboard.Life{Phase: blackboard.LifeServing},
+		Target: blackboard.Target{
+			Record:  blackboard.TargetRecord{Service: "booking", Phase: blackboard.TargetReady, Slots: 20, Revision: 1},
+			Address: target,
+		},
+	}
+}
+
+// introduce tells all nodes of each other.
+func (m *mesh) introduce() {
+	byHost := map[string]blackboard.Member{}
+	for _, n := range m.nodes {
+		s := n.state.Load()
+		byHost[n.host] = blackboard.Member{
+			Host: n.host, Address: n.address, DataCentre: "reyk-a", Incarnation: 1,
+			Status: blackboard.MemberAlive, Target: s.Target.Record,
+		}
+	}
+	for _, n := range m.nodes {
+		n.change(func(s *blackboard.State) { s.Members.ByHost = byHost })
+	}
+}
+
+// change replaces the node's state.
+func (n *node) change(f func(s *blackboard.State)) {
+	s := *n.state.Load()
+	f(&s)
+	n.state.Store(&s)
+}
+
+// setPhase changes the phase of the target as its own node knows it.
+func (n *node) setPhase(p blackboard.TargetPhase) {
+	n.change(func(s *blackboard.State) { s.Target.Record.Phase = p })
+}
+
+// noTarget takes the target of a node away, so that its requests go to peers.
+func (m *mesh) noTarget(i int) {
+	m.nodes[i].change(func(s *blackboard.State) { s.Target = blackboard.Target{} })
+	m.introduce()
+}
+
+// kill ends a node without warning.
+func (n *node) kill() {
+	n.cancel()
+	_ = n.server.Close()
+	n.linker.Close()
+}
+
+func (m *mesh) close(t testing.TB) {
+	for _, n := range m.nodes {
+		n.kill()
+		n.dispatcher.Close()
+		_ = n.back.Close()
+	}
+	m.cancel()
+	assert.NilError(t, m.group.Wait())
+}
+
+// counts sums what all targets have executed.
+func (m *mesh) counts() targeter.Counts {
+	sum := targeter.Counts{ByRequest: map[string]int{}, ByKey: map[string]int{}, Completed: map[string]int{}}
+	for _, n := range m.nodes {
+		c := n.target.Counts()
+		add(sum.ByRequest, c.ByRequest)
+		add(sum.ByKey, c.ByKey)
+		add(sum.Completed, c.Completed)
+	}
+	return sum
+}
+
+func add(sum, m map[string]int) {
+	for k, v := range m {
+		sum[k] += v
+	}
+}
+
+// client returns an HTTP client of the mesh's network.
+func (m *mesh) client() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: m.pipes.dial}, Timeout: time.Hour}
+}
+
+// startDrainer runs a board with a drainer for the node.
+func startDrainer(m *mesh, n *node) *blackboard.Board {
+	state := *n.state.Load()
+	board := blackboard.New(state, []blackboard.Controller{drainer.New(n.tracker, nil)})
+	m.group.Go(func() error { return board.Run(m.ctx) })
+	m.group.Go(func() error {
+		ticker := time.NewTicker(blackboard.TickEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-m.ctx.Done():
+				return nil
+			case now := <-ticker.C:
+				board.Post(blackboard.Tick{Now: now})
+			}
+		}
+	})
+	return board
+}
--- /dev/null
+++ b/internal/receiver/path_test.go
@@ -0,0 +1,136 @@
+package receiver
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"runtime"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/internal/targeter"
+)
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	status  int
+	header  http.Header
+	body    []byte
+	bodyErr error
+	err     error
+}
+
+func (r reply) outcome() retrier.Outcome {
+	return retrier.Outcome(r.header.Get(exchanger.HeaderOutcome))
+}
+
+func (r reply) reason() exchanger.Reason {
+	return exchanger.Reason(r.header.Get(exchanger.HeaderReason))
+}
+
+// whole tells that the caller got an answer to its end.
+func (r reply) whole() bool { return r.err == nil && r.bodyErr == nil }
+
+// ask sends a request to the node at an index.
+func (m *mesh) ask(ctx context.Context, i int, method, path string, body io.Reader, header map[string]string) reply {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+m.nodes[i].callers+path, body)
+	if err != nil {
+		return reply{err: err}
+	}
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	client := m.client()
+	defer client.CloseIdleConnections()
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	out := reply{status: resp.StatusCode, header: resp.Header}
+	out.body, out.bodyErr = io.ReadAll(resp.Body)
+	return out
+}
+
+func withID(id string) map[string]string { return map[string]string{exchanger.HeaderRequestID: id} }
+
+func assertDone(t *testing.T, r reply) {
+	t.Helper()
+	assert.NilError(t, r.err)
+	assert.NilError(t, r.bodyErr)
+	assert.Equal(t, r.outcome(), retrier.OutcomeDone, "reason %q", r.reason())
+	assert.Equal(t, r.status, http.StatusOK)
+}
+
+// emptyPools drops pooled objects: yamux keeps timers in a pool, and a timer of
+// one bubble must not be used in the next. A pool is empty after two collections.
+func emptyPools() {
+	runtime.GC()
+	runtime.GC()
+}
+
+// inMesh runs a test on pipes under fake time.
+func inMesh(t *testing.T, nodes int, cfg targeter.Config, f func(t *testing.T, m *mesh)) {
+	t.Helper()
+	emptyPools()
+	synctest.Test(t, func(t *testing.T) {
+		m := newPipeMesh(nodes, cfg)
+		defer m.close(t)
+		f(t, m)
+	})
+}
+
+func TestPath(t *testing.T) {
+	t.Run("a read at the target's own node", func(t *testing.T) {
+		inMesh(t, 1, targeter.Config{}, func(t *testing.T, m *mesh) {
+			r := m.ask(t.Context(), 0, "GET", "/read?bytes=5", nil, withID("r-1"))
+			assertDone(t, r)
+			assert.Equal(t, string(r.body), "r-1 r")
+			assert.Equal(t, r.header.Get(exchanger.HeaderTarget), "reyk-a-0")
+			assert.Equal(t, r.header.Get(exchanger.HeaderConfigVersion), "7")
+		})
+	})
+	t.Run("a read through a peer", func(t *testing.T) {
+		inMesh(t, 2, targeter.Config{}, func(t *testing.T, m *mesh) {
+			m.noTarget(0)
+			r := m.ask(t.Context(), 0, "GET", "/read?bytes=100000", nil, withID("r-1"))
+			assertDone(t, r)
+			assert.DeepEqual(t, r.body, targeter.Pattern("r-1", 100000))
+			assert.Equal(t, r.header.Get(exchanger.HeaderTarget), "reyk-a-1")
+		})
+	})
+	t.Run("an upload through a peer", func(t *testing.T) {
+		inMesh(t, 2, targeter.Config{}, func(t *testing.T, m *mesh) {
+			m.noTarget(0)
+			body := targeter.Pattern("video", 3<<20)
+			r := m.ask(t.Context(), 0, "POST", "/upload", io.MultiReader(bytes.NewReader(body)), withID("u-1"))
+			assertDone(t, r)
+			assertReceived(t, r, "u-1", body)
+		})
+	})
+	t.Run("no route", func(t *testing.T) {
+		inMesh(t, 1, targeter.Config{}, func(t *testing.T, m *mesh) {
+			r := m.ask(t.Context(), 0, "GET", "/nothing", nil, nil)
+			assert.Equal(t, r.status, http.StatusNotFound)
+			assert.Equal(t, r.outcome(), retrier.OutcomeNotRun)
+			assert.Equal(t, r.reason(), exchanger.ReasonNoRoute)
+		})
+	})
+}
+
+// assertReceived checks that the target has read the whole body of the request.
+func assertReceived(t *testing.T, r reply, id string, body []byte) {
+	t.Helper()
+	var got targeter.Answer
+	assert.NilError(t, json.Unmarshal(r.body, &got))
+	sum := sha256.Sum256(body)
+	assert.DeepEqual(t, got, targeter.Answer{RequestID: id, Bytes: int64(len(body)), SHA256: hex.EncodeToString(sum[:])})
+}
--- /dev/null
+++ b/internal/receiver/reply.go
@@ -0,0 +1,175 @@
+package receiver
+
+import (
+	"context"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/logger"
+	"gentianbarrow.example/internal/retrier"
+)
+
+const copyBytes = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any {
+	b := make([]byte, copyBytes)
+	return &b
+}}
+
+// ownedBody detaches the body of the request and cancels the attempt when the answer is closed.
+type ownedBody struct {
+	io.ReadCloser
+	body   *attemptReader
+	cancel context.CancelFunc
+}
+
+// Close ends the exchange.
+func (b *ownedBody) Close() error {
+	b.body.detach()
+	err := b.ReadCloser.Close()
+	if b.cancel != nil {
+		b.cancel()
+	}
+	return err
+}
+
+// reply tells the caller what came of the request.
+func (c *call) reply(a *exchanger.Answer) {
+	c.record.Outcome, c.record.Reason = a.Outcome, a.Reason
+	c.log(a)
+	c.setHeader(a)
+	defer c.release(a)
+	// An earlier answer on this connection may have left a deadline that has passed.
+	_ = c.control.SetWriteDeadline(time.Now().Add(callerTimeout))
+	if a.Outcome != retrier.OutcomeDone {
+		c.refuse(a)
+		return
+	}
+	_ = c.control.EnableFullDuplex()
+	c.w.WriteHeader(a.Status)
+	if err := c.copyBody(a); err != nil {
+		c.receiver.cfg.Log.Write(logger.AnswerTruncated, logger.Fields{
+			RequestID: c.record.RequestID, Service: c.record.Service, Host: a.Target, Err: err,
+		})
+		c.record.Reason = exchanger.ReasonConnectionLost
+		// The deferred calls run, then the connection is cut.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (c *call) log(a *exchanger.Answer) {
+	fields := logger.Fields{
+		RequestID: c.record.RequestID, Service: c.record.Service, Route: c.record.Route,
+		Host: a.Target, Reason: string(a.Reason), Err: a.Err,
+	}
+	if a.Reason == exchanger.ReasonCrossedAnswer {
+		c.receiver.cfg.Log.Write(logger.AnswerCrossed, fields)
+		return
+	}
+	if a.Outcome == retrier.OutcomeUnknown && c.request != nil && !c.request.Idempotent {
+		c.receiver.cfg.Log.Write(logger.RequestOutcomeUnknown, fields)
+	}
+}
+
+func (c *call) setHeader(a *exchanger.Answer) {
+	h := c.w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	h.Set(exchanger.HeaderOutcome, string(a.Outcome))
+	h.Set(exchanger.HeaderRequestID, c.record.RequestID)
+	if a.Reason != exchanger.ReasonNone {
+		h.Set(exchanger.HeaderReason, string(a.Reason))
+	}
+	if a.Target != "" {
+		h.Set(exchanger.HeaderTarget, a.Target)
+	}
+	if c.record.ConfigVersion != 0 {
+		h.Set(exchanger.HeaderConfigVersion, strconv.FormatUint(c.record.ConfigVersion, 10))
+	}
+	if a.ContentLength >= 0 && a.Outcome == retrier.OutcomeDone {
+		h.Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
+	}
+	if c.receiver.cfg.Tracker.Closed() || !c.body.whole() {
+		h.Set("Connection", "close")
+	}
+}
+
+// refuse answers a request that has no answer from a target.
+func (c *call) refuse(a *exchanger.Answer) {
+	h := c.w.Header()
+	h.Set("Retry-After", strconv.Itoa(retryAfter(a)))
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	c.w.WriteHeader(statusOf(a))
+	if c.httpRequest.Method != http.MethodHead {
+		_, _ = io.WriteString(c.w, string(a.Outcome)+": "+string(a.Reason)+"\n")
+	}
+}
+
+// retryAfter returns whole seconds, at least one.
+func retryAfter(a *exchanger.Answer) int {
+	if a.RetryAt.IsZero() {
+		return 1
+	}
+	return max(int(math.Ceil(time.Until(a.RetryAt).Seconds())), 1)
+}
+
+func statusOf(a *exchanger.Answer) int {
+	switch {
+	case a.Outcome == retrier.OutcomeUnknown:
+		return http.StatusGatewayTimeout
+	case a.Reason == exchanger.ReasonNoRoute:
+		return http.StatusNotFound
+	case a.Reason == exchanger.ReasonBadRequest:
+		return http.StatusBadRequest
+	case a.Reason == exchanger.ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// copyBody passes the answer on as it comes. It returns nil only when all of it was written.
+func (c *call) copyBody(a *exchanger.Answer) error {
+	held := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(held)
+	streamed := a.ContentLength < 0
+	for {
+		n, err := a.Body.Read(*held)
+		if n > 0 {
+			if writeErr := c.write((*held)[:n], streamed); writeErr != nil {
+				return writeErr
+			}
+		}
+		if err == io.EOF { //nolint:errorlint // readers return io.EOF itself
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (c *call) write(b []byte, flush bool) error {
+	_ = c.control.SetWriteDeadline(time.Now().Add(callerTimeout))
+	if _, err := c.w.Write(b); err != nil {
+		return err
+	}
+	if !flush {
+		return nil
+	}
+	return c.control.Flush()
+}
+
+// release ends the exchange. A body that the caller still sends is not read further.
+func (c *call) release(a *exchanger.Answer) {
+	a.Close()
+	if !c.body.whole() {
+		c.source.stop()
+	}
+}
