Pass class and time to the choice of targets

Cause: two parts met at a seam that one of them had changed: Started takes the time, results the class. Change: the receiver follows it. Before: the package did not build. After: go test ./internal/receiver passes. Conclusion: no behaviour besides what the seam asks for.

--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -115,7 +115,7 @@
 func (r *run) cheapest(known *service) (target, []router.Considered) {
 	rc := r.receiver()
 	request := router.Request{
-		Service: r.call.service.Name, Tried: r.tried, Explain: rc.cfg.Explanations != nil,
+		Service: r.call.service.Name, Class: r.call.request.Class, Tried: r.tried, Explain: rc.cfg.Explanations != nil,
 	}
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
@@ -145,7 +145,7 @@
 	if body != nil {
 		request.Body = body
 	}
-	rc.started(request.Service, t.host)
+	rc.started(t.host)
 	begun := time.Now()
 	var a *exchanger.Answer
 	if t.host == rc.cfg.State().Self.Host {
@@ -159,23 +159,23 @@
 	if r.keyed() && a.Reason == exchanger.ReasonUnreachable {
 		a.Reason = exchanger.ReasonKeyHomeLost
 	}
-	rc.finished(request.Service, t.host, a, time.Since(begun))
+	rc.finished(&request, t.host, a, time.Since(begun))
 	return a
 }
 
-func (rc *Receiver) started(service, host string) {
+func (rc *Receiver) started(host string) {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
-	rc.table.Started(service, host)
+	rc.table.Started(time.Now(), host)
 }
 
-func (rc *Receiver) finished(service, host string, a *exchanger.Answer, took time.Duration) {
+func (rc *Receiver) finished(r *exchanger.Request, host string, a *exchanger.Answer, took time.Duration) {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
-	rc.table.Finished(time.Now(), service, host, router.Result{
-		Outcome: a.Outcome, Reason: string(a.Reason), Latency: took, Load: a.Load, RetryAfter: a.RetryAt,
+	rc.table.Finished(time.Now(), r.Service, host, router.Result{
+		Outcome: a.Outcome, Class: r.Class, Latency: took, Load: a.Load, RetryAfter: a.RetryAt,
 	})
-	if b := rc.budgets[service]; b != nil && a.Outcome == retrier.OutcomeDone {
+	if b := rc.budgets[r.Service]; b != nil && a.Outcome == retrier.OutcomeDone {
 		b.Observed(took)
 	}
 }
