--- a/internal/blackboard/config.go
+++ b/internal/blackboard/config.go
@@ -45,6 +45,10 @@
 	AskAt time.Time
 	// WarnAt is when to tell the operators that the version still waits.
 	WarnAt time.Time
+	// RefreshAt is when to have the running version recorded again.
+	RefreshAt time.Time
+	// Known is how many members there were when the running version was last recorded.
+	Known int
 }
 
 // Witness is a host that has recorded a version.
--- a/internal/follower/failure_test.go
+++ b/internal/follower/failure_test.go
@@ -119,12 +119,14 @@
 }
 
 func TestFailuresOfThePlatform(t *testing.T) {
-	runFleet(t, "an outage while a version is accepted", func(_ *testing.T, fl *fleet) {
-		fl.publish()
-		fl.fake.Set(storer.Faults{Outage: true})
-		time.Sleep(time.Minute)
-		fl.fake.Set(storer.Faults{})
-		fl.assertConverges()
+	runFleet(t, "outages while versions are accepted", func(_ *testing.T, fl *fleet) {
+		for range 5 {
+			fl.publish()
+			fl.fake.Set(storer.Faults{Outage: true})
+			time.Sleep(time.Minute)
+			fl.fake.Set(storer.Faults{})
+			fl.assertConverges()
+		}
 	})
 	runFleet(t, "slow answers", func(_ *testing.T, fl *fleet) {
 		fl.fake.Set(storer.Faults{DelayMs: 1000})
@@ -224,6 +226,22 @@
 		fl.cutPlatform(false)
 		fl.assertConverges()
 	})
+	runFleet(t, "an isolated node does not run what no other host has recorded", func(t *testing.T, fl *fleet) {
+		fl.loseFrames(func(from, to string, _ *wirepb.FollowFrame) bool { return from == "host-5" || to == "host-5" })
+		fl.cutPlatformBut("host-5")
+		time.Sleep(30 * time.Second)
+		fl.publish()
+		time.Sleep(time.Minute)
+		assert.Equal(t, fl.running("host-5"), uint64(2))
+		fl.kill("host-5")
+		fl.cutPlatform(true)
+		fl.loseFrames(nil)
+		fl.start("host-5")
+		time.Sleep(time.Minute)
+		assert.Equal(t, fl.running("host-5"), uint64(2))
+		fl.cutPlatform(false)
+		fl.assertConverges()
+	})
 	runFleet(t, "every node restarts with the platform down", func(t *testing.T, fl *fleet) {
 		fl.cutPlatform(true)
 		for host := range fl.nodes {
@@ -233,6 +251,7 @@
 		time.Sleep(2 * time.Minute)
 		for host := range fl.nodes {
 			assert.Equal(t, fl.running(host), uint64(0), host)
+			assert.Assert(t, fl.nodes[host].board.Load().Read().Config.Recovering, host)
 		}
 		fl.cutPlatform(false)
 		fl.assertConverges()
--- a/internal/follower/fleet_test.go
+++ b/internal/follower/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -295,40 +296,46 @@
 
 func (fl *fleet) loseFrames(lost func(from, to string, frame *wirepb.FollowFrame) bool) {
 	fl.mu.Lock()
-	defer fl.mu.Unlock()
 	fl.lost = lost
+	fl.mu.Unlock()
+	fl.gossip()
 }
 
 func (fl *fleet) member(n *testNode) blackboard.Member {
-	status := blackboard.MemberAlive
-	if !n.up {
-		status = blackboard.MemberDead
-	}
 	return blackboard.Member{
-		Host: n.host, Address: n.host, DataCentre: "reyk-a", Rack: n.rack, Incarnation: n.starts, Status: status,
+		Host: n.host, Address: n.host, DataCentre: "reyk-a", Rack: n.rack, Incarnation: n.starts,
+		Status: blackboard.MemberAlive,
 	}
 }
 
-// gossip tells every node of the members after a moment.
+// gossip tells every node of the members after a moment. Those that are down
+// or cut off from it are dead to it.
 func (fl *fleet) gossip() {
 	fl.group.Go(func() {
 		time.Sleep(time.Second)
 		fl.mu.Lock()
-		byHost := map[string]blackboard.Member{}
-		var boards []*blackboard.Board
-		for host, n := range fl.nodes {
-			byHost[host] = fl.member(n)
-			if n.up {
-				boards = append(boards, n.board.Load())
+		defer fl.mu.Unlock()
+		for _, viewer := range fl.nodes {
+			if viewer.up {
+				viewer.board.Load().Post(membersSet{byHost: fl.view(viewer)})
 			}
 		}
-		fl.mu.Unlock()
-		for _, b := range boards {
-			b.Post(membersSet{byHost: byHost})
-		}
 	})
 }
 
+// view returns the members as one node sees them. fl.mu is held.
+func (fl *fleet) view(viewer *testNode) map[string]blackboard.Member {
+	byHost := map[string]blackboard.Member{}
+	for host, n := range fl.nodes {
+		m := fl.member(n)
+		if !n.up || fl.losing(viewer.host, host, nil) || fl.losing(host, viewer.host, nil) {
+			m.Status = blackboard.MemberDead
+		}
+		byHost[host] = m
+	}
+	return byHost
+}
+
 // kill ends a process at once.
 func (fl *fleet) kill(host string) {
 	fl.mu.Lock()
@@ -371,6 +378,10 @@
 	fl.published[next.Version] = time.Now()
 	fl.mu.Unlock()
 	obj, err := client.Put(fl.ctx, ticketer.HeadKey, head.Encode(), fl.revision)
+	var lost *storer.UnknownOutcomeError
+	if errors.As(err, &lost) {
+		obj, err = client.Get(fl.ctx, ticketer.HeadKey)
+	}
 	assert.NilError(fl.t, err)
 	fl.revision = obj.Revision
 }
--- a/internal/follower/recovery.go
+++ b/internal/follower/recovery.go
@@ -197,11 +197,13 @@
 
 // floorEvidence returns the greatest floor once the answers suffice: a host
 // that did not answer, or that is recovering itself, may hide a witness, so
-// the missing hosts must be too few to hide every witness of a version.
+// the missing hosts must be too few to hide every witness of a version. By
+// witnessNeed a version has two witnesses where more than two others are known,
+// and they are on two racks where more than two other racks are known.
 func floorEvidence(s *blackboard.State) (uint64, bool) {
 	r := &s.Config.Recovery
 	others, missing := 0, 0
-	racks := map[string]bool{s.Self.Rack: true}
+	racks := map[string]bool{}
 	missingRacks := map[string]bool{}
 	floor := uint64(0)
 	for host, m := range s.Members.ByHost {
@@ -217,16 +219,17 @@
 			missingRacks[m.Rack] = true
 		}
 	}
-	if others == 0 || r.LargestView > len(s.Members.ByHost) {
+	delete(racks, s.Self.Rack)
+	switch {
+	case r.LargestView > len(s.Members.ByHost):
 		return 0, false
-	}
-	if missing == 0 {
-		return floor, true
-	}
-	if others < witnessHosts {
+	case others < witnessHosts:
 		return 0, false
+	case missing == 0:
+		return floor, true
+	case others > witnessHosts && missing < witnessHosts:
+		return floor, true
+	default:
+		return floor, len(racks) > witnessRacks && len(missingRacks) < witnessRacks
 	}
-	oneHost := missing < witnessHosts
-	oneRack := len(racks) > witnessRacks && len(missingRacks) < witnessRacks
-	return floor, oneHost || oneRack
 }
--- a/internal/follower/stage.go
+++ b/internal/follower/stage.go
@@ -22,25 +22,36 @@
 	witnessValid = 2 * time.Second
 	askAgain     = 300 * time.Millisecond
 	warnAfter    = 10 * time.Second
+	refreshEvery = 30 * time.Second
 )
 
 // need is how many witnesses a version has to have.
 type need struct{ hosts, racks int }
 
-// witnessNeed returns the need among the members that are not dead or gone.
+// witnessNeed returns the need among the known members. One dead host and one
+// dead rack lower it, more do not: they may be cut off rather than dead, and
+// run on without knowing of the version.
 func witnessNeed(s *blackboard.State) need {
-	hosts := 0
-	racks := map[string]bool{}
+	known, alive := need{}, need{}
+	knownRacks, aliveRacks := map[string]bool{}, map[string]bool{}
 	for _, m := range s.Members.ByHost {
-		if m.Host == s.Self.Host || !present(m) {
+		if m.Host == s.Self.Host || m.Status == blackboard.MemberLeft {
 			continue
 		}
-		hosts++
-		if m.Rack != s.Self.Rack {
-			racks[m.Rack] = true
+		known.hosts++
+		knownRacks[m.Rack] = true
+		if present(m) {
+			alive.hosts++
+			aliveRacks[m.Rack] = true
 		}
 	}
-	return need{hosts: min(hosts, witnessHosts), racks: min(len(racks), witnessRacks)}
+	delete(knownRacks, s.Self.Rack)
+	delete(aliveRacks, s.Self.Rack)
+	known.racks, alive.racks = len(knownRacks), len(aliveRacks)
+	return need{
+		hosts: min(witnessHosts, max(alive.hosts, known.hosts-1)),
+		racks: min(witnessRacks, max(alive.racks, known.racks-1)),
+	}
 }
 
 func present(m blackboard.Member) bool {
@@ -66,19 +77,37 @@
 
 func (st *step) tickStage() {
 	c := &st.s.Config
-	if c.Stage.Next == nil || st.apply() {
+	if c.Stage.Next == nil {
+		st.refreshWitnesses()
 		return
 	}
-	if !st.now.Before(c.Stage.AskAt) {
-		c.Stage.AskAt = st.now.Add(askAgain)
-		st.askWitnesses()
+	if st.apply() {
+		return
 	}
+	st.askWitnesses()
 	if !st.now.Before(c.Stage.WarnAt) {
 		c.Stage.WarnAt = st.now.Add(warnAfter)
 		st.add(Note{logger.ConfigUnwitnessed, logger.Fields{Version: c.Stage.Next.Version}})
 	}
 }
 
+// refreshWitnesses has the running version recorded again from time to time,
+// because witnesses restart and members are found that were not known before.
+func (st *step) refreshWitnesses() {
+	c := &st.s.Config
+	if c.Running == nil || st.now.Before(c.Stage.RefreshAt) && len(st.s.Members.ByHost) == c.Stage.Known {
+		return
+	}
+	if !st.witnessed() {
+		st.askWitnesses()
+		return
+	}
+	c.Stage = blackboard.Stage{
+		RefreshAt: st.now.Add(refreshEvery + ranker.Jitter(st.s.Self.Host, st.now, 13, refreshEvery)),
+		Known:     len(st.s.Members.ByHost),
+	}
+}
+
 // apply puts the staged version in force if it may be. This is the only place
 // that replaces Running.
 func (st *step) apply() bool {
@@ -88,7 +117,7 @@
 		return false
 	}
 	c.Running = next
-	c.Stage = blackboard.Stage{}
+	c.Stage = blackboard.Stage{RefreshAt: st.now.Add(refreshEvery), Known: len(st.s.Members.ByHost)}
 	st.add(Note{logger.ConfigApplied, logger.Fields{Version: next.Version}})
 	return true
 }
@@ -96,6 +125,10 @@
 // askWitnesses asks a few hosts that have no question pending.
 func (st *step) askWitnesses() {
 	c := &st.s.Config
+	if st.now.Before(c.Stage.AskAt) {
+		return
+	}
+	c.Stage.AskAt = st.now.Add(askAgain)
 	asked := map[string]time.Time{}
 	for host, at := range c.Stage.Asked {
 		if st.now.Before(at.Add(witnessValid)) {
@@ -105,7 +138,7 @@
 	for _, m := range st.witnessCandidates(asked) {
 		asked[m.Host] = st.now
 		st.send(m.Address, &wirepb.FollowFrame{Body: &wirepb.FollowFrame_WitnessAsk{WitnessAsk: &wirepb.WitnessAsk{
-			Version: c.Stage.Next.Version, Sent: st.now.UnixNano(),
+			Version: number(st.newest()), Sent: st.now.UnixNano(),
 		}}})
 	}
 	c.Stage.Asked = asked
@@ -163,7 +196,7 @@
 func (st *step) witnessAck(frame *wirepb.FollowFrame, a *wirepb.WitnessAck) {
 	stage := &st.s.Config.Stage
 	sent, asked := stage.Asked[frame.GetHost()]
-	if stage.Next == nil || !asked || sent.UnixNano() != a.GetSent() || a.GetVersion() < stage.Next.Version {
+	if !asked || sent.UnixNano() != a.GetSent() || a.GetVersion() < number(st.newest()) {
 		return
 	}
 	witnesses := maps.Clone(stage.Witnesses)
@@ -172,5 +205,7 @@
 	}
 	witnesses[frame.GetHost()] = blackboard.Witness{Rack: frame.GetRack(), Until: sent.Add(witnessValid)}
 	stage.Witnesses = witnesses
-	st.apply()
+	if stage.Next != nil {
+		st.apply()
+	}
 }
