--- a/internal/experimenter/entry.go
+++ b/internal/experimenter/entry.go
@@ -47,7 +47,7 @@
 func (e *entry) arrive(c *call) {
 	c.stats.Offered++
 	if e.world.scenario.RetryPercent >= 0 {
-		e.budget.Offered(e.now())
+		e.budget.Offered(e.now(), false)
 	}
 	e.world.loop.at(c.deadline, func() { e.timeOut(c) })
 	e.send(c)
--- a/internal/experimenter/processor.go
+++ b/internal/experimenter/processor.go
@@ -20,7 +20,9 @@
 	capacity float64
 	// slowness divides the speed of every job; at least 1.
 	slowness float64
-	jobs     []*job
+	// thrash is the part of the capacity that each job beyond it costs.
+	thrash float64
+	jobs   []*job
 	// progress in nanoseconds of full-speed work that a job present all the time has received.
 	progress float64
 	updated  time.Time
@@ -34,7 +36,7 @@
 
 func (p *processor) speed() float64 {
 	if n := float64(len(p.jobs)); n > p.capacity {
-		return p.capacity / n / p.slowness
+		return p.capacity / n / (1 + p.thrash*(n-p.capacity)) / p.slowness
 	}
 	return 1 / p.slowness
 }
@@ -64,9 +66,9 @@
 }
 
 // set changes the speed from now on.
-func (p *processor) set(slowness, capacity float64) {
+func (p *processor) set(slowness, capacity, thrash float64) {
 	p.advance()
-	p.slowness, p.capacity = slowness, capacity
+	p.slowness, p.capacity, p.thrash = slowness, capacity, thrash
 	p.schedule()
 }
 
--- a/internal/experimenter/scenario.go
+++ b/internal/experimenter/scenario.go
@@ -42,6 +42,8 @@
 	Slowness float64
 	// Loss divides the number of requests that run at full speed; at least 1.
 	Loss float64
+	// Thrash is the part of the capacity that each request beyond it costs.
+	Thrash float64
 }
 
 // Target describes one instance of the service.
--- a/internal/limiter/adapter.go
+++ b/internal/limiter/adapter.go
@@ -7,12 +7,18 @@
 )
 
 const (
-	// adaptEvery is the time between two changes of the limit.
+	// adaptEvery is the least time between two changes of the limit.
 	adaptEvery = 50 * time.Millisecond
+	// adaptRounds times the slots is how many requests must end between two changes.
+	adaptRounds = 2
+	// holdFor is how long all slots stay in use after a lower limit has cost throughput.
+	holdFor = time.Second
 	// slowRatio of the recent service time to the usual one lowers the limit.
 	slowRatio = 2.5
 	// lowerBy is the factor by which a slow target's limit shrinks.
 	lowerBy = 0.8
+	// keptThroughput is the share of the throughput that a lower limit must keep.
+	keptThroughput = 0.9
 	// raiseDivisor of the slots is added to the limit of a target that keeps its pace.
 	raiseDivisor = 10
 	// floorDivisor of the slots is the least limit.
@@ -30,18 +36,30 @@
 )
 
 // adapter lowers the number of slots in use while the target is slower than
-// usual, and raises it again when it has recovered.
+// usual and serves as many requests with fewer slots. It restores all slots
+// when a lower limit turns out to cost throughput, and raises the limit again
+// when the target has recovered.
 type adapter struct {
 	limits Limits
-	// limit lies between floor and limits.Slots.
+	// limit lies between the floor and limits.Slots.
 	limit float64
 	// usual service time of each class in nanoseconds; 0 before the first sample.
 	usual [classes]float64
 	// ratio of recent service times to the usual ones.
 	ratio float64
-	// nextAt is when the limit may change again.
-	nextAt time.Time
-	// full tells that the limit was reached since the last change.
+	// round is what was seen since the latest change.
+	round round
+	// before is the throughput before the limit was lowered; 0 unless it has just been.
+	before float64
+	// holdUntil is when the limit may be lowered again.
+	holdUntil time.Time
+}
+
+// round counts the requests that ended since it began.
+type round struct {
+	began time.Time
+	ended int
+	// full tells that the limit was reached.
 	full bool
 }
 
@@ -73,7 +91,6 @@
 // A request that did not end with an answer counts as slow when it ran longer
 // than usual, and not at all otherwise.
 func (a *adapter) observe(now time.Time, c class, ran time.Duration, res Result, full bool) {
-	a.full = a.full || full
 	answered := res.Outcome == retrier.OutcomeDone
 	if answered || float64(ran) > a.usual[c] && a.usual[c] > 0 {
 		a.sample(c, float64(ran), answered)
@@ -81,11 +98,17 @@
 	if res.Shed {
 		a.ratio = max(a.ratio, slowRatio+1)
 	}
-	if now.Before(a.nextAt) {
+	if a.round.began.IsZero() {
+		a.round.began = now
+	}
+	a.round.full = a.round.full || full
+	a.round.ended++
+	elapsed := now.Sub(a.round.began)
+	if elapsed < adaptEvery || a.round.ended < adaptRounds*a.limits.Slots {
 		return
 	}
-	a.nextAt = now.Add(adaptEvery)
-	a.change()
+	a.change(now, float64(a.round.ended)/elapsed.Seconds())
+	a.round = round{began: now}
 }
 
 func (a *adapter) sample(c class, ran float64, answered bool) {
@@ -104,12 +127,23 @@
 	a.usual[c] = smooth(a.usual[c], min(ran, usualClip*a.usual[c]), weight)
 }
 
-func (a *adapter) change() {
+// change ends a round in which so many requests ended a second.
+func (a *adapter) change(now time.Time, throughput float64) {
 	slots := float64(a.limits.Slots)
-	if a.ratio > slowRatio {
-		a.limit = max(a.limit*lowerBy, a.floor())
-	} else if a.full {
+	before := a.before
+	a.before = 0
+	switch {
+	case !a.round.full:
+		return
+	case a.ratio <= slowRatio:
 		a.limit = min(a.limit+max(slots/raiseDivisor, 1), slots)
+	case throughput < before*keptThroughput:
+		a.limit = slots
+		a.holdUntil = now.Add(holdFor)
+	case now.Before(a.holdUntil):
+		return
+	default:
+		a.limit = max(a.limit*lowerBy, a.floor())
+		a.before = throughput
 	}
-	a.full = false
 }
--- a/internal/limiter/gate.go
+++ b/internal/limiter/gate.go
@@ -6,6 +6,13 @@
 	"gentianbarrow.example/internal/retrier"
 )
 
+const (
+	// patienceTimes is how many usual service times a request may wait.
+	patienceTimes = 5
+	// leastPatience is how long a request may wait however short its service time is.
+	leastPatience = 50 * time.Millisecond
+)
+
 // running is a request that holds a slot.
 type running struct {
 	class   class
@@ -173,27 +180,25 @@
 }
 
 func (g *Gate) enqueue(now time.Time, r Request, c class) Decision {
-	newest := g.queue.newestFirst(now, c)
-	if !newest && g.waitsTooLong(now, r, c) {
-		return g.refuse(now, ReasonLate)
+	startBy := g.startBy(now, r, c)
+	if g.queue.order != OrderNewest && g.expectedStart(now, c).After(startBy) {
+		return g.refuse(now, g.dueReason(c, startBy, r.Deadline))
 	}
 	if !g.queue.hasPlace(c) {
-		victim, ok := g.queue.victim(c, r.Firm, newest)
+		victim, ok := g.queue.victim(c, r.Firm)
 		if !ok {
 			return g.refuse(now, ReasonQueueFull)
 		}
 		g.queue.remove(victim)
 		g.drop(now, victim, ReasonQueueFull)
 	}
-	startBy := g.startBy(now, r, c)
-	g.queue.push(now, waiting{id: r.ID, class: c, firm: r.Firm, deadline: r.Deadline, startBy: startBy})
+	g.queue.push(waiting{id: r.ID, class: c, firm: r.Firm, deadline: r.Deadline, startBy: startBy})
 	return Decision{Verdict: VerdictQueued, StartBy: startBy, Changes: g.changes}
 }
 
-// waitsTooLong tells whether a request at the end of the queue would miss its deadline.
-func (g *Gate) waitsTooLong(now time.Time, r Request, c class) bool {
-	freed := now.Add(g.pace.wait(now, g.queue.lenOf(c), g.slots(now), c))
-	return freed.Add(g.pace.expected(c)).After(r.Deadline)
+// expectedStart returns when a request at the end of the queue would start.
+func (g *Gate) expectedStart(now time.Time, c class) time.Time {
+	return now.Add(g.pace.wait(now, g.queue.lenOf(c), g.slots(now), c))
 }
 
 // startBy returns when a waiting request is dropped: when it could no longer
@@ -203,7 +208,11 @@
 	if by.Before(now) {
 		by = r.Deadline
 	}
-	if patience := now.Add(g.pace.patience(c)); c != bulk && patience.Before(by) {
+	if c == bulk {
+		return by
+	}
+	usual := time.Duration(g.adapter.usual[c])
+	if patience := now.Add(max(leastPatience, patienceTimes*usual)); patience.Before(by) {
 		return patience
 	}
 	return by
@@ -217,14 +226,14 @@
 			break
 		}
 		g.queue.remove(w.id)
-		g.drop(now, w.id, dueReason(now, w))
+		g.drop(now, w.id, g.dueReason(w.class, w.startBy, w.deadline))
 	}
 	if g.draining {
 		return
 	}
 	room := g.room(now)
 	for {
-		w, ok := g.queue.next(now, room, &g.tally)
+		w, ok := g.queue.next(room, &g.tally)
 		if !ok {
 			return
 		}
@@ -234,8 +243,10 @@
 	}
 }
 
-func dueReason(now time.Time, w waiting) Reason {
-	if w.startBy.Before(w.deadline) && now.Before(w.deadline) {
+// dueReason tells why a request that can't start by its time ends: because it
+// waits longer than any may, or because it would miss its deadline.
+func (g *Gate) dueReason(c class, startBy, deadline time.Time) Reason {
+	if startBy.Add(g.pace.expected(c)).Before(deadline) {
 		return ReasonWaited
 	}
 	return ReasonLate
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -35,7 +35,7 @@
 	BulkPercent int
 	// UrgentSlots is how many slots only urgent requests may use; less than Slots.
 	UrgentSlots int
-	// Order of the waiting requests of one firm and class; empty means OrderAdaptive.
+	// Order of the waiting requests of one firm and class; empty means OrderFIFO.
 	Order Order
 	// FixedSlots keeps all slots in use while the target is slow.
 	FixedSlots bool
@@ -52,8 +52,6 @@
 	OrderNewest Order = "newest-first"
 	// OrderDeadline starts the one with the earliest deadline.
 	OrderDeadline Order = "earliest-deadline"
-	// OrderAdaptive starts the oldest, but the newest while the queue is overloaded.
-	OrderAdaptive Order = "adaptive"
 )
 
 // LimitsOf returns the limits that a service sets for each of its targets.
@@ -99,7 +97,7 @@
 	ReasonQueueFull Reason = "queue-full"
 	// ReasonLate means that the request would not have ended before its deadline.
 	ReasonLate Reason = "too-late"
-	// ReasonWaited means that the request waited as long as any may.
+	// ReasonWaited means that the request waited, or would wait, longer than any may.
 	ReasonWaited Reason = "waited-too-long"
 	// ReasonDraining means that the target takes no new work.
 	ReasonDraining Reason = "draining"
--- a/internal/limiter/pace.go
+++ b/internal/limiter/pace.go
@@ -2,14 +2,8 @@
 
 import "time"
 
-const (
-	// serviceWeight is the weight of one sample in a smoothed service time.
-	serviceWeight = 0.1
-	// patienceTimes is how many service times a request may wait.
-	patienceTimes = 5
-	// leastPatience is how long a request may wait however short its service time is.
-	leastPatience = 50 * time.Millisecond
-)
+// serviceWeight is the weight of one sample in a smoothed service time.
+const serviceWeight = 0.1
 
 // pace estimates how long requests run and wait.
 type pace struct {
@@ -47,11 +41,6 @@
 	return stalled + time.Duration(ahead)*gap
 }
 
-// patience returns how long a request may wait before another target is the better try.
-func (p *pace) patience(c class) time.Duration {
-	return max(leastPatience, patienceTimes*p.expected(c))
-}
-
 // smooth moves a mean towards a sample; the first sample is the mean.
 func smooth(mean, sample, weight float64) float64 {
 	if mean == 0 {
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// overloadAfter is how long a queue may go without becoming empty before its order turns.
-const overloadAfter = 100 * time.Millisecond
-
 // waiting is a request in the queue.
 type waiting struct {
 	id       uint64
@@ -27,8 +24,6 @@
 	byClass            [classes][]waiting
 	// tally counts the waiting requests.
 	tally tally
-	// overloadAt is when the class counts as overloaded unless its queue empties before.
-	overloadAt [classes]time.Time
 }
 
 func newQueue(l Limits) queue {
@@ -102,10 +97,7 @@
 	return slices.IndexFunc(q.byClass[c], func(w waiting) bool { return w.id == id })
 }
 
-func (q *queue) push(now time.Time, w waiting) {
-	if len(q.byClass[w.class]) == 0 {
-		q.overloadAt[w.class] = now.Add(overloadAfter)
-	}
+func (q *queue) push(w waiting) {
 	q.byClass[w.class] = append(q.byClass[w.class], w)
 	q.tally.add(w.class, w.firm)
 }
@@ -136,22 +128,14 @@
 	return waiting{}, false
 }
 
-// newestFirst tells whether the newest request of a firm starts before its older ones.
-func (q *queue) newestFirst(now time.Time, c class) bool {
-	if q.order == OrderAdaptive {
-		return len(q.byClass[c]) > 0 && !now.Before(q.overloadAt[c])
-	}
-	return q.order == OrderNewest
-}
-
 // next returns the waiting request that starts next, if any has room.
-func (q *queue) next(now time.Time, r room, running *tally) (waiting, bool) {
+func (q *queue) next(r room, running *tally) (waiting, bool) {
 	if q.tally.total == 0 {
 		return waiting{}, false
 	}
 	for _, c := range r.order(*running) {
 		if len(q.byClass[c]) > 0 && r.admits(c, *running) {
-			return q.pick(now, c, q.neediest(c, running)), true
+			return q.pick(c, q.neediest(c, running)), true
 		}
 	}
 	return waiting{}, false
@@ -171,8 +155,8 @@
 }
 
 // pick returns the request of the firm that comes first in the queue's order.
-func (q *queue) pick(now time.Time, c class, firm string) waiting {
-	newest := q.newestFirst(now, c)
+func (q *queue) pick(c class, firm string) waiting {
+	newest := q.order == OrderNewest
 	var best waiting
 	found := false
 	for _, w := range q.byClass[c] {
@@ -189,20 +173,20 @@
 // victim returns the waiting request that gives up its place to a new one: one
 // of a less urgent class, or of a firm with more waiting requests, or, when
 // the newest starts first, the firm's own oldest.
-func (q *queue) victim(c class, firm string, newest bool) (uint64, bool) {
+func (q *queue) victim(c class, firm string) (uint64, bool) {
 	if c == urgent && len(q.byClass[short]) > 0 {
-		return q.crowded(short, newest), true
+		return q.crowded(short), true
 	}
 	if len(q.byClass[c]) == 0 {
 		return 0, false
 	}
 	own := q.tally.firms[shareKey{c, firm}]
-	id := q.crowded(c, newest)
+	id := q.crowded(c)
 	other := q.byClass[c][q.find(c, id)].firm
 	if other != firm && q.tally.firms[shareKey{c, other}] > own+1 {
 		return id, true
 	}
-	if newest && own > 0 {
+	if q.order == OrderNewest && own > 0 {
 		return q.oldest(c, firm), true
 	}
 	return 0, false
@@ -210,7 +194,7 @@
 
 // crowded returns a request of the firm with the most waiting requests of the
 // class: the one that would start last.
-func (q *queue) crowded(c class, newest bool) uint64 {
+func (q *queue) crowded(c class) uint64 {
 	list := q.byClass[c]
 	firm, most := "", 0
 	for _, w := range list {
@@ -218,7 +202,7 @@
 			firm, most = w.firm, n
 		}
 	}
-	if newest {
+	if q.order == OrderNewest {
 		return q.oldest(c, firm)
 	}
 	i := len(list) - 1
--- a/internal/limiter/share.go
+++ b/internal/limiter/share.go
@@ -31,7 +31,7 @@
 	l.BulkPercent = min(max(l.BulkPercent, 1), 100)
 	l.UrgentSlots = min(max(l.UrgentSlots, 0), l.Slots-1)
 	if l.Order == "" {
-		l.Order = OrderAdaptive
+		l.Order = OrderFIFO
 	}
 	return l
 }
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -9,6 +9,8 @@
 	floorEvery = 10 * time.Second
 	// burstTokens is the most that a budget saves up.
 	burstTokens = 10.0
+	// hedgeReserve is what hedges leave of the tokens for retries.
+	hedgeReserve = 5.0
 	// hedgeQuantile is the share of attempts that end before a hedge starts.
 	hedgeQuantile = 0.95
 )
@@ -41,9 +43,13 @@
 	}
 }
 
-// Offered counts a request that arrived, before its first attempt.
-func (b *Budget) Offered(now time.Time) {
-	b.deposit(float64(b.percent) / 100)
+// Offered counts a request that arrived, before its first attempt. One that
+// belongs to a retry of a node nearer the caller earns no retries, so that
+// the budgets of a chain of calls add up and do not multiply.
+func (b *Budget) Offered(now time.Time, retriedAbove bool) {
+	if !retriedAbove {
+		b.deposit(float64(b.percent) / 100)
+	}
 	b.refill(now)
 }
 
@@ -60,10 +66,10 @@
 
 func (b *Budget) deposit(tokens float64) { b.tokens = min(b.tokens+tokens, burstTokens) }
 
-// spend takes a token and tells whether there was one.
-func (b *Budget) spend(now time.Time) bool {
+// spend takes a token and tells whether there was one beside the reserve.
+func (b *Budget) spend(now time.Time, reserve float64) bool {
 	b.refill(now)
-	if b.tokens < 1 {
+	if b.tokens < 1+reserve {
 		return false
 	}
 	b.tokens--
--- a/internal/retrier/outcome.go
+++ b/internal/retrier/outcome.go
@@ -2,7 +2,7 @@
 // to another target, hedge it, or give up and say why. It has no I/O and no
 // clock. A Budget for each service bounds what retries add to its load:
 //
-//	budget.Offered(now)
+//	budget.Offered(now, false)
 //	action := budget.Next(now, retrier.State{Outcome: retrier.OutcomeNotRun, Attempts: 1, Deadline: deadline})
 //	if action.Verb == retrier.VerbRetry {
 //		// wait until action.At, then choose another target
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -47,7 +47,7 @@
 	if !now.Add(s.Expected).Before(s.Deadline) {
 		return giveUp(now, ReasonNoTime)
 	}
-	if !b.spend(now) {
+	if !b.spend(now, 0) {
 		return giveUp(now, ReasonNoBudget)
 	}
 	return Action{Verb: VerbRetry, At: now}
@@ -75,7 +75,7 @@
 
 // SpendHedge takes a token for a hedge whose time has come, and tells whether
 // it may start. The loser of the two attempts is to be cancelled.
-func (b *Budget) SpendHedge(now time.Time) bool { return b.spend(now) }
+func (b *Budget) SpendHedge(now time.Time) bool { return b.spend(now, hedgeReserve) }
 
 // barred tells which rule forbids another attempt whatever the time and budget.
 func (s State) barred() Reason {
