--- a/internal/limiter/gate.go
+++ b/internal/limiter/gate.go
@@ -8,9 +8,9 @@
 
 const (
 	// patienceTimes is how many usual service times a request may wait.
-	patienceTimes = 5
+	patienceTimes = 3
 	// leastPatience is how long a request may wait however short its service time is.
-	leastPatience = 50 * time.Millisecond
+	leastPatience = 20 * time.Millisecond
 )
 
 // running is a request that holds a slot.
@@ -51,14 +51,14 @@
 	g.begin()
 	c := classOf(r.Class)
 	if g.holds(r.ID) {
-		return g.refuse(now, ReasonDuplicate)
+		return g.refuse(now, r, ReasonDuplicate)
 	}
 	if g.draining {
 		return Decision{Verdict: VerdictRefused, Reason: ReasonDraining}
 	}
 	g.settle(now)
 	if g.late(now, r, c) {
-		return g.refuse(now, ReasonLate)
+		return g.refuse(now, r, ReasonLate)
 	}
 	if g.room(now).admits(c, g.tally) {
 		g.start(now, r.ID, c, r.Firm)
@@ -78,6 +78,7 @@
 	full := !g.room(now).admits(short, g.tally)
 	delete(g.running, id)
 	g.tally.remove(run.class, run.firm)
+	g.pace.ended(run.class, run.started)
 	if res.Outcome == retrier.OutcomeDone {
 		g.pace.add(run.class, now.Sub(run.started))
 	}
@@ -133,7 +134,7 @@
 	g.limits = l.normal()
 	g.adapter.resize(g.limits)
 	for _, w := range g.queue.resize(g.limits) {
-		g.drop(now, w.id, ReasonQueueFull)
+		g.drop(now, w, ReasonQueueFull)
 	}
 	g.settle(now)
 	return g.changes
@@ -181,24 +182,32 @@
 
 func (g *Gate) enqueue(now time.Time, r Request, c class) Decision {
 	startBy := g.startBy(now, r, c)
-	if g.queue.order != OrderNewest && g.expectedStart(now, c).After(startBy) {
-		return g.refuse(now, g.dueReason(c, startBy, r.Deadline))
+	if g.queue.order != OrderNewest && g.expectedStart(now, c, r.Firm).After(startBy) {
+		return g.refuse(now, r, g.dueReason(c, startBy, r.Deadline))
 	}
 	if !g.queue.hasPlace(c) {
 		victim, ok := g.queue.victim(c, r.Firm)
 		if !ok {
-			return g.refuse(now, ReasonQueueFull)
+			return g.refuse(now, r, ReasonQueueFull)
 		}
-		g.queue.remove(victim)
+		g.queue.remove(victim.id)
 		g.drop(now, victim, ReasonQueueFull)
 	}
 	g.queue.push(waiting{id: r.ID, class: c, firm: r.Firm, deadline: r.Deadline, startBy: startBy})
 	return Decision{Verdict: VerdictQueued, StartBy: startBy, Changes: g.changes}
 }
 
-// expectedStart returns when a request at the end of the queue would start.
-func (g *Gate) expectedStart(now time.Time, c class) time.Time {
-	return now.Add(g.pace.wait(now, g.queue.lenOf(c), g.slots(now), c))
+// expectedStart returns when a further request of the firm would start: behind
+// the firm's own that wait, at the pace of its fair share of the slots.
+func (g *Gate) expectedStart(now time.Time, c class, firm string) time.Time {
+	room := g.room(now)
+	slots := room.ordinarySlots
+	if c == bulk {
+		slots = room.bulkSlots
+	}
+	service := g.pace.current(now, c, g.tally.classes[c])
+	ahead := g.queue.tally.firms[shareKey{c, firm}] * g.queue.firms(c, firm)
+	return now.Add(g.pace.wait(now, ahead, slots, service))
 }
 
 // startBy returns when a waiting request is dropped: when it could no longer
@@ -226,7 +235,7 @@
 			break
 		}
 		g.queue.remove(w.id)
-		g.drop(now, w.id, g.dueReason(w.class, w.startBy, w.deadline))
+		g.drop(now, w, g.dueReason(w.class, w.startBy, w.deadline))
 	}
 	if g.draining {
 		return
@@ -258,16 +267,15 @@
 	}
 	g.running[id] = running{class: c, firm: firm, started: now}
 	g.tally.add(c, firm)
+	g.pace.started(c, now)
 }
 
-func (g *Gate) refuse(now time.Time, r Reason) Decision {
-	return Decision{Verdict: VerdictRefused, Reason: r, RetryAfter: g.retryAfter(now), Changes: g.changes}
-}
-
-func (g *Gate) drop(now time.Time, id uint64, r Reason) {
-	g.changes.Dropped = append(g.changes.Dropped, Drop{ID: id, Reason: r, RetryAfter: g.retryAfter(now)})
+func (g *Gate) refuse(now time.Time, r Request, why Reason) Decision {
+	after := g.expectedStart(now, classOf(r.Class), r.Firm)
+	return Decision{Verdict: VerdictRefused, Reason: why, RetryAfter: after, Changes: g.changes}
 }
 
-func (g *Gate) retryAfter(now time.Time) time.Time {
-	return now.Add(g.pace.wait(now, g.queue.lenOf(short), g.slots(now), short))
+func (g *Gate) drop(now time.Time, w waiting, why Reason) {
+	after := g.expectedStart(now, w.class, w.firm)
+	g.changes.Dropped = append(g.changes.Dropped, Drop{ID: w.id, Reason: why, RetryAfter: after})
 }
--- a/internal/limiter/pace.go
+++ b/internal/limiter/pace.go
@@ -2,13 +2,19 @@
 
 import "time"
 
-// serviceWeight is the weight of one sample in a smoothed service time.
-const serviceWeight = 0.1
+const (
+	// serviceWeight is the weight of one sample in a smoothed service time.
+	serviceWeight = 0.1
+	// ageFactor times the mean age of running requests is about their service time.
+	ageFactor = 1.5
+)
 
 // pace estimates how long requests run and wait.
 type pace struct {
 	// mean service time of each class in nanoseconds; 0 before the first sample.
 	mean [classes]float64
+	// starts is the sum of the start times of each class's running requests, in microseconds since 1970.
+	starts [classes]int64
 	// lastFreed is when a slot last came free or the target went from idle to busy.
 	lastFreed time.Time
 }
@@ -30,10 +36,26 @@
 	return p.expected(short)
 }
 
-// wait returns how long a request waits behind the given number of others. A
-// target that frees no slot for longer than usual makes the wait longer.
-func (p *pace) wait(now time.Time, ahead, slots int, c class) time.Duration {
-	gap := p.expected(c) / time.Duration(slots)
+// started and ended keep the sum of the start times of running requests.
+func (p *pace) started(c class, at time.Time) { p.starts[c] += at.UnixMicro() }
+
+func (p *pace) ended(c class, started time.Time) { p.starts[c] -= started.UnixMicro() }
+
+// current returns how long requests of the class run at this moment: as the
+// smoothed mean says, or longer when those that run are already older.
+func (p *pace) current(now time.Time, c class, running int) time.Duration {
+	if running == 0 {
+		return p.expected(c)
+	}
+	age := now.UnixMicro() - p.starts[c]/int64(running)
+	return max(p.expected(c), time.Duration(ageFactor*float64(age)*float64(time.Microsecond)))
+}
+
+// wait returns how long a request waits behind the given number of others when
+// each runs for service. A target that frees no slot for longer than usual
+// makes the wait longer.
+func (p *pace) wait(now time.Time, ahead, slots int, service time.Duration) time.Duration {
+	gap := service / time.Duration(slots)
 	stalled := max(gap, now.Sub(p.lastFreed))
 	if p.lastFreed.IsZero() {
 		stalled = gap
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -73,6 +73,17 @@
 	return q.tally.classes[urgent] + q.tally.classes[short]
 }
 
+// firms counts the firms that have requests of the class waiting, the given one included.
+func (q *queue) firms(c class, firm string) int {
+	n := 1
+	for key := range q.tally.firms {
+		if key.class == c && key.firm != firm {
+			n++
+		}
+	}
+	return n
+}
+
 func (q *queue) placesOf(c class) int {
 	if c == bulk {
 		return q.bulkPlaces
@@ -173,28 +184,27 @@
 // victim returns the waiting request that gives up its place to a new one: one
 // of a less urgent class, or of a firm with more waiting requests, or, when
 // the newest starts first, the firm's own oldest.
-func (q *queue) victim(c class, firm string) (uint64, bool) {
+func (q *queue) victim(c class, firm string) (waiting, bool) {
 	if c == urgent && len(q.byClass[short]) > 0 {
 		return q.crowded(short), true
 	}
 	if len(q.byClass[c]) == 0 {
-		return 0, false
+		return waiting{}, false
 	}
 	own := q.tally.firms[shareKey{c, firm}]
-	id := q.crowded(c)
-	other := q.byClass[c][q.find(c, id)].firm
-	if other != firm && q.tally.firms[shareKey{c, other}] > own+1 {
-		return id, true
+	crowded := q.crowded(c)
+	if crowded.firm != firm && q.tally.firms[shareKey{c, crowded.firm}] > own+1 {
+		return crowded, true
 	}
 	if q.order == OrderNewest && own > 0 {
 		return q.oldest(c, firm), true
 	}
-	return 0, false
+	return waiting{}, false
 }
 
 // crowded returns a request of the firm with the most waiting requests of the
 // class: the one that would start last.
-func (q *queue) crowded(c class) uint64 {
+func (q *queue) crowded(c class) waiting {
 	list := q.byClass[c]
 	firm, most := "", 0
 	for _, w := range list {
@@ -209,10 +219,10 @@
 	for list[i].firm != firm {
 		i--
 	}
-	return list[i].id
+	return list[i]
 }
 
-func (q *queue) oldest(c class, firm string) uint64 {
+func (q *queue) oldest(c class, firm string) waiting {
 	i := slices.IndexFunc(q.byClass[c], func(w waiting) bool { return w.firm == firm })
-	return q.byClass[c][i].id
+	return q.byClass[c][i]
 }
