--- a/internal/experimenter/experiments.go
+++ b/internal/experimenter/experiments.go
@@ -17,6 +17,8 @@
 	work = 10 * time.Millisecond
 	// uploadWork of a bulk request.
 	uploadWork = 2 * time.Second
+	// photoWork of a bulk request that is not as long.
+	photoWork = 200 * time.Millisecond
 	// shortTimeout and urgentTimeout of callers, and uploadTimeout.
 	shortTimeout  = 500 * time.Millisecond
 	urgentTimeout = 200 * time.Millisecond
@@ -146,7 +148,7 @@
 		{Class: snapshotter.ClassShort, Firm: FirmPaza, Rate: swing(0.65*rosterCapacity, 3*rosterCapacity), Work: work, Timeout: shortTimeout, Idempotent: true},
 		{Class: snapshotter.ClassShort, Firm: FirmSteady, Rate: steady(0.15 * rosterCapacity), Work: work, Timeout: shortTimeout, Idempotent: true},
 		{Class: snapshotter.ClassUrgent, Firm: FirmPaza, Rate: steady(0.1 * rosterCapacity), Work: work, Timeout: urgentTimeout, Idempotent: true},
-		{Class: snapshotter.ClassBulk, Firm: FirmPaza, Rate: steady(0.1 * rosterCapacity * float64(work) / float64(uploadWork)), Work: uploadWork, Timeout: uploadTimeout},
+		{Class: snapshotter.ClassBulk, Firm: FirmPaza, Rate: steady(0.1 * rosterCapacity * float64(work) / float64(photoWork)), Work: photoWork, Timeout: uploadTimeout},
 	}
 	s.Phases = []Phase{
 		{Name: "warm-up", Until: At(5 * time.Second)},
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -28,6 +28,9 @@
 	// leastPause and mostPause bound how long a target that refused or failed is left alone.
 	leastPause = 5 * time.Millisecond
 	mostPause  = time.Second
+	// refusalDivisor of the time that a refusing target asks for is how long it
+	// is left alone: its queue has to have work until then.
+	refusalDivisor = 4
 	// failurePause is how long a target is left alone after its first failure; it doubles with each.
 	failurePause = 50 * time.Millisecond
 	// coldDivisor of the announced slots is what a cold target is believed to have.
@@ -105,7 +108,7 @@
 // answer came, for a time that doubles with each failure.
 func (x *target) failed(now time.Time, r Result) {
 	if r.Load != nil {
-		pause := min(max(r.RetryAfter.Sub(now), leastPause), mostPause)
+		pause := min(max(r.RetryAfter.Sub(now)/refusalDivisor, leastPause), mostPause)
 		x.refusals[classIndex(r.Class)] = now.Add(pause)
 		return
 	}
