List the metrics on a page that is held against the code

Cause: docs/METRICS.md must agree with what a node registers. Change: meter.Reference makes the page, documenter's test compares it, and a test compares the list with the registry.

--- /dev/null
+++ b/cmd/gentian-node/main.go
@@ -0,0 +1,95 @@
+// Command gentian-node is the process of the system on a target host.
+//
+//	gentian-node --settings node.yaml
+//	gentian-node --settings node.yaml --check-settings
+//
+// It ends with code 0 after draining, 1 when it failed, and 2 when the command
+// line or the settings are wrong; then nothing was started.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"gentianbarrow.example/internal/composer"
+	"gentianbarrow.example/internal/loader"
+	"gentianbarrow.example/internal/logger"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// signalsWaiting is how many signals are kept while the node is busy.
+const signalsWaiting = 8
+
+func main() {
+	path := flag.String("settings", "", "settings file of this node")
+	checkOnly := flag.Bool("check-settings", false, "check the settings file and start nothing")
+	flag.Parse()
+	if *path == "" || flag.NArg() > 0 {
+		flag.Usage()
+		os.Exit(exitUsage)
+	}
+	settings, err := loader.Load(*path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUsage)
+	}
+	if *checkOnly {
+		fmt.Println("settings are valid")
+		return
+	}
+	log := logger.New(os.Stderr, settings.Log.Format, settings.Log.Level, settings.Host, settings.DataCentre)
+	if err := run(settings, log); err != nil {
+		log.Write(logger.NodeFailed, logger.Fields{Err: err})
+		os.Exit(exitFailed)
+	}
+}
+
+func run(settings loader.Settings, log *logger.Logger) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n, err := composer.Listen(ctx, settings, log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, signalsWaiting)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	stops := make(chan time.Time)
+	var group errgroup.Group
+	group.Go(func() error {
+		defer cancel()
+		return n.Run(ctx, stops)
+	})
+	group.Go(func() error {
+		passStops(ctx, signals, stops)
+		return nil
+	})
+	return group.Wait()
+}
+
+// passStops turns signals into stop requests until ctx ends.
+func passStops(ctx context.Context, signals <-chan os.Signal, stops chan<- time.Time) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case stops <- time.Now():
+		}
+	}
+}
--- /dev/null
+++ b/internal/composer/composer.go
@@ -0,0 +1,240 @@
+// Package composer builds a node from its settings: the blackboard with its
+// controllers, the links to other nodes, and the servers for callers, targets
+// and operators.
+//
+//	n, err := composer.Listen(ctx, settings, log)
+//	err = n.Run(ctx, stops)
+//
+// Run returns when the node has drained after a stop request, or at once when
+// ctx ends.
+package composer
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"golang.org/x/sync/errgroup"
+
+	"gentianbarrow.example/internal/announcer"
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/dispatcher"
+	"gentianbarrow.example/internal/drainer"
+	"gentianbarrow.example/internal/elector"
+	"gentianbarrow.example/internal/executor"
+	"gentianbarrow.example/internal/explainer"
+	"gentianbarrow.example/internal/follower"
+	"gentianbarrow.example/internal/forwarder"
+	"gentianbarrow.example/internal/gossiper"
+	"gentianbarrow.example/internal/inspector"
+	"gentianbarrow.example/internal/linker"
+	"gentianbarrow.example/internal/loader"
+	"gentianbarrow.example/internal/logger"
+	"gentianbarrow.example/internal/meter"
+	"gentianbarrow.example/internal/receiver"
+	"gentianbarrow.example/pkg/snapshotter"
+	"gentianbarrow.example/pkg/storer"
+)
+
+// farewellTime is how long a drained node goes on answering peers, so that its
+// leave message spreads and the last bytes of answers are read.
+const farewellTime = 1 * time.Second
+
+// Node is one process of the system, ready to run.
+type Node struct {
+	settings  loader.Settings
+	log       *logger.Logger
+	listeners listeners
+	links     *linker.Linker
+	streams   *follower.Streams
+	board     *blackboard.Board
+	tracker   *drainer.Tracker
+	explainer *explainer.Ring
+	executor  *executor.Executor
+	receiver  *receiver.Receiver
+	metrics   *prometheus.Registry
+}
+
+// Listen opens the addresses of the settings and builds the node. Nothing is served before Run.
+func Listen(ctx context.Context, settings loader.Settings, log *logger.Logger) (*Node, error) {
+	opened, err := openListeners(ctx, settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		settings:  settings,
+		log:       log,
+		listeners: opened,
+		links:     linker.New(),
+		tracker:   drainer.NewTracker(),
+		explainer: explainer.New(),
+		metrics:   prometheus.NewRegistry(),
+	}
+	n.listeners.packets.Log = log
+	n.buildRequestPath()
+	n.buildBoard(storer.NewHTTPClient(settings.Platform))
+	n.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return n, nil
+}
+
+func (n *Node) self() blackboard.Self {
+	return blackboard.Self{
+		Host:        n.settings.Host,
+		DataCentre:  n.settings.DataCentre,
+		Region:      n.settings.Region,
+		Rack:        n.settings.Rack,
+		Address:     n.settings.Listen.Nodes,
+		Incarnation: uint64(time.Now().UnixMicro()),
+	}
+}
+
+// buildBoard makes the blackboard. The order of the controllers matters in one
+// place: the announcer stands before the gossiper, which passes on what it decides.
+func (n *Node) buildBoard(platform storer.Client) {
+	n.streams = follower.NewStreams(n.links)
+	state := blackboard.State{
+		Self:   n.self(),
+		Life:   blackboard.Life{Phase: blackboard.LifeStarting},
+		Config: follower.NewConfig(),
+		Lease:  elector.NoLease(),
+		Target: blackboard.Target{Record: blackboard.TargetRecord{Phase: blackboard.TargetNone}},
+	}
+	n.board = blackboard.New(state, []blackboard.Controller{
+		drainer.New(n.tracker, n.log, n.drainOptions()...),
+		elector.New(platform, n.settings.DataCentre, elector.WithLogger(n.log)),
+		follower.New(n.streams, follower.NewPlatform(platform), follower.WithLogger(n.log)),
+		announcer.New(announcer.Config{}),
+		gossiper.New(gossiper.Config{
+			Seeds:     n.settings.SeedPeers,
+			Send:      n.listeners.packets.Send,
+			Open:      n.openSync,
+			FindPeers: findPeers(platform, n.settings.DataCentre),
+			Log:       n.log,
+		}),
+		n.executor.Controller(),
+	})
+	n.streams.Post = n.board.Post
+	n.links.Handle(follower.StreamKind, n.streams.Serve)
+	n.links.Handle(gossiper.StreamKind, gossiper.Handler(n.board.Read, n.board.Post, time.Now))
+}
+
+func (n *Node) drainOptions() []drainer.Option {
+	if n.settings.Limits.DrainSeconds == 0 {
+		return nil
+	}
+	limit := time.Duration(n.settings.Limits.DrainSeconds) * time.Second
+	return []drainer.Option{drainer.WithCutAfter(limit)}
+}
+
+func (n *Node) openSync(ctx context.Context, address string) (*linker.Stream, error) {
+	return n.links.Open(ctx, address, linker.TrafficControl, gossiper.StreamKind)
+}
+
+// buildRequestPath makes what carries callers' requests. It reads the board, which is made after it.
+func (n *Node) buildRequestPath() {
+	m := meter.New(n.metrics, func() int { return n.tracker.Count().Total })
+	n.executor = executor.New(executor.Config{
+		Host:    n.settings.Host,
+		Target:  func() blackboard.Target { return n.board.Read().Target },
+		Service: n.service,
+		Client:  dispatcher.NewHTTP(),
+		Observe: m.Served,
+	})
+	f := forwarder.New(forwarder.Config{
+		Open:    n.links.OpenWith,
+		Execute: n.executor.Execute,
+		Refuse:  n.executor.Refuse,
+		Tracker: n.tracker,
+		Log:     n.log,
+	})
+	n.links.Handle(forwarder.Kind, f.Handle)
+	n.receiver = receiver.New(receiver.Config{
+		State:        func() *blackboard.State { return n.board.Read() },
+		Match:        snapshotter.Match,
+		Execute:      n.executor.Execute,
+		Forward:      f.Forward,
+		Tracker:      n.tracker,
+		Explanations: n.explainer,
+		Meter:        m,
+		Log:          n.log,
+	})
+}
+
+func (n *Node) service(name string) (snapshotter.Service, bool) {
+	running := n.board.Read().Config.Running
+	if running == nil {
+		return snapshotter.Service{}, false
+	}
+	s, known := running.Services[name]
+	return s, known
+}
+
+// Run serves until the node has drained. A message on stops asks it to drain;
+// further messages are counted by the drainer.
+func (n *Node) Run(ctx context.Context, stops <-chan time.Time) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.board.Run(ctx) })
+	group.Go(func() error { return n.links.Serve(ctx, n.listeners.nodes) })
+	group.Go(func() error { return n.listeners.packets.Receive(ctx, n.settings.DataCentre, n.board.Post) })
+	n.serveHTTP(ctx, group)
+	group.Go(func() error {
+		n.tick(ctx, stops)
+		n.leave(ctx)
+		cancel()
+		return nil
+	})
+	n.log.Write(logger.NodeStarted, logger.Fields{Peer: n.settings.Listen.Nodes})
+	err := group.Wait()
+	n.links.Close()
+	n.streams.Wait()
+	if err == nil {
+		n.log.Write(logger.NodeStopped, logger.Fields{})
+	}
+	return err
+}
+
+// tick posts the time and stop requests until the node has drained or ctx ends.
+func (n *Node) tick(ctx context.Context, stops <-chan time.Time) {
+	ticker := time.NewTicker(blackboard.TickEvery)
+	defer ticker.Stop()
+	for n.board.Read().Life.Phase != blackboard.LifeStopped {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.board.Post(blackboard.Tick{Now: now})
+		case now := <-stops:
+			n.board.Post(blackboard.StopRequested{Now: now})
+		}
+	}
+}
+
+// leave tells peers that the node is going and gives them time to hear it.
+func (n *Node) leave(ctx context.Context) {
+	n.board.Post(blackboard.LeaveRequested{Now: time.Now()})
+	ticker := time.NewTicker(blackboard.TickEvery)
+	defer ticker.Stop()
+	farewell := time.After(farewellTime)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-farewell:
+			return
+		case now := <-ticker.C:
+			n.board.Post(blackboard.Tick{Now: now})
+		}
+	}
+}
+
+// inspect returns the handler of the admin address.
+func (n *Node) inspect() *inspector.Inspector {
+	return &inspector.Inspector{
+		Read:    n.board.Read,
+		Metrics: n.metrics,
+		Explain: func(id string) (any, bool) { return n.explainer.Find(id) },
+	}
+}
--- /dev/null
+++ b/internal/composer/listeners.go
@@ -0,0 +1,99 @@
+package composer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"gentianbarrow.example/internal/announcer"
+	"gentianbarrow.example/internal/gossiper"
+	"gentianbarrow.example/internal/loader"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	// closeTimeout bounds how long a server waits for connections to become idle
+	// after the last request has been answered.
+	closeTimeout = 3 * time.Second
+)
+
+// listeners are the open addresses of a node.
+type listeners struct {
+	callers, nodes, targets, admin net.Listener
+	packets                        *gossiper.UDP
+}
+
+// openListeners opens every address, or none.
+func openListeners(ctx context.Context, l loader.Listen) (listeners, error) {
+	var out listeners
+	var lc net.ListenConfig
+	var opened []net.Listener
+	for _, entry := range []struct {
+		address string
+		to      *net.Listener
+	}{
+		{l.Callers, &out.callers},
+		{l.Nodes, &out.nodes},
+		{l.Targets, &out.targets},
+		{l.Admin, &out.admin},
+	} {
+		ln, err := lc.Listen(ctx, "tcp", entry.address)
+		if err != nil {
+			closeAll(opened)
+			return listeners{}, err
+		}
+		opened = append(opened, ln)
+		*entry.to = ln
+	}
+	packets, err := gossiper.ListenUDP(ctx, l.Nodes)
+	if err != nil {
+		closeAll(opened)
+		return listeners{}, err
+	}
+	out.packets = packets
+	return out, nil
+}
+
+func closeAll(opened []net.Listener) {
+	for _, ln := range opened {
+		_ = ln.Close()
+	}
+}
+
+// serveHTTP starts the servers for callers, targets and operators.
+func (n *Node) serveHTTP(ctx context.Context, group *errgroup.Group) {
+	callers := newServer(n.receiver)
+	callers.MaxHeaderBytes = n.settings.Limits.HeaderBytes
+	serve(ctx, group, callers, newBoundedListener(n.listeners.callers, n.settings.Limits.CallerConnections))
+	serve(ctx, group, newServer(announcer.Handler(n.board.Post, time.Now, n.log)), n.listeners.targets)
+	serve(ctx, group, newServer(n.inspect().Handler()), n.listeners.admin)
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
+// serve runs one server until ctx ends. It then waits a bounded time for
+// connections to become idle, so that the last bytes of an answer are sent.
+func serve(ctx context.Context, group *errgroup.Group, s *http.Server, ln net.Listener) {
+	group.Go(func() error {
+		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+		if err := s.Shutdown(closing); err != nil {
+			return s.Close()
+		}
+		return nil
+	})
+}
--- a/internal/documenter/main.go
+++ b/internal/documenter/main.go
@@ -11,6 +11,7 @@
 
 	"gentianbarrow.example/internal/loader"
 	"gentianbarrow.example/internal/logger"
+	"gentianbarrow.example/internal/meter"
 )
 
 const pageMode = 0o644
@@ -26,6 +27,7 @@
 	return []page{
 		{Name: "SETTINGS.md", Text: loader.Reference()},
 		{Name: "EVENTS.md", Text: logger.Reference()},
+		{Name: "METRICS.md", Text: meter.Reference()},
 	}
 }
 
--- /dev/null
+++ b/internal/meter/meter_test.go
@@ -0,0 +1,43 @@
+package meter
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+func TestMetrics(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	m := New(registry, func() int { return 3 })
+	for firm := range 2 * maxFirms {
+		m.Finished(string(rune('a'+firm)), snapshotter.ClassShort, retrier.OutcomeDone, "", time.Millisecond)
+	}
+	m.Served(&exchanger.Request{Firm: "paza", Class: "no-such-class"}, time.Millisecond, time.Millisecond)
+	m.Attempted("cost")
+	families, err := registry.Gather()
+	assert.NilError(t, err)
+
+	t.Run("the list names exactly what is registered", func(t *testing.T) {
+		var registered, listed []string
+		for _, f := range families {
+			registered = append(registered, f.GetName())
+		}
+		for _, l := range Metrics() {
+			listed = append(listed, l.Name)
+		}
+		slices.Sort(listed)
+		assert.DeepEqual(t, registered, listed)
+	})
+	t.Run("the number of series is bounded", func(t *testing.T) {
+		for _, f := range families {
+			assert.Assert(t, len(f.GetMetric()) <= maxFirms+1, f.GetName())
+		}
+	})
+}
