--- a/internal/commander/session_test.go
+++ b/internal/commander/session_test.go
@@ -28,10 +28,22 @@
 	record bytes.Buffer
 	// operations counts operation ids.
 	operations int
+	// meanwhile, when set, runs once, before the next update of the head.
+	meanwhile func()
 }
 
 func (s *session) connect(string) *ticketer.Ticketer {
-	tk := ticketer.New(s.fake.Client())
+	client := s.fake.Client()
+	put := client.Put
+	client.Put = func(ctx context.Context, key string, value []byte, revision uint64) (storer.Object, error) {
+		if race := s.meanwhile; race != nil && key == ticketer.HeadKey {
+			s.meanwhile = nil
+			race()
+		}
+		return put(ctx, key, value, revision)
+	}
+	tk := ticketer.New(client)
+	tk.Pause = pause
 	tk.NewOperationID = func() string {
 		s.operations++
 		return fmt.Sprintf("operation-%d", s.operations)
@@ -39,6 +51,12 @@
 	return tk
 }
 
+// pause waits without the jitter, so that sessions read the same each time.
+func pause(ctx context.Context, attempt int) error {
+	time.Sleep(time.Duration(attempt) * 100 * time.Millisecond)
+	return ctx.Err()
+}
+
 // run carries out one command line and records it.
 func (s *session) run(ctx context.Context, line string) {
 	var out, errOut bytes.Buffer
@@ -104,6 +122,17 @@
 			"ticket approve 4 --author jon", "ticket withdraw 1 --author sigga",
 			"ticket settle 3", "ticket withdraw 3 --author sigga", "ticket approve 3 --author jon", "ticket list")
 	})
+	play(t, "race", func(t *testing.T, s *session) {
+		s.each(t, "ticket file --author sigga first.yaml", "ticket file --author sigga second.yaml",
+			"ticket file --author sigga other.yaml")
+		s.meanwhile = func() {
+			s.note("at the same time, two other operators are a moment faster")
+			s.run(t.Context(), "ticket approve 2 --author anna")
+			s.run(t.Context(), "ticket approve 3 --author olaf")
+			s.note("the first operator's command goes on")
+		}
+		s.each(t, "ticket approve 1 --author jon", "ticket list")
+	})
 	play(t, "removal", func(t *testing.T, s *session) {
 		s.each(t, "ticket file --author sigga first.yaml", "ticket approve 1 --author jon",
 			"ticket file --author sigga remove.yaml", "ticket approve 2 --author jon", "ticket plan remove.yaml --output json")
--- a/pkg/snapshotter/delta.go
+++ b/pkg/snapshotter/delta.go
@@ -1,7 +1,6 @@
 package snapshotter
 
 import (
-	"reflect"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -53,11 +52,14 @@
 }
 
 func sameRoute(a, b Route) bool {
-	if a.Ticket != b.Ticket || !slices.Equal(a.Methods, b.Methods) {
-		return false
-	}
-	a.Methods, b.Methods = nil, nil
-	return reflect.DeepEqual(a, b)
+	return a.Name == b.Name &&
+		a.Prefix == b.Prefix &&
+		slices.Equal(a.Methods, b.Methods) &&
+		a.Service == b.Service &&
+		a.Class == b.Class &&
+		a.Idempotent == b.Idempotent &&
+		a.TimeoutMs == b.TimeoutMs &&
+		a.Ticket == b.Ticket
 }
 
 func removals[T any](old, current map[string]T, oldTombs, tombs map[string]uint64) []Removal {
--- a/pkg/snapshotter/delta_test.go
+++ b/pkg/snapshotter/delta_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"reflect"
 	"slices"
 	"testing"
 
@@ -59,6 +60,33 @@
 	})
 }
 
+// A field that is added to Route must be compared too.
+func TestDiffSeesEachFieldOfRoute(t *testing.T) {
+	base := frothvik(t)
+	for i := range reflect.TypeFor[Route]().NumField() {
+		field := reflect.TypeFor[Route]().Field(i)
+		t.Run(field.Name, func(t *testing.T) {
+			next := clone(base)
+			r := next.Routes["media"]
+			v := reflect.ValueOf(&r).Elem().Field(i)
+			switch v.Kind() {
+			case reflect.String:
+				v.SetString("other")
+			case reflect.Bool:
+				v.SetBool(!v.Bool())
+			case reflect.Int:
+				v.SetInt(v.Int() + 1)
+			case reflect.Uint64:
+				v.SetUint(v.Uint() + 1)
+			default:
+				v.Set(reflect.ValueOf([]string{"GET"}))
+			}
+			next.Routes["media"] = r
+			assert.Equal(t, len(Diff(base, next).Routes), 1)
+		})
+	}
+}
+
 func TestPatchRefuses(t *testing.T) {
 	base := frothvik(t)
 	next := mustApply(t, base, 3, Change{Services: []Service{service("parts")}})
