Read tickets without a level for the change, and write shards at once

Change: the change is inlined in ticket files; up to 8 shards are written at once; a command has 60 s.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -22,7 +22,7 @@
 
 const (
 	// commandTimeout bounds a whole command.
-	commandTimeout = 30 * time.Second
+	commandTimeout = 60 * time.Second
 	// maxViewBytes bounds the answer of a node.
 	maxViewBytes = 64 << 20
 )
--- a/internal/parser/decoder.go
+++ b/internal/parser/decoder.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
 	"strconv"
@@ -60,11 +61,17 @@
 	optional bool
 }
 
+// fieldsOf returns the fields by key, those of inlined structs included, and the keys in order.
 func fieldsOf(v reflect.Value) (map[string]field, []string) {
 	fields := map[string]field{}
 	var order []string
 	for i := range v.NumField() {
 		name, options, _ := strings.Cut(v.Type().Field(i).Tag.Get("yaml"), ",")
+		if options == "inline" {
+			inner, names := fieldsOf(v.Field(i))
+			maps.Copy(fields, inner)
+			order = append(order, names...)
+		}
 		if name == "-" || name == "" {
 			continue
 		}
--- a/internal/parser/parser.go
+++ b/internal/parser/parser.go
@@ -22,7 +22,7 @@
 type Problem struct {
 	// Line counts from 1.
 	Line int `json:"line"`
-	// Key is the path to the value, as in "change.services[0].slots".
+	// Key is the path to the value, as in "services[0].slots".
 	Key string `json:"key"`
 	// Text says what is wrong, without the key.
 	Text string `json:"text"`
@@ -77,7 +77,7 @@
 }
 
 func (d *decoder) checkRefusal(c snapshotter.Change, e snapshotter.RefusedError) {
-	key := "change"
+	key := "file"
 	if place := locate(c, e.Resource); place != "" {
 		key = join(place, e.Field)
 	}
@@ -94,12 +94,12 @@
 func locate(c snapshotter.Change, resource string) string {
 	for i, s := range slices.Backward(c.Services) {
 		if resource == "service "+s.Name {
-			return fmt.Sprintf("change.services[%d]", i)
+			return fmt.Sprintf("services[%d]", i)
 		}
 	}
 	for i, r := range slices.Backward(c.Routes) {
 		if resource == "route "+r.Name {
-			return fmt.Sprintf("change.routes[%d]", i)
+			return fmt.Sprintf("routes[%d]", i)
 		}
 	}
 	return ""
--- a/pkg/ticketer/calls.go
+++ b/pkg/ticketer/calls.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"gentianbarrow.example/pkg/storer"
 )
@@ -32,6 +33,18 @@
 	}
 }
 
+// parallelCalls bounds how many calls one operation makes at once.
+const parallelCalls = 8
+
+func parallel(tasks []func() error) error {
+	var group errgroup.Group
+	group.SetLimit(parallelCalls)
+	for _, task := range tasks {
+		group.Go(task)
+	}
+	return group.Wait()
+}
+
 // silent tells whether a call may be answered when it is made again.
 func silent(err error) bool {
 	var (
--- a/pkg/ticketer/interleaving_test.go
+++ b/pkg/ticketer/interleaving_test.go
@@ -104,6 +104,14 @@
 	w.programs++
 	t := newTicketer(client, fmt.Sprintf("%s-%d", name, w.programs))
 	t.keep = keptDecisions
+	t.all = func(tasks []func() error) error {
+		for _, task := range tasks {
+			if err := task(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
 	return t
 }
 
--- a/pkg/ticketer/load.go
+++ b/pkg/ticketer/load.go
@@ -15,8 +15,6 @@
 const (
 	// ShardPrefix is followed by the SHA-256 of the shard in hexadecimal.
 	ShardPrefix = "config/shard/"
-	// parallelReads bounds how many shards are fetched at once.
-	parallelReads = 8
 	// loadAttempts bounds how often Load follows a head that moves.
 	loadAttempts = 5
 )
@@ -79,7 +77,7 @@
 	encoded := snapshotter.EncodeShards(have)
 	shards := make([][]byte, len(h.Shards))
 	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(parallelReads)
+	group.SetLimit(parallelCalls)
 	for i, want := range h.Shards {
 		if want == emptyShard {
 			continue
--- a/pkg/ticketer/settle.go
+++ b/pkg/ticketer/settle.go
@@ -141,20 +141,18 @@
 
 // storeShards writes the shards that the head does not name yet.
 func (t *Ticketer) storeShards(ctx context.Context, head Head, next *snapshotter.Snapshot) error {
-	digests := snapshotter.Digests(next)
-	var encoded [snapshotter.ShardCount][]byte
-	for i, d := range digests {
+	if next.Digest() == head.Digest {
+		return nil
+	}
+	encoded := snapshotter.EncodeShards(next)
+	var writes []func() error
+	for i, d := range snapshotter.Digests(next) {
 		if d == emptyShard || d == head.Shards[i] {
 			continue
 		}
-		if encoded[i] == nil {
-			encoded = snapshotter.EncodeShards(next)
-		}
-		if err := t.storeShard(ctx, d, encoded[i]); err != nil {
-			return err
-		}
+		writes = append(writes, func() error { return t.storeShard(ctx, d, encoded[i]) })
 	}
-	return nil
+	return t.all(writes)
 }
 
 // storeShard writes one shard. A shard that exists already is written once
--- a/pkg/ticketer/ticket.go
+++ b/pkg/ticketer/ticket.go
@@ -43,7 +43,7 @@
 	// Commit names the revision of the operator's own files that the ticket came from.
 	Commit string `json:"commit" yaml:"commit"`
 	// Change carries the whole new state of what the ticket touches.
-	Change snapshotter.Change `json:"change" yaml:"change"`
+	Change snapshotter.Change `json:"change" yaml:",inline"`
 }
 
 // Step is one thing that happened to a ticket.
--- a/pkg/ticketer/ticketer.go
+++ b/pkg/ticketer/ticketer.go
@@ -41,12 +41,14 @@
 
 	// keep is how many decisions the head lists.
 	keep int
+	// all runs tasks, at once or one after the other, and returns an error of one that failed.
+	all func(tasks []func() error) error
 }
 
 // New returns a ticketer with the clock and random operation ids.
 func New(store storer.Client) *Ticketer {
 	return &Ticketer{
-		Store: store, Now: time.Now, NewOperationID: rand.Text, Pause: pause, keep: RecentDecisions,
+		Store: store, Now: time.Now, NewOperationID: rand.Text, Pause: pause, keep: RecentDecisions, all: parallel,
 	}
 }
 
