Write the status of a data centre, and leave large loads to one relay

Cause: with every node starting at once, three relays read 64 shards each, and one of them twice: 130 to 274 reads in a second with 100 nodes, over the 105 that are the share of one data centre of 19. Ruled out: leaving every load to the first relay; a small one costs less than another watch.

--- a/internal/blackboard/config.go
+++ b/internal/blackboard/config.go
@@ -124,6 +124,10 @@
 	Watching bool
 	// WatchAt is when to start the next watch.
 	WatchAt time.Time
+	// Deferred is the greatest version whose load was left to another relay.
+	Deferred uint64
+	// Loading is the greatest version whose load was started and has not failed.
+	Loading uint64
 	// Failures counts the calls that failed since the last success.
 	Failures int
 	// ReadingHead is true while a read of the head is under way.
--- a/internal/follower/fleet_test.go
+++ b/internal/follower/fleet_test.go
@@ -28,12 +28,12 @@
 // fleet runs the real controllers of many nodes of one data centre in one
 // synctest bubble, joined by function fields instead of sockets.
 type fleet struct {
-	t        *testing.T
-	fake     *storer.Fake
-	ctx      context.Context
-	group    sync.WaitGroup
-	baseline baseline
-	fanOut   int
+	t      *testing.T
+	fake   *storer.Fake
+	ctx    context.Context
+	group  sync.WaitGroup
+	design design
+	fanOut int
 	// breakIt, when set, changes each follower before it starts.
 	breakIt func(f *Follower)
 
@@ -54,6 +54,28 @@
 	frames       map[string]int
 }
 
+// design is a way of distribution to measure. Nodes use a tree, and pulls by hints
+// from peers.
+type design string
+
+const (
+	designMix design = "mix"
+	// designWatch has every node watch the platform.
+	designWatch design = "watch"
+	// designPulls has no tree: nodes pull from peers that tell of a greater version.
+	designPulls design = "pulls"
+	// designTree has no hints from peers.
+	designTree design = "tree"
+)
+
+// everyNodeWatches stands for the elector where each node is a relay.
+func everyNodeWatches() blackboard.Controller {
+	return blackboard.Controller{Name: "elector", Reduce: func(s blackboard.State, _ blackboard.Msg) (blackboard.State, []blackboard.Effect) {
+		s.Lease.Slot = 0
+		return s, nil
+	}}
+}
+
 // testNode is one host. Its greatest version outlives its processes.
 type testNode struct {
 	host, rack string
@@ -74,7 +96,7 @@
 func newFleet(t *testing.T, hosts, racks int, seed uint64) *fleet {
 	ctx, cancel := context.WithCancel(t.Context())
 	fl := &fleet{
-		t: t, fake: storer.NewFake(), ctx: ctx, fanOut: DefaultFanOut, rng: rand.New(rand.NewPCG(seed, 1)),
+		t: t, fake: storer.NewFake(), ctx: ctx, fanOut: DefaultFanOut, design: designMix, rng: rand.New(rand.NewPCG(seed, 1)),
 		nodes: map[string]*testNode{}, links: map[[2]string]chan *wirepb.FollowFrame{},
 		head: snapshotter.Empty(), accepted: map[uint64]snapshotter.Digest{}, published: map[uint64]time.Time{},
 		sent: map[string]int{}, frames: map[string]int{},
@@ -92,11 +114,17 @@
 
 func (fl *fleet) startAll() {
 	for host := range fl.nodes {
-		fl.start(host)
+		fl.startProcess(host)
 	}
+	fl.gossip()
 }
 
 func (fl *fleet) start(host string) {
+	fl.startProcess(host)
+	fl.gossip()
+}
+
+func (fl *fleet) startProcess(host string) {
 	n := fl.nodes[host]
 	fl.mu.Lock()
 	n.starts++
@@ -114,14 +142,19 @@
 	fl.mu.Unlock()
 	fl.group.Go(func() { _ = board.Run(ctx) })
 	fl.group.Go(func() { fl.tick(ctx, n, offset) })
-	fl.gossip()
 }
 
 func (fl *fleet) controllers(n *testNode) []blackboard.Controller {
 	client := fl.client(n.host)
 	f := newFollower(NewPlatform(client))
 	f.FanOut = fl.fanOut
-	f.baseline = fl.baseline
+	if fl.design == designWatch {
+		f.Platform.WriteStatus = func(context.Context, ticketer.DataCentreStatus) error { return nil }
+	}
+	if fl.design == designPulls {
+		f.treeless = true
+		f.pullAfter = 0
+	}
 	f.Drop = func(string) {}
 	f.Send = func(_ context.Context, address string, frame *wirepb.FollowFrame) error {
 		fl.send(n.host, address, frame)
@@ -143,10 +176,10 @@
 		return s, nil
 	}}
 	controllers := []blackboard.Controller{members, watched}
-	if fl.baseline != baselineWatch {
-		controllers = append(controllers, elector.New(client, "reyk-a"))
+	if fl.design == designWatch {
+		return append(controllers, everyNodeWatches())
 	}
-	return controllers
+	return append(controllers, elector.New(client, "reyk-a"))
 }
 
 // check records what must never happen.
@@ -185,7 +218,7 @@
 				continue
 			}
 			n.board.Load().Post(blackboard.Tick{Now: now})
-			if i%10 == 9 && fl.baseline != baselineTree && fl.baseline != baselineWatch {
+			if i%10 == 9 && fl.design != designTree && fl.design != designWatch {
 				fl.hint(n)
 			}
 		}
@@ -315,9 +348,13 @@
 		time.Sleep(time.Second)
 		fl.mu.Lock()
 		defer fl.mu.Unlock()
+		var view map[string]blackboard.Member
 		for _, viewer := range fl.nodes {
+			if view == nil || fl.lost != nil {
+				view = fl.view(viewer)
+			}
 			if viewer.up {
-				viewer.board.Load().Post(membersSet{byHost: fl.view(viewer)})
+				viewer.board.Load().Post(membersSet{byHost: view})
 			}
 		}
 	})
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -44,23 +44,13 @@
 	// Now returns the time. Tests replace it.
 	Now func() time.Time
 	Log *logger.Logger
-	// baseline changes the design for comparison in measurements.
-	baseline baseline
+	// treeless leaves out the tree, so that versions arrive only by pulls, and
+	// pullAfter is how long a greater version may be known of before it is
+	// pulled. Both exist to measure what the tree brings.
+	treeless  bool
+	pullAfter time.Duration
 }
 
-// baseline names a simpler way of distribution that the design is measured
-// against. The zero value is the design itself.
-type baseline string
-
-const (
-	// baselineWatch has every node watch the platform.
-	baselineWatch baseline = "watch"
-	// baselineGossip has no tree: nodes pull from random peers.
-	baselineGossip baseline = "gossip"
-	// baselineTree has no pulls by hints from peers.
-	baselineTree baseline = "tree"
-)
-
 // Option changes a Follower.
 type Option func(*Follower)
 
@@ -90,7 +80,7 @@
 func newFollower(platform Platform) *Follower {
 	return &Follower{
 		FanOut: DefaultFanOut, RelaySlots: elector.DefaultSlots,
-		Platform: platform, Validate: snapshotter.Validate, Now: time.Now,
+		Platform: platform, Validate: snapshotter.Validate, Now: time.Now, pullAfter: defaultPullAfter,
 	}
 }
 
--- a/internal/follower/message.go
+++ b/internal/follower/message.go
@@ -7,6 +7,7 @@
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/wirepb"
 	"gentianbarrow.example/pkg/snapshotter"
+	"gentianbarrow.example/pkg/ticketer"
 )
 
 // Received is a frame from a peer, other than a part of a snapshot.
@@ -104,7 +105,7 @@
 }
 
 // WriteStatus is the effect of writing the in-force counts of the data centre.
-type WriteStatus struct{ InForce map[uint64]int }
+type WriteStatus struct{ Status ticketer.DataCentreStatus }
 
 // DropPeer is the effect of closing the connections to a silent peer.
 type DropPeer struct{ Address string }
--- a/internal/follower/platform.go
+++ b/internal/follower/platform.go
@@ -31,7 +31,7 @@
 	// Load returns the snapshot of a head, verified by its digest. It reads only what differs from have.
 	Load func(ctx context.Context, h Head, have *snapshotter.Snapshot) (*snapshotter.Snapshot, error)
 	// WriteStatus stores how many nodes of the data centre run each version.
-	WriteStatus func(ctx context.Context, inForce map[uint64]int) error
+	WriteStatus func(ctx context.Context, s ticketer.DataCentreStatus) error
 }
 
 // NewPlatform returns the calls to the object store of the platform.
@@ -45,7 +45,9 @@
 		Load: func(ctx context.Context, h Head, have *snapshotter.Snapshot) (*snapshotter.Snapshot, error) {
 			return ticketer.LoadSnapshot(ctx, client, h.Head, have)
 		},
-		WriteStatus: func(context.Context, map[uint64]int) error { return nil },
+		WriteStatus: func(ctx context.Context, s ticketer.DataCentreStatus) error {
+			return ticketer.WriteStatus(ctx, client, s)
+		},
 	}
 }
 
--- a/internal/follower/property_test.go
+++ b/internal/follower/property_test.go
@@ -32,11 +32,12 @@
 	actLoseUpdates  action = "lose-updates"
 	actLoseSome     action = "lose-some"
 	actLinksRestore action = "links-restore"
+	actHoard        action = "hoard"
 )
 
 var actions = []action{
 	actPublish, actPublish, actKill, actKillMany, actStart, actStart, actPause, actWake, actOutage, actOutageEnd,
-	actAnswersLost, actPlatformCut, actOnePlatform, actIsolate, actSplitRacks, actLoseUpdates, actLoseSome, actLinksRestore,
+	actAnswersLost, actPlatformCut, actOnePlatform, actIsolate, actSplitRacks, actLoseUpdates, actLoseSome, actLinksRestore, actHoard,
 }
 
 type scheduled struct {
@@ -93,6 +94,8 @@
 		fl.cutPlatform(true)
 	case actOnePlatform:
 		fl.cutPlatformBut(host)
+	case actHoard:
+		fl.hoard(s.Host % 4)
 	default:
 		fl.actOnLinks(s, host)
 	}
@@ -115,6 +118,26 @@
 	}
 }
 
+// hoard puts a version in force on one relay only, and restarts it with the
+// platform down while some of the other hosts are dead.
+func (fl *fleet) hoard(dead int) {
+	relays := fl.relays()
+	if len(relays) == 0 || fl.fake.Faults().Outage {
+		return
+	}
+	fl.loseFrames(func(_, _ string, frame *wirepb.FollowFrame) bool { return isUpdate(frame) })
+	fl.cutPlatformBut(relays[0])
+	fl.publish()
+	time.Sleep(3 * time.Second)
+	fl.cutPlatform(true)
+	for i := range dead {
+		fl.kill(fmt.Sprintf("host-%d", i))
+	}
+	fl.restart(relays[0])
+	fl.loseFrames(nil)
+	time.Sleep(8 * time.Second)
+}
+
 // restart starts a host, after ending its process if it has one.
 func (fl *fleet) restart(host string) {
 	fl.mu.Lock()
--- a/internal/follower/run.go
+++ b/internal/follower/run.go
@@ -46,7 +46,7 @@
 		ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 		defer cancel()
 		// The counts are written again shortly.
-		_ = f.Platform.WriteStatus(ctx, e.InForce)
+		_ = f.Platform.WriteStatus(ctx, e.Status)
 	case DropPeer:
 		f.Drop(e.Address)
 	case Note:
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -1,30 +1,39 @@
 package follower
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/ranker"
 	"gentianbarrow.example/internal/wirepb"
+	"gentianbarrow.example/pkg/snapshotter"
+	"gentianbarrow.example/pkg/ticketer"
 )
 
 const (
 	// gatherUpdates is the least time between two watches, so that a burst of
 	// versions is passed on as one.
-	gatherUpdates    = 1 * time.Second
-	readHeadEvery    = 500 * time.Millisecond
-	statusEvery      = 5 * time.Second
+	gatherUpdates = 1 * time.Second
+	readHeadEvery = 500 * time.Millisecond
+	statusEvery   = 5 * time.Second
+	statusLapses  = 20 * time.Second
+	// statusSlot is the slot whose holder writes the status: its epochs order the writers.
+	statusSlot       = 0
 	sourceRetryFirst = 1 * time.Second
 	sourceRetryMost  = 10 * time.Second
+	// deferLoad, times the slot, is how long a relay leaves a large load to the
+	// relay of the first slot. A load is large above shardsAtOnce.
+	deferLoad    = 2 * time.Second
+	shardsAtOnce = 4
 	// questionsWaiting bounds the questions that a relay keeps; askers repeat theirs.
 	questionsWaiting = 4096
 )
 
 // isSource tells whether this node watches the platform.
-func (st *step) isSource() bool {
-	return st.s.Lease.Slot >= 0 || st.f.baseline == baselineWatch
-}
+func (st *step) isSource() bool { return st.s.Lease.Slot >= 0 }
 
 func (st *step) tickSource() {
 	src := &st.s.Config.Source
@@ -39,10 +48,30 @@
 	if len(src.Waiting) > 0 || st.s.Config.Recovering {
 		st.readHead()
 	}
-	if !st.now.Before(src.StatusAt) && st.isFirstRelay() && st.s.Lease.Slot >= 0 {
+	if !st.now.Before(src.StatusAt) && st.s.Lease.Slot == statusSlot {
 		src.StatusAt = st.now.Add(statusEvery)
-		st.add(WriteStatus{InForce: InForce(&st.s)})
+		st.add(WriteStatus{Status: st.status()})
+	}
+}
+
+// status counts the nodes of the data centre by the version in force on them.
+func (st *step) status() ticketer.DataCentreStatus {
+	status := ticketer.DataCentreStatus{
+		DataCentre: st.s.Self.DataCentre, Epoch: st.s.Lease.Epoch,
+		Counted: st.now, Lapses: st.now.Add(statusLapses),
+	}
+	for _, m := range st.s.Members.ByHost {
+		if m.Status != blackboard.MemberLeft {
+			status.Nodes++
+		}
+	}
+	counts := InForce(&st.s)
+	for _, v := range slices.Backward(slices.Sorted(maps.Keys(counts))) {
+		if v > 0 {
+			status.Versions = append(status.Versions, ticketer.VersionCount{Version: v, Nodes: counts[v]})
+		}
 	}
+	return status
 }
 
 // readHead starts a read unless one is under way or was done a moment ago.
@@ -64,12 +93,43 @@
 	}
 	src.Failures = 0
 	src.WatchAt = m.Now.Add(gatherUpdates)
+	if st.defersLoad(m.Head) {
+		src.Deferred = m.Head.Version
+		src.WatchAt = m.Now.Add(time.Duration(st.s.Lease.Slot) * deferLoad)
+		return
+	}
 	src.Revision = max(src.Revision, m.Head.Revision)
 	st.load(m.Head)
 }
 
+// defersLoad tells whether to leave a load of many shards to the relay of the
+// first slot, which passes the version on. A version that did not come that
+// way is loaded when it is seen again.
+func (st *step) defersLoad(head Head) bool {
+	if head.Version <= st.s.Config.Source.Deferred || st.s.Lease.Slot <= 0 {
+		return false
+	}
+	return st.s.Config.Recovering || differingShards(head, st.newest()) > shardsAtOnce
+}
+
+func differingShards(head Head, have *snapshotter.Snapshot) int {
+	if have == nil {
+		return len(head.Shards)
+	}
+	n := 0
+	owned := snapshotter.Digests(have)
+	for i, d := range head.Shards {
+		if i >= len(owned) || owned[i] != d {
+			n++
+		}
+	}
+	return n
+}
+
 func (st *step) load(head Head) {
-	if head.Version > number(st.newest()) {
+	src := &st.s.Config.Source
+	if head.Version > number(st.newest()) && head.Version > src.Loading {
+		src.Loading = head.Version
 		st.add(LoadHead{Head: head, Have: st.newest()})
 	}
 }
@@ -82,6 +142,7 @@
 		st.add(Note{Event: logger.PlatformSilent})
 	}
 	src.Failures++
+	src.Loading = 0
 	src.Revision = 0
 	src.WatchAt = st.now.Add(ranker.Backoff(st.s.Self.Host, st.now, src.Failures, sourceRetryFirst, sourceRetryMost))
 }
@@ -111,7 +172,7 @@
 	if !m.Began.Before(c.Recovery.Began) {
 		st.recovered(m.Head.Version, "own read")
 	}
-	if st.isSource() || c.Parent == "" {
+	if st.s.Lease.Slot == 0 || !st.isSource() && c.Parent == "" {
 		st.load(m.Head)
 	}
 }
--- a/internal/follower/tree.go
+++ b/internal/follower/tree.go
@@ -36,7 +36,7 @@
 	if t.JoinAt.IsZero() {
 		t.JoinAt = st.now.Add(ranker.Jitter(st.s.Self.Host, st.now, 2, rejoinFirst))
 	}
-	if st.now.Before(t.JoinAt) || st.f.baseline == baselineGossip || st.f.baseline == baselineWatch {
+	if st.now.Before(t.JoinAt) || st.f.treeless {
 		return
 	}
 	parent := st.chooseParent()
--- a/internal/follower/update.go
+++ b/internal/follower/update.go
@@ -14,8 +14,8 @@
 const (
 	// recentVersions is how many versions a node can make deltas from.
 	recentVersions = 8
-	// pullAfter is how long a greater version may be known of before it is pulled.
-	pullAfter = 2 * time.Second
+	// defaultPullAfter leaves the tree time to bring a version by itself.
+	defaultPullAfter = 2 * time.Second
 )
 
 // offer sends the newest version to a child that has an older one.
@@ -111,7 +111,7 @@
 // heard notes a greater version that a peer has.
 func (st *step) heard(version uint64, address string) {
 	h := &st.s.Config.Heard
-	if version <= number(st.newest()) || version <= h.Version || st.f.baseline == baselineTree {
+	if version <= number(st.newest()) || version <= h.Version {
 		return
 	}
 	h.Version = version
@@ -125,8 +125,7 @@
 		return
 	}
 	if h.PullAt.IsZero() {
-		h.PullAt = st.now.Add(pullAfter)
-		return
+		h.PullAt = st.now.Add(st.f.pullAfter)
 	}
 	if st.now.Before(h.PullAt) {
 		return
