Refuse a reused key at a draining home, and end writes to a peer that has gone

Cause: random schedules of faults, judged by the targets' own counts of executions, found 'key ran 2 times': a key that came with another request to a home that drains was taken for unknown there, so the request moved on and ran at the next host. A test of callers that leave inside a large answer found a slot that stayed taken: the target's node waited for room in the window of a stream that its peer had closed.

Ruled out: the stand-in target, whose counts agree with its own log of the case.

Change: Find tells a reused key from an unknown one, and the draining home refuses it. The end of an exchange aborts its stream, which ends the write.

--- a/internal/deduplicator/deduplicator.go
+++ b/internal/deduplicator/deduplicator.go
@@ -122,15 +122,18 @@
 }
 
 // Find looks a key up without remembering it.
-func (t *Table) Find(now time.Time, key string, fingerprint uint64) (Snapshot, bool) {
+func (t *Table) Find(now time.Time, key string, fingerprint uint64) (s Snapshot, known bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
 	e := t.entries[key]
-	if e == nil || e.fingerprint != fingerprint {
-		return Snapshot{}, false
+	if e == nil {
+		return Snapshot{}, false, nil
 	}
-	return Snapshot{State: e.state, Answer: e.answer}, true
+	if e.fingerprint != fingerprint {
+		return Snapshot{}, true, &ReusedError{Key: key}
+	}
+	return Snapshot{State: e.state, Answer: e.answer}, true, nil
 }
 
 // expire forgets the keys whose time has come. The caller holds mu.
--- /dev/null
+++ b/internal/dispatcher/http_test.go
@@ -0,0 +1,223 @@
+package dispatcher
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/retrier"
+)
+
+// fakeTarget serves each connection that the client dials.
+type fakeTarget struct {
+	group sync.WaitGroup
+	// serve is given the number of the connection, from 1.
+	serve func(n int, c net.Conn, r *bufio.Reader)
+	mu    sync.Mutex
+	dials int
+}
+
+func (f *fakeTarget) dial(context.Context, string, string) (net.Conn, error) {
+	f.mu.Lock()
+	f.dials++
+	n := f.dials
+	f.mu.Unlock()
+	near, far := net.Pipe()
+	f.group.Go(func() {
+		defer far.Close()
+		f.serve(n, far, bufio.NewReader(far))
+	})
+	return near, nil
+}
+
+func (f *fakeTarget) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dials
+}
+
+func testRequest(id string) *exchanger.Request {
+	return &exchanger.Request{
+		ID: id, Method: "POST", Path: "/book", Host: "booking", Header: http.Header{},
+		Depth: 1, Attempt: 1, Deadline: time.Now().Add(10 * time.Second),
+	}
+}
+
+func respond(c net.Conn, id, body string) {
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nGentian-Request-Id: "+id+"\r\n\r\n"+body)
+}
+
+// inBubble runs a client against a fake target under fake time.
+func inBubble(t *testing.T, serve func(n int, c net.Conn, r *bufio.Reader), f func(t *testing.T, target *fakeTarget, client Client)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		target := &fakeTarget{serve: serve}
+		client := NewHTTP(WithDial(target.dial))
+		f(t, target, client)
+		client.Close()
+		target.group.Wait()
+	})
+}
+
+func assertAnswer(t *testing.T, a *exchanger.Answer, o retrier.Outcome, reason exchanger.Reason) {
+	t.Helper()
+	defer a.Close()
+	assert.Equal(t, a.Outcome, o, "error %v", a.Err)
+	assert.Equal(t, a.Reason, reason)
+}
+
+func assertBody(t *testing.T, a *exchanger.Answer, want string) {
+	t.Helper()
+	defer a.Close()
+	assert.Equal(t, a.Outcome, retrier.OutcomeDone, "error %v", a.Err)
+	body, err := io.ReadAll(a.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), want)
+}
+
+func TestDispatch(t *testing.T) {
+	t.Run("a target that cannot be reached has run nothing", func(t *testing.T) {
+		client := NewHTTP(WithDial(func(context.Context, string, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+		}))
+		a := client.Dispatch(t.Context(), "target:1", testRequest("r-1"))
+		assertAnswer(t, a, retrier.OutcomeNotRun, exchanger.ReasonTargetFailed)
+	})
+	t.Run("a target that closes before it reads may have run it", func(t *testing.T) {
+		inBubble(t, func(_ int, _ net.Conn, r *bufio.Reader) { _, _ = r.Peek(1) }, func(t *testing.T, _ *fakeTarget, client Client) {
+			a := client.Dispatch(t.Context(), "target:1", testRequest("r-1"))
+			assertAnswer(t, a, retrier.OutcomeUnknown, exchanger.ReasonConnectionLost)
+		})
+	})
+	t.Run("a deadline before the connection is not-run", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			client := NewHTTP(WithDial(func(context.Context, string, string) (net.Conn, error) {
+				time.Sleep(time.Minute)
+				return nil, net.ErrClosed
+			}))
+			defer time.Sleep(time.Minute)
+			a := client.Dispatch(t.Context(), "target:1", testRequest("r-1"))
+			assertAnswer(t, a, retrier.OutcomeNotRun, exchanger.ReasonDeadline)
+		})
+	})
+	t.Run("a path with special characters arrives as it was sent", func(t *testing.T) {
+		serve := func(_ int, c net.Conn, r *bufio.Reader) {
+			req, err := http.ReadRequest(r)
+			if err == nil && req.RequestURI == "/book/a%2Fb?x=%20" {
+				respond(c, "r-1", "ok")
+			}
+		}
+		inBubble(t, serve, func(t *testing.T, _ *fakeTarget, client Client) {
+			r := testRequest("r-1")
+			r.Path = "/book/a%2Fb?x=%20"
+			assertBody(t, client.Dispatch(t.Context(), "target:1", r), "ok")
+		})
+	})
+}
+
+func TestLateAnswers(t *testing.T) {
+	t.Run("a second answer to one request is not taken for the next one's", func(t *testing.T) {
+		serve := func(n int, c net.Conn, r *bufio.Reader) {
+			if req, err := http.ReadRequest(r); err == nil {
+				id := req.Header.Get(exchanger.HeaderRequestID)
+				respond(c, id, "ok")
+				if n == 1 {
+					respond(c, id, "xx")
+				}
+			}
+		}
+		inBubble(t, serve, func(t *testing.T, _ *fakeTarget, client Client) {
+			assertBody(t, client.Dispatch(t.Context(), "target:1", testRequest("r-1")), "ok")
+			synctest.Wait()
+			assertBody(t, client.Dispatch(t.Context(), "target:1", testRequest("r-2")), "ok")
+		})
+	})
+	t.Run("the connection of a cancelled request is not used again", func(t *testing.T) {
+		serve := func(n int, c net.Conn, r *bufio.Reader) {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if n == 1 {
+				time.Sleep(2 * time.Second)
+			}
+			respond(c, req.Header.Get(exchanger.HeaderRequestID), "ok")
+		}
+		inBubble(t, serve, func(t *testing.T, target *fakeTarget, client Client) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			a := client.Dispatch(ctx, "target:1", testRequest("r-1"))
+			assertAnswer(t, a, retrier.OutcomeUnknown, exchanger.ReasonDeadline)
+			assertBody(t, client.Dispatch(t.Context(), "target:1", testRequest("r-2")), "ok")
+			assert.Equal(t, target.count(), 2)
+		})
+	})
+	t.Run("nor that of an answer that was not read to its end", func(t *testing.T) {
+		serve := func(_ int, c net.Conn, r *bufio.Reader) {
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				respond(c, req.Header.Get(exchanger.HeaderRequestID), "ok")
+			}
+		}
+		inBubble(t, serve, func(t *testing.T, target *fakeTarget, client Client) {
+			client.Dispatch(t.Context(), "target:1", testRequest("r-1")).Close()
+			assertBody(t, client.Dispatch(t.Context(), "target:1", testRequest("r-2")), "ok")
+			assert.Equal(t, target.count(), 2)
+		})
+	})
+}
+
+func TestHandover(t *testing.T) {
+	begin := func() (*handover, *conn) {
+		near, far := net.Pipe()
+		t.Cleanup(func() { _, _ = near.Close(), far.Close() })
+		h := &handover{cancel: func() {}}
+		c := &conn{Conn: near}
+		h.take(c)
+		return h, c
+	}
+	t.Run("a connection that was given up sends nothing more", func(t *testing.T) {
+		h, c := begin()
+		assert.Assert(t, h.giveUp())
+		_, err := c.Write([]byte("POST"))
+		var sealed *SealedError
+		assert.ErrorType(t, err, sealed)
+	})
+	t.Run("bytes sent can't be taken back", func(t *testing.T) {
+		h, c := begin()
+		_ = c.Close()
+		_, _ = c.Write([]byte("POST"))
+		assert.Assert(t, !h.giveUp())
+	})
+	t.Run("a second connection is refused once the first has sent", func(t *testing.T) {
+		h, c := begin()
+		_ = c.Close()
+		_, _ = c.Write([]byte("POST"))
+		second := &conn{Conn: c.Conn}
+		h.take(second)
+		_, err := second.Write([]byte("POST"))
+		assert.Assert(t, strings.Contains(err.Error(), "given up"))
+		assert.Assert(t, !h.giveUp())
+	})
+	t.Run("a connection that comes late is refused", func(t *testing.T) {
+		h, _ := begin()
+		assert.Assert(t, h.giveUp())
+		late := &conn{}
+		h.take(late)
+		_, err := late.Write([]byte("POST"))
+		assert.Assert(t, err != nil)
+	})
+}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -79,10 +79,15 @@
 	if !keyed(r) {
 		return e.stamp(exchanger.NotRun(reason, nil))
 	}
-	if known, ok := e.keys.Find(time.Now(), r.IdempotencyKey, fingerprint(r)); ok {
+	known, ok, err := e.keys.Find(time.Now(), r.IdempotencyKey, fingerprint(r))
+	switch {
+	case err != nil:
+		return e.stamp(exchanger.NotRun(keyRefusal(err), err))
+	case ok:
 		return e.stamp(recall(known))
+	default:
+		return e.stamp(exchanger.NotRun(reason, nil))
 	}
-	return e.stamp(exchanger.NotRun(reason, nil))
 }
 
 // keyed tells that an idempotency key protects the request.
--- /dev/null
+++ b/internal/forwarder/forwarder_test.go
@@ -0,0 +1,254 @@
+package forwarder
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/internal/drainer"
+	"gentianbarrow.example/internal/encoder"
+	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/linker"
+	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/internal/wirepb"
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+func testRequest() *exchanger.Request {
+	return &exchanger.Request{
+		ID: "r-1", Method: "GET", Path: "/read?x=1", Host: "booking",
+		Header:  http.Header{"Accept": {"text/plain"}},
+		Service: "booking", Class: snapshotter.ClassShort, Depth: 1, Attempt: 1,
+		Deadline: time.Now().Add(10 * time.Second),
+	}
+}
+
+// peer answers streams in place of another node.
+func peer(group *sync.WaitGroup, serve func(s *linker.Stream)) *Forwarder {
+	open := func(_ context.Context, _ string, _ linker.Traffic, _ string, first proto.Message, limit int) (*linker.Stream, error) {
+		near, far := net.Pipe()
+		group.Go(func() {
+			defer far.Close()
+			serve(&linker.Stream{Conn: far, Reader: bufio.NewReader(far)})
+		})
+		if err := encoder.Write(near, first, limit); err != nil {
+			return nil, err
+		}
+		return &linker.Stream{Conn: near, Reader: bufio.NewReader(near)}, nil
+	}
+	return New(Config{Open: open, Tracker: drainer.NewTracker()})
+}
+
+// readExchange takes in a request without a body.
+func readExchange(s *linker.Stream) {
+	var m wirepb.ForwardRequest
+	_ = encoder.Read(s.Reader, &m, encoder.MaxHeaderBytes)
+	_, _, _ = encoder.ReadChunk(s.Reader, nil)
+}
+
+func answerWith(m *wirepb.ForwardResponse, chunks ...*wirepb.BodyChunk) func(*linker.Stream) {
+	return func(s *linker.Stream) {
+		readExchange(s)
+		_ = encoder.Write(s, m, encoder.MaxHeaderBytes)
+		for _, c := range chunks {
+			_ = encoder.Write(s, c, encoder.MaxChunkBytes)
+		}
+	}
+}
+
+func done(id string, length int64) *wirepb.ForwardResponse {
+	return &wirepb.ForwardResponse{RequestId: id, Outcome: "done", Status: 200, ContentLength: length}
+}
+
+// forward sends one request to a peer and returns its answer and body.
+func forward(t *testing.T, serve func(*linker.Stream)) (a *exchanger.Answer, body []byte, err error) {
+	t.Helper()
+	var group sync.WaitGroup
+	defer group.Wait()
+	a = peer(&group, serve).Forward(t.Context(), "peer", testRequest())
+	defer a.Close()
+	if a.Outcome == retrier.OutcomeDone {
+		body, err = io.ReadAll(a.Body)
+	}
+	return a, body, err
+}
+
+func assertTruncated(t *testing.T, err error) {
+	t.Helper()
+	var truncated *TruncatedError
+	assert.Assert(t, errors.As(err, &truncated), "got %v", err)
+}
+
+func TestForwardAnswers(t *testing.T) {
+	part := &wirepb.BodyChunk{Data: []byte("half")}
+	cases := []struct {
+		name  string
+		serve func(*linker.Stream)
+		want  string
+	}{
+		{"whole", answerWith(done("r-1", -1), part, &wirepb.BodyChunk{Data: []byte("+rest"), End: true, Total: 9}), "half+rest"},
+		{"cut before the end", answerWith(done("r-1", -1), part), ""},
+		{"ended with a wrong total", answerWith(done("r-1", -1), part, &wirepb.BodyChunk{End: true, Total: 9}), ""},
+		{"not of the stated length", answerWith(done("r-1", 9), part, &wirepb.BodyChunk{End: true, Total: 4}), ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, body, err := forward(t, c.serve)
+			if c.want == "" {
+				assertTruncated(t, err)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), c.want)
+		})
+	}
+}
+
+func TestForwardFailures(t *testing.T) {
+	cases := []struct {
+		name   string
+		serve  func(*linker.Stream)
+		reason exchanger.Reason
+	}{
+		{"answer to another request", answerWith(done("r-2", 0)), exchanger.ReasonCrossedAnswer},
+		{"answer with no outcome", answerWith(&wirepb.ForwardResponse{RequestId: "r-1"}), exchanger.ReasonMalformedAnswer},
+		{"answer with no status", answerWith(&wirepb.ForwardResponse{RequestId: "r-1", Outcome: "done"}), exchanger.ReasonMalformedAnswer},
+		{"no answer", readExchange, exchanger.ReasonConnectionLost},
+		{"answer over the limit", func(s *linker.Stream) {
+			readExchange(s)
+			_, _ = s.Write([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
+		}, exchanger.ReasonConnectionLost},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a, _, _ := forward(t, c.serve)
+			assert.Equal(t, a.Outcome, retrier.OutcomeUnknown)
+			assert.Equal(t, a.Reason, c.reason)
+		})
+	}
+	t.Run("deadline", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			a, _, _ := forward(t, func(s *linker.Stream) {
+				readExchange(s)
+				_, _ = s.Reader.ReadByte()
+			})
+			assert.Equal(t, a.Outcome, retrier.OutcomeUnknown)
+			assert.Equal(t, a.Reason, exchanger.ReasonDeadline)
+		})
+	})
+	t.Run("not opened is not run", func(t *testing.T) {
+		f := New(Config{Open: func(context.Context, string, linker.Traffic, string, proto.Message, int) (*linker.Stream, error) {
+			return nil, &linker.UnreachableError{}
+		}})
+		assert.Equal(t, f.Forward(t.Context(), "peer", testRequest()).Outcome, retrier.OutcomeNotRun)
+	})
+	t.Run("interrupted while opening is unknown", func(t *testing.T) {
+		f := New(Config{Open: func(context.Context, string, linker.Traffic, string, proto.Message, int) (*linker.Stream, error) {
+			return nil, &linker.InterruptedError{}
+		}})
+		assert.Equal(t, f.Forward(t.Context(), "peer", testRequest()).Outcome, retrier.OutcomeUnknown)
+	})
+}
+
+// handle feeds bytes to the serving side and tells whether a request was executed.
+func handle(data []byte) (executed bool) {
+	near, far := net.Pipe()
+	f := New(Config{
+		Tracker: drainer.NewTracker(),
+		Execute: func(_ context.Context, r *exchanger.Request) *exchanger.Answer {
+			executed = true
+			if r.Body != nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+			}
+			return exchanger.NotRun(exchanger.ReasonNoTarget, nil)
+		},
+	})
+	var group sync.WaitGroup
+	group.Go(func() { _, _ = io.Copy(io.Discard, near) })
+	s := &linker.Stream{Conn: far, Reader: bufio.NewReader(bytes.NewReader(data))}
+	f.Handle(context.Background(), s)
+	_ = far.Close()
+	group.Wait()
+	return executed
+}
+
+func encoded(m *wirepb.ForwardRequest, chunks ...*wirepb.BodyChunk) []byte {
+	var buf bytes.Buffer
+	_ = encoder.Write(&buf, m, encoder.MaxHeaderBytes)
+	for _, c := range chunks {
+		_ = encoder.Write(&buf, c, encoder.MaxChunkBytes)
+	}
+	return buf.Bytes()
+}
+
+func TestHandleRejects(t *testing.T) {
+	change := map[string]func(m *wirepb.ForwardRequest){
+		"request_id":      func(m *wirepb.ForwardRequest) { m.RequestId = strings.Repeat("x", 200) },
+		"method":          func(m *wirepb.ForwardRequest) { m.Method = "GET /\r\n" },
+		"path":            func(m *wirepb.ForwardRequest) { m.Path = "read" },
+		"service":         func(m *wirepb.ForwardRequest) { m.Service = "" },
+		"class":           func(m *wirepb.ForwardRequest) { m.Class = "slow" },
+		"remaining_micro": func(m *wirepb.ForwardRequest) { m.RemainingMicro = -1 },
+		"depth":           func(m *wirepb.ForwardRequest) { m.Depth = exchanger.MaxDepth + 1 },
+		"attempt":         func(m *wirepb.ForwardRequest) { m.Attempt = 0 },
+		"content_length":  func(m *wirepb.ForwardRequest) { m.ContentLength = -2 },
+	}
+	end := &wirepb.BodyChunk{End: true}
+	t.Run("nothing of a valid request", func(t *testing.T) {
+		assert.Assert(t, handle(encoded(encodeRequest(testRequest()), end)))
+	})
+	for field, f := range change {
+		t.Run(field, func(t *testing.T) {
+			m := encodeRequest(testRequest())
+			f(m)
+			_, err := decodeRequest(m, time.Now())
+			var invalid *InvalidError
+			assert.Assert(t, errors.As(err, &invalid))
+			assert.Equal(t, invalid.Field, field)
+			assert.Assert(t, !handle(encoded(m, end)))
+		})
+	}
+	t.Run("a body where none was announced", func(t *testing.T) {
+		assert.Assert(t, !handle(encoded(encodeRequest(testRequest()), &wirepb.BodyChunk{Data: []byte("x"), End: true, Total: 1})))
+	})
+}
+
+func FuzzHandle(f *testing.F) {
+	end := &wirepb.BodyChunk{End: true}
+	f.Add(encoded(encodeRequest(testRequest()), end))
+	m := encodeRequest(testRequest())
+	m.ContentLength = -1
+	f.Add(encoded(m, &wirepb.BodyChunk{Data: []byte("half")}, &wirepb.BodyChunk{End: true, Total: 4}))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		allocated := testing.AllocsPerRun(1, func() { handle(data) })
+		assert.Assert(t, allocated < float64(2000+len(data)))
+	})
+}
+
+func FuzzReadChunk(f *testing.F) {
+	f.Add([]byte{0x0a, 0x0a, 0x04, 'h', 'a', 'l', 'f', 0x10, 0x01, 0x18, 0x04})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := &chunkReader{r: bufio.NewReader(bytes.NewReader(data)), want: -1}
+		n, err := io.Copy(io.Discard, c)
+		if err == nil {
+			assert.Equal(t, n, c.got)
+			return
+		}
+		assertTruncated(t, err)
+		assert.Assert(t, cap(c.buf) <= encoder.MaxChunkBytes)
+	})
+}
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -64,6 +64,8 @@
 func (x *incoming) serve(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, x.request.Deadline)
 	defer cancel()
+	// A write that waits for a peer that has gone must end too.
+	stop := context.AfterFunc(ctx, x.stream.Abort)
 	body := &chunkReader{r: x.stream.Reader, want: x.request.ContentLength}
 	watch := func() { x.watching.Go(func() { x.watch(cancel) }) }
 	if x.request.ContentLength == 0 {
@@ -78,7 +80,7 @@
 	a := x.forwarder.cfg.Execute(ctx, x.request)
 	x.send(a)
 	a.Close()
-	cancel()
+	stop()
 	// Ends reads of the request's body that are still under way.
 	_ = x.stream.SetReadDeadline(time.Now().Add(closeTimeout))
 	x.watching.Wait()
--- a/internal/receiver/fault_test.go
+++ b/internal/receiver/fault_test.go
@@ -82,16 +82,18 @@
 }
 
 func TestTruncatedAnswer(t *testing.T) {
-	for _, nodes := range []int{1, 2} {
-		t.Run(fmt.Sprintf("over %d nodes", nodes), func(t *testing.T) {
-			cfg := targeter.Config{Choose: func(string) targeter.Fault { return targeter.FaultCutAfter }}
-			inMesh(t, nodes, cfg, func(t *testing.T, m *mesh) {
-				viaPeer(m)
-				r := m.ask(t.Context(), 0, "POST", "/book?bytes=50000", nil, withID("b-1"))
-				assert.Assert(t, !r.whole(), "the caller took half an answer for a whole one")
-				assert.Equal(t, m.counts().ByRequest["b-1"], 1)
+	for _, path := range []string{"/book?bytes=50000", "/book?bytes=50000&chunked"} {
+		for _, nodes := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%s over %d nodes", path, nodes), func(t *testing.T) {
+				cfg := targeter.Config{Choose: func(string) targeter.Fault { return targeter.FaultCutAfter }}
+				inMesh(t, nodes, cfg, func(t *testing.T, m *mesh) {
+					viaPeer(m)
+					r := m.ask(t.Context(), 0, "POST", path, nil, withID("b-1"))
+					assert.Assert(t, !r.whole(), "the caller took half an answer for a whole one")
+					assert.Equal(t, m.counts().ByRequest["b-1"], 1)
+				})
 			})
-		})
+		}
 	}
 }
 
@@ -251,6 +253,23 @@
 			})
 		})
 	}
+	for _, path := range []string{"/book", "/book?bytes=4000000"} {
+		for _, nodes := range []int{1, 2} {
+			t.Run(fmt.Sprintf("the slot is free at once, %s over %d nodes", path, nodes), func(t *testing.T) {
+				service := time.Duration(0)
+				if path == "/book" {
+					service = 8 * time.Second
+				}
+				inMesh(t, nodes, targeter.Config{ServiceTime: service}, func(t *testing.T, m *mesh) {
+					viaPeer(m)
+					m.askAndLeave(t, 0, path, time.Second)
+					synctest.Wait()
+					load, _ := m.nodes[nodes-1].executor.Load()
+					assert.Equal(t, load.InFlight, 0)
+				})
+			})
+		}
+	}
 	t.Run("a cancelled exchange frees its slot and its connection is not used again", func(t *testing.T) {
 		inMesh(t, 2, targeter.Config{ServiceTime: time.Second}, func(t *testing.T, m *mesh) {
 			viaPeer(m)
@@ -272,6 +291,21 @@
 	})
 }
 
+// askAndLeave sends a request and goes away after a time without reading the answer.
+func (m *mesh) askAndLeave(t *testing.T, i int, path string, after time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), after)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.nodes[i].callers+path, nil)
+	assert.NilError(t, err)
+	client := m.client()
+	defer client.CloseIdleConnections()
+	if resp, err := client.Do(req); err == nil {
+		<-ctx.Done()
+		_ = resp.Body.Close()
+	}
+}
+
 func TestStopDuringUpload(t *testing.T) {
 	for _, stopped := range []int{0, 1} {
 		t.Run(fmt.Sprintf("of node %d", stopped), func(t *testing.T) {
--- /dev/null
+++ b/internal/receiver/key_test.go
@@ -0,0 +1,196 @@
+package receiver
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/deduplicator"
+	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/internal/targeter"
+)
+
+func withKey(id, key string) map[string]string {
+	return map[string]string{exchanger.HeaderRequestID: id, exchanger.HeaderIdempotencyKey: key}
+}
+
+// assertKey checks how often a key has run at all targets together.
+func assertKey(t *testing.T, m *mesh, key string, want int) {
+	t.Helper()
+	assert.Equal(t, m.counts().ByKey[key], want)
+}
+
+// homeOf returns the index of the node that remembers a key.
+func (m *mesh) homeOf(key string) int {
+	var hosts []string
+	for _, n := range m.nodes {
+		hosts = append(hosts, n.host)
+	}
+	home := deduplicator.Home(key, hosts)
+	for i, n := range m.nodes {
+		if n.host == home {
+			return i
+		}
+	}
+	return -1
+}
+
+func TestIdempotencyKey(t *testing.T) {
+	const key = "order-41"
+	t.Run("done: the recorded answer, through whichever node", func(t *testing.T) {
+		inMesh(t, 3, targeter.Config{}, func(t *testing.T, m *mesh) {
+			first := m.ask(t.Context(), 0, "POST", "/book?bytes=30", nil, withKey("b-0", key))
+			assertDone(t, first)
+			for i := range m.nodes {
+				again := m.ask(t.Context(), i, "POST", "/book?bytes=30", nil, withKey(fmt.Sprintf("b-%d", i+1), key))
+				assertDone(t, again)
+				assert.DeepEqual(t, again.body, first.body)
+				assert.Equal(t, again.header.Get(exchanger.HeaderReplayed), "true")
+			}
+			assertKey(t, m, key, 1)
+		})
+	})
+	t.Run("running: told so", func(t *testing.T) {
+		inMesh(t, 3, targeter.Config{ServiceTime: 5 * time.Second}, func(t *testing.T, m *mesh) {
+			var group sync.WaitGroup
+			group.Go(func() { m.ask(t.Context(), 0, "POST", "/book", nil, withKey("b-0", key)) })
+			time.Sleep(time.Second)
+			r := m.ask(t.Context(), 1, "POST", "/book", nil, withKey("b-1", key))
+			group.Wait()
+			assertOutcome(t, r, retrier.OutcomeUnknown, http.StatusGatewayTimeout)
+			assert.Equal(t, r.reason(), exchanger.ReasonKeyRunning)
+			assertKey(t, m, key, 1)
+		})
+	})
+	t.Run("unknown: told so, and not run again", func(t *testing.T) {
+		cfg := targeter.Config{Choose: func(id string) targeter.Fault {
+			if id == "b-0" {
+				return targeter.FaultCutDuring
+			}
+			return targeter.FaultNone
+		}}
+		inMesh(t, 3, cfg, func(t *testing.T, m *mesh) {
+			m.ask(t.Context(), 0, "POST", "/book", nil, withKey("b-0", key))
+			r := m.ask(t.Context(), 1, "POST", "/book", nil, withKey("b-1", key))
+			assertOutcome(t, r, retrier.OutcomeUnknown, http.StatusGatewayTimeout)
+			assert.Equal(t, r.reason(), exchanger.ReasonKeyUnknown)
+			assertKey(t, m, key, 1)
+		})
+	})
+	t.Run("not run: runs when it is sent again", func(t *testing.T) {
+		inMesh(t, 3, targeter.Config{}, func(t *testing.T, m *mesh) {
+			m.nodes[m.homeOf(key)].target.SetFaults(targeter.Faults{Fault: targeter.FaultShed, Count: 1})
+			r := m.ask(t.Context(), 0, "POST", "/book", nil, withKey("b-0", key))
+			assertOutcome(t, r, retrier.OutcomeNotRun, http.StatusServiceUnavailable)
+			assertDone(t, m.ask(t.Context(), 1, "POST", "/book", nil, withKey("b-1", key)))
+			assertKey(t, m, key, 1)
+		})
+	})
+	t.Run("another request with the key is refused", func(t *testing.T) {
+		inMesh(t, 3, targeter.Config{}, func(t *testing.T, m *mesh) {
+			assertDone(t, m.ask(t.Context(), 0, "POST", "/book", nil, withKey("b-0", key)))
+			r := m.ask(t.Context(), 1, "POST", "/book?other", nil, withKey("b-1", key))
+			assertOutcome(t, r, retrier.OutcomeNotRun, http.StatusUnprocessableEntity)
+		})
+	})
+	t.Run("also by a home that drains", func(t *testing.T) {
+		inMesh(t, 3, targeter.Config{}, func(t *testing.T, m *mesh) {
+			home := m.homeOf(key)
+			assertDone(t, m.ask(t.Context(), home, "POST", "/book", nil, withKey("b-0", key)))
+			m.nodes[home].tracker.Close()
+			r := m.ask(t.Context(), (home+1)%3, "POST", "/book?other", nil, withKey("b-1", key))
+			assertOutcome(t, r, retrier.OutcomeNotRun, http.StatusUnprocessableEntity)
+			assertKey(t, m, key, 1)
+		})
+	})
+	t.Run("a key is forgotten after its time", func(t *testing.T) {
+		inMesh(t, 3, targeter.Config{}, func(t *testing.T, m *mesh) {
+			assertDone(t, m.ask(t.Context(), 0, "POST", "/book", nil, withKey("b-0", key)))
+			time.Sleep(deduplicator.Keep + time.Second)
+			assertDone(t, m.ask(t.Context(), 0, "POST", "/book", nil, withKey("b-1", key)))
+			assertKey(t, m, key, 2)
+		})
+	})
+}
+
+func TestIdempotencyKeyHome(t *testing.T) {
+	const key = "order-42"
+	t.Run("a dead home: a refusal, not a second run", func(t *testing.T) {
+		inMesh(t, 3, targeter.Config{}, func(t *testing.T, m *mesh) {
+			home := m.homeOf(key)
+			entry := (home + 1) % 3
+			assertDone(t, m.ask(t.Context(), entry, "POST", "/book", nil, withKey("b-0", key)))
+			m.nodes[home].kill()
+			r := m.ask(t.Context(), entry, "POST", "/book", nil, withKey("b-1", key))
+			assertOutcome(t, r, retrier.OutcomeNotRun, http.StatusServiceUnavailable)
+			assert.Equal(t, r.reason(), exchanger.ReasonKeyHomeLost)
+			assertKey(t, m, key, 1)
+		})
+	})
+	t.Run("a home that members call dead: a refusal as well", func(t *testing.T) {
+		inMesh(t, 3, targeter.Config{}, func(t *testing.T, m *mesh) {
+			home := m.homeOf(key)
+			entry := m.nodes[(home+1)%3]
+			entry.setStatus(m.nodes[home].host, blackboard.MemberDead)
+			r := m.ask(t.Context(), (home+1)%3, "POST", "/book", nil, withKey("b-1", key))
+			assertOutcome(t, r, retrier.OutcomeNotRun, http.StatusServiceUnavailable)
+			assert.Equal(t, r.reason(), exchanger.ReasonKeyHomeLost)
+		})
+	})
+	for _, draining := range []string{"target", "node"} {
+		t.Run("a home whose "+draining+" drains answers for its keys and passes new ones on", func(t *testing.T) {
+			inMesh(t, 3, targeter.Config{}, func(t *testing.T, m *mesh) {
+				home := m.homeOf(key)
+				entry := (home + 1) % 3
+				assertDone(t, m.ask(t.Context(), entry, "POST", "/book", nil, withKey("b-0", key)))
+				if draining == "target" {
+					m.nodes[home].setPhase(blackboard.TargetDraining)
+				} else {
+					m.nodes[home].tracker.Close()
+				}
+				again := m.ask(t.Context(), entry, "POST", "/book", nil, withKey("b-1", key))
+				assertDone(t, again)
+				assert.Equal(t, again.header.Get(exchanger.HeaderReplayed), "true")
+				for i := range 10 {
+					fresh := fmt.Sprintf("fresh-%d", i)
+					assertDone(t, m.ask(t.Context(), entry, "POST", "/book", nil, withKey(fresh, fresh)))
+					assertKey(t, m, fresh, 1)
+				}
+				assertKey(t, m, key, 1)
+			})
+		})
+	}
+	t.Run("the HTTP client does not repeat a request because it carries a key", func(t *testing.T) {
+		inMesh(t, 1, targeter.Config{}, func(t *testing.T, m *mesh) {
+			assertDone(t, m.ask(t.Context(), 0, "POST", "/book", nil, withKey("b-0", "warm")))
+			m.nodes[0].target.SetFaults(targeter.Faults{Fault: targeter.FaultCutDuring, Count: 1})
+			r := m.ask(t.Context(), 0, "POST", "/book", nil, withKey("b-1", key))
+			assertOutcome(t, r, retrier.OutcomeUnknown, http.StatusGatewayTimeout)
+			assertKey(t, m, key, 1)
+		})
+	})
+}
+
+func TestNotRunSpeaksOfTheWholeRequest(t *testing.T) {
+	inMesh(t, 2, targeter.Config{}, func(t *testing.T, m *mesh) {
+		var seen sync.Map
+		choose := func(id string) targeter.Fault {
+			if _, again := seen.LoadOrStore(id, true); again {
+				return targeter.FaultShed
+			}
+			return targeter.FaultCutDuring
+		}
+		for _, n := range m.nodes {
+			n.target.SetChoose(choose)
+		}
+		r := m.ask(t.Context(), 0, "GET", "/read", nil, withID("r-1"))
+		assertOutcome(t, r, retrier.OutcomeUnknown, http.StatusGatewayTimeout)
+		assert.Equal(t, m.counts().ByRequest["r-1"], 1)
+	})
+}
--- a/internal/receiver/mesh_test.go
+++ b/internal/receiver/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -126,7 +127,8 @@
 		cfg.Slots = 20
 	}
 	n.target = targeter.New(cfg)
-	n.back = &http.Server{Handler: n.target.Handler()}
+	// A frozen target reads nothing, so it learns only from here that the test is over.
+	n.back = &http.Server{Handler: n.target.Handler(), BaseContext: func(netListener) context.Context { return m.ctx }}
 	targetListener := net.listen(n.host + targetPort)
 	callerListener := net.listen(n.host + callersPort)
 	linkListener := net.listen(n.host + nodePort)
@@ -162,7 +164,10 @@
 	return n
 }
 
-type netConn = net.Conn
+type (
+	netConn     = net.Conn
+	netListener = net.Listener
+)
 
 func closed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
@@ -210,6 +215,17 @@
 	n.change(func(s *blackboard.State) { s.Target.Record.Phase = p })
 }
 
+// setStatus changes what the node believes of another.
+func (n *node) setStatus(host string, status blackboard.MemberStatus) {
+	n.change(func(s *blackboard.State) {
+		byHost := maps.Clone(s.Members.ByHost)
+		m := byHost[host]
+		m.Status = status
+		byHost[host] = m
+		s.Members.ByHost = byHost
+	})
+}
+
 // noTarget takes the target of a node away, so that its requests go to peers.
 func (m *mesh) noTarget(i int) {
 	m.nodes[i].change(func(s *blackboard.State) { s.Target = blackboard.Target{} })
--- a/internal/targeter/targeter.go
+++ b/internal/targeter/targeter.go
@@ -144,6 +144,13 @@
 	t.faults = f
 }
 
+// SetChoose replaces the function that picks faults.
+func (t *Targeter) SetChoose(f func(requestID string) Fault) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cfg.Choose = f
+}
+
 // Counts returns a copy of what was executed.
 func (t *Targeter) Counts() Counts {
 	t.mu.Lock()
@@ -291,7 +298,9 @@
 	if size, err := strconv.Atoi(r.URL.Query().Get("bytes")); err == nil {
 		body = Pattern(id, size)
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if !r.URL.Query().Has("chunked") {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	if fault == FaultCutAfter {
 		_, _ = w.Write(body[:len(body)/2])
 		_ = http.NewResponseController(w).Flush()
