--- a/internal/blackboard/state.go
+++ b/internal/blackboard/state.go
@@ -1,10 +1,6 @@
 package blackboard
 
-import (
-	"time"
-
-	"gentianbarrow.example/pkg/snapshotter"
-)
+import "time"
 
 // State is all that a node knows. Each entry has one writer, named beside it.
 type State struct {
@@ -64,40 +60,6 @@
 	InFlight int
 }
 
-// Config is the entry of the follower.
-type Config struct {
-	// Running is what requests are served by; nil until the node knows that it
-	// is not older than what this host has run. Its version never decreases.
-	Running *snapshotter.Snapshot
-	// Floor is the greatest version known to be in force on any host. Running is never replaced by a lower one.
-	Floor uint64
-	// Recovering is true until the node has evidence for a safe first version.
-	Recovering bool
-	// Parent is the address that the node follows; empty means none.
-	Parent string
-}
-
-// Lease is the entry of the elector.
-type Lease struct {
-	// Slot that this node holds as a relay; negative means none.
-	Slot int
-	// Epoch of the held lease. It grows each time a slot changes hands.
-	Epoch uint64
-	// Expires is when the held lease lapses unless renewed.
-	Expires time.Time
-	// Relays of this data centre as last read, by slot. Read only.
-	Relays []Relay
-}
-
-// Relay names the holder of a relay slot.
-type Relay struct {
-	Slot    int
-	Epoch   uint64
-	Host    string
-	Address string
-	Expires time.Time
-}
-
 // MemberStatus is what a node believes of another.
 type MemberStatus string
 
@@ -121,6 +83,8 @@
 	Status      MemberStatus
 	// Changed is when the status last changed, by the reader's clock.
 	Changed time.Time
+	// Forget is when a dead or left member is dropped from the table; zero otherwise.
+	Forget time.Time
 	// Target is what the member announced of its host's target.
 	Target TargetRecord
 }
@@ -152,12 +116,16 @@
 	Revision uint64
 }
 
-// Members is the entry of the gossiper.
+// Members is the entry of the gossiper. Remote and Summary are the summarizer's part of it.
 type Members struct {
 	// ByHost holds the nodes of this data centre, this node included. Read only; replaced on change.
 	ByHost map[string]Member
 	// Remote holds a summary of each other data centre. Read only; replaced on change.
 	Remote map[string]DataCentreSummary
+	// Gossip is the state of the membership protocol; nil before the first message. Read only; replaced on change.
+	Gossip *Gossip
+	// Summary is the state of the exchange of summaries; nil before the first message. Read only; replaced on change.
+	Summary *SummaryExchange
 }
 
 // DataCentreSummary is what a data centre tells the others.
@@ -175,8 +143,11 @@
 // ServiceSummary counts the ready targets of a service in one data centre.
 type ServiceSummary struct {
 	Service string
+	// Targets is 0 when the last target of the service is gone.
 	Targets int
 	Slots   int
+	// Changed is the sequence of the summary at which this entry changed last.
+	Changed uint64
 	// Hosts names a bounded sample of the nodes that have such a target.
 	Hosts []RemoteHost
 }
@@ -198,4 +169,8 @@
 	Lapses time.Time
 	// ReadySince is when the target last became ready; new work is ramped from then.
 	ReadySince time.Time
+	// Connections is how many connections the target accepts.
+	Connections int
+	// Evidence is what decides whether an announced target is believed.
+	Evidence TargetEvidence
 }
