--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -70,7 +70,7 @@
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
 	rc.forget(now)
-	rc.budget(now, r.call.service).Offered(now)
+	rc.budget(now, r.call.service).Offered(now, r.call.request.RetriedAbove)
 }
 
 // keyed tells that an idempotency key decides on the target.
--- /dev/null
+++ b/internal/receiver/bench_test.go
@@ -0,0 +1,259 @@
+package receiver
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/linker"
+	"gentianbarrow.example/internal/targeter"
+)
+
+// overTCP is loopback, for measurements.
+func overTCP(tb testing.TB) network {
+	var dialer net.Dialer
+	return network{
+		listen: func(string) net.Listener {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(tb, err)
+			return ln
+		},
+		dial: dialer.DialContext,
+	}
+}
+
+// bench is a mesh on loopback and a caller that keeps its connections.
+type bench struct {
+	*mesh
+	client *http.Client
+}
+
+func newBench(tb testing.TB, nodes int, cfg targeter.Config) *bench {
+	m := newMesh(overTCP(tb), nodes, cfg)
+	b := &bench{mesh: m, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+	tb.Cleanup(func() {
+		b.client.CloseIdleConnections()
+		m.close(tb)
+	})
+	return b
+}
+
+// call sends one request and returns how long its whole answer took.
+func (b *bench) call(tb testing.TB, method, address, path string, body io.Reader) time.Duration {
+	begun := time.Now()
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+address+path, body)
+	assert.NilError(tb, err)
+	req.Header.Set(exchanger.HeaderRequestID, "bench")
+	resp, err := b.client.Do(req)
+	assert.NilError(tb, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(tb, err)
+	assert.NilError(tb, resp.Body.Close())
+	assert.Equal(tb, resp.StatusCode, http.StatusOK, resp.Header.Get(exchanger.HeaderReason))
+	return time.Since(begun)
+}
+
+func quantile(samples []time.Duration, q float64) float64 {
+	slices.Sort(samples)
+	return float64(samples[int(float64(len(samples)-1)*q)].Microseconds())
+}
+
+func report(b *testing.B, name string, samples []time.Duration) {
+	b.ReportMetric(quantile(samples, 0.50), name+"-p50-us")
+	b.ReportMetric(quantile(samples, 0.99), name+"-p99-us")
+}
+
+// BenchmarkAddedLatency sends each request to the target itself, through one
+// node and through two, in turn.
+func BenchmarkAddedLatency(b *testing.B) {
+	for _, callers := range []int{1, 4} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			m := newBench(b, 2, targeter.Config{})
+			paths := map[string]string{
+				"direct": m.nodes[1].state.Load().Target.Address,
+				"one":    m.nodes[1].callers,
+				"two":    m.nodes[0].callers,
+			}
+			m.noTarget(0)
+			m.nodes[1].change(func(s *stateType) { s.Members.ByHost = nil })
+			samples := m.sample(b, callers, paths)
+			for _, name := range []string{"direct", "one", "two"} {
+				report(b, name, samples[name])
+			}
+			b.ReportMetric(quantile(samples["one"], 0.99)-quantile(samples["direct"], 0.99), "added-one-p99-us")
+			b.ReportMetric(quantile(samples["two"], 0.99)-quantile(samples["direct"], 0.99), "added-two-p99-us")
+		})
+	}
+}
+
+// sample lets callers send b.N requests over each path.
+func (b *bench) sample(tb *testing.B, callers int, paths map[string]string) map[string][]time.Duration {
+	var mu sync.Mutex
+	samples := map[string][]time.Duration{}
+	var left atomic.Int64
+	left.Store(int64(tb.N))
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for left.Add(-1) >= 0 {
+				for name, address := range paths {
+					took := b.call(tb, http.MethodGet, address, "/read?bytes=200", nil)
+					mu.Lock()
+					samples[name] = append(samples[name], took)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	group.Wait()
+	return samples
+}
+
+// BenchmarkRequest counts the allocations of caller, nodes and target together.
+func BenchmarkRequest(b *testing.B) {
+	for _, name := range []string{"direct", "one", "two"} {
+		b.Run(name, func(b *testing.B) {
+			m := newBench(b, 2, targeter.Config{})
+			m.noTarget(0)
+			address := m.nodes[0].callers
+			switch name {
+			case "direct":
+				address = m.nodes[1].state.Load().Target.Address
+			case "one":
+				m.nodes[1].change(func(s *stateType) { s.Members.ByHost = nil })
+				address = m.nodes[1].callers
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				m.call(b, http.MethodGet, address, "/read?bytes=200", nil)
+			}
+		})
+	}
+}
+
+// BenchmarkUpload streams 64 MB through two nodes.
+func BenchmarkUpload(b *testing.B) {
+	const size = 64 << 20
+	m := newBench(b, 2, targeter.Config{})
+	m.noTarget(0)
+	b.SetBytes(size)
+	b.ReportAllocs()
+	for b.Loop() {
+		m.call(b, http.MethodPost, m.nodes[0].callers, "/upload", io.LimitReader(zeros{}, size))
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { return len(b), nil }
+
+// BenchmarkShortBesideBulk times short requests through two nodes while
+// uploads run between the same two, over links of their own and over one link.
+func BenchmarkShortBesideBulk(b *testing.B) {
+	cases := []struct {
+		name    string
+		uploads int
+		oneLink bool
+	}{
+		{"no-uploads", 0, false}, {"separate-links", 4, false}, {"one-link", 4, true},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			m := newBench(b, 2, targeter.Config{})
+			m.noTarget(0)
+			if c.oneLink {
+				m.shareLink()
+			}
+			stop := m.uploadOnAndOn(b, c.uploads)
+			samples := m.sample(b, 1, map[string]string{"short": m.nodes[0].callers})
+			stop()
+			report(b, "short", samples["short"])
+		})
+	}
+}
+
+// shareLink puts all requests of the first node on one connection.
+func (m *mesh) shareLink() {
+	n := m.nodes[0]
+	n.open.Store(openFunc(func(ctx context.Context, address string, _ linker.Traffic, kind string, first proto.Message, limit int) (*linker.Stream, error) {
+		return n.linker.OpenWith(ctx, address, linker.TrafficShort, kind, first, limit)
+	}))
+}
+
+// uploadOnAndOn keeps uploads running until stop is called.
+func (b *bench) uploadOnAndOn(tb testing.TB, uploads int) (stop func()) {
+	var group sync.WaitGroup
+	var stopped atomic.Bool
+	for range uploads {
+		group.Go(func() {
+			for !stopped.Load() {
+				b.call(tb, http.MethodPost, b.nodes[0].callers, "/upload", io.LimitReader(zeros{}, 16<<20))
+			}
+		})
+	}
+	return func() {
+		stopped.Store(true)
+		group.Wait()
+	}
+}
+
+// memory returns the bytes of heap and stacks in use.
+func memory() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapInuse + s.StackInuse
+}
+
+// BenchmarkMemory reports what a node takes when idle and with all connections
+// of a target in use. Callers' and target's ends are in the same process and counted too.
+func BenchmarkMemory(b *testing.B) {
+	for _, connections := range []int{110, 120} {
+		b.Run(fmt.Sprintf("connections=%d", connections), func(b *testing.B) {
+			for range b.N {
+				before := memory()
+				m := newBench(b, 1, targeter.Config{Slots: connections, ServiceTime: 2 * time.Second})
+				m.setSlots(connections)
+				b.ReportMetric(float64(memory()-before)/1024, "idle-KiB")
+				var group sync.WaitGroup
+				for range connections {
+					group.Go(func() { m.call(b, http.MethodGet, m.nodes[0].callers, "/read?bytes=10", nil) })
+				}
+				time.Sleep(time.Second)
+				b.ReportMetric(float64(memory()-before)/1024, "full-KiB")
+				group.Wait()
+			}
+		})
+	}
+}
+
+// setSlots widens the service so that every connection carries a request.
+func (m *mesh) setSlots(slots int) {
+	for _, n := range m.nodes {
+		n.change(func(s *stateType) {
+			s.Config.Running = bookingSnapshot()
+			service := s.Config.Running.Services["booking"]
+			service.Slots, service.Connections = slots, slots
+			s.Config.Running.Services["booking"] = service
+			s.Target.Record.Slots = slots
+		})
+	}
+}
+
+func TestQuantile(t *testing.T) {
+	samples := []time.Duration{3 * time.Microsecond, time.Microsecond, 2 * time.Microsecond}
+	assert.Equal(t, quantile(samples, 0.5), 2.0)
+}
--- a/internal/receiver/mesh_test.go
+++ b/internal/receiver/mesh_test.go
@@ -7,12 +7,12 @@
 	"maps"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"gentianbarrow.example/internal/blackboard"
@@ -67,7 +67,9 @@
 	target     *targeter.Targeter
 	server     *http.Server
 	back       *http.Server
-	cancel     context.CancelFunc
+	// open holds the openFunc by which the node reaches peers.
+	open   atomic.Value
+	cancel context.CancelFunc
 }
 
 // bookingSnapshot routes /book (not idempotent), /read (idempotent), /upload (bulk) and /check (urgent).
@@ -93,16 +95,6 @@
 	}
 }
 
-// matchPrefix is the smallest matcher.
-func matchPrefix(s *snapshotter.Snapshot, _, path string) (snapshotter.Route, snapshotter.Service, bool) {
-	for _, r := range s.Routes {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r, s.Services[r.Service], true
-		}
-	}
-	return snapshotter.Route{}, snapshotter.Service{}, false
-}
-
 // newMesh starts nodes on the network. Stop it with close.
 func newMesh(n network, nodes int, cfg targeter.Config) *mesh {
 	m := &mesh{}
@@ -149,12 +141,16 @@
 			return s, ok
 		},
 	})
+	n.open.Store(openFunc(n.linker.OpenWith))
 	fw := forwarder.New(forwarder.Config{
-		Open: n.linker.OpenWith, Execute: n.executor.Execute, Refuse: n.executor.Refuse, Tracker: n.tracker, Incarnation: 1,
+		Open: func(ctx context.Context, address string, traffic linker.Traffic, kind string, first proto.Message, limit int) (*linker.Stream, error) {
+			return n.open.Load().(openFunc)(ctx, address, traffic, kind, first, limit)
+		},
+		Execute: n.executor.Execute, Refuse: n.executor.Refuse, Tracker: n.tracker, Incarnation: 1,
 	})
 	n.linker.Handle(forwarder.Kind, fw.Handle)
 	n.receiver = New(Config{
-		State: n.state.Load, Match: matchPrefix, Execute: n.executor.Execute, Forward: fw.Forward,
+		State: n.state.Load, Match: snapshotter.Match, Execute: n.executor.Execute, Forward: fw.Forward,
 		Tracker: n.tracker, Explanations: n.ring, Seed: uint64(i + 1),
 	})
 	n.server = &http.Server{Handler: n.receiver}
@@ -165,6 +161,8 @@
 }
 
 type (
+	stateType   = blackboard.State
+	openFunc    func(ctx context.Context, address string, traffic linker.Traffic, kind string, first proto.Message, limit int) (*linker.Stream, error)
 	netConn     = net.Conn
 	netListener = net.Listener
 )
