Send bodiless requests in one frame and short answers from small buffers

Cause: the allocation profile of a request through two nodes showed 16% in the 4 KiB readers of streams, 10% in buffers of a whole chunk for answers of some hundred bytes and 5% in the copy of headers; a request without a body sent an end chunk in a frame of its own from a goroutine of its own.

Change: 512-byte readers (longer reads go past them), a small buffer for bodies up to 2 KiB, no chunk after a request whose content length is 0.

--- a/internal/exchanger/header.go
+++ b/internal/exchanger/header.go
@@ -25,29 +25,28 @@
 
 const reservedPrefix = "Gentian-"
 
-var hopHeaders = []string{
-	"Connection", "Expect", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+// hopHeaders end at one connection.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Expect": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 }
 
 // EndToEnd copies the headers that pass on beyond one connection. It leaves
 // out the headers of this system.
 func EndToEnd(h http.Header) http.Header {
-	dropped := map[string]bool{}
-	for _, name := range hopHeaders {
-		dropped[name] = true
+	out := make(http.Header, len(h)+ownHeaders)
+	for name, values := range h {
+		if !hopHeaders[name] && !strings.HasPrefix(name, reservedPrefix) {
+			out[name] = values
+		}
 	}
 	for _, list := range h["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			dropped[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	out := make(http.Header, len(h))
-	for name, values := range h {
-		if dropped[name] || strings.HasPrefix(name, reservedPrefix) {
-			continue
+			delete(out, http.CanonicalHeaderKey(strings.TrimSpace(name)))
 		}
-		out[name] = values
 	}
 	return out
 }
+
+// ownHeaders is room for the headers that this system adds.
+const ownHeaders = 4
--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -4,17 +4,10 @@
 	"bufio"
 	"io"
 	"net/http"
-	"sync"
 
 	"gentianbarrow.example/internal/encoder"
 )
 
-// buffers holds chunk buffers.
-var buffers = sync.Pool{New: func() any {
-	b := make([]byte, encoder.MaxChunkDataBytes)
-	return &b
-}}
-
 // chunkReader reads a body from a stream. It is used by one goroutine at a time.
 type chunkReader struct {
 	r   *bufio.Reader
@@ -71,28 +64,25 @@
 func (c *chunkReader) whole() bool { return c.err == io.EOF && len(c.rest) == 0 } //nolint:errorlint // set by next
 
 // copyChunks sends a body, flushing after each read so that nothing waits.
-func copyChunks(w *bufio.Writer, body io.Reader) error {
+func copyChunks(w *bufio.Writer, body io.Reader, buf []byte) error {
 	var total int64
-	held := buffers.Get().(*[]byte)
-	defer buffers.Put(held)
-	for body != nil {
-		n, err := body.Read(*held)
+	for {
+		n, err := body.Read(buf)
 		total += int64(n)
 		last := err == io.EOF //nolint:errorlint // readers return io.EOF itself
 		if err != nil && !last {
 			return err
 		}
 		if last {
-			return finish(w, encoder.Chunk{Data: (*held)[:n], End: true, Total: total})
+			return finish(w, encoder.Chunk{Data: buf[:n], End: true, Total: total})
 		}
 		if n == 0 {
 			continue
 		}
-		if err := finish(w, encoder.Chunk{Data: (*held)[:n]}); err != nil {
+		if err := finish(w, encoder.Chunk{Data: buf[:n]}); err != nil {
 			return err
 		}
 	}
-	return finish(w, encoder.Chunk{End: true})
 }
 
 func finish(w *bufio.Writer, c encoder.Chunk) error {
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -1,9 +1,7 @@
 package forwarder
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"sync"
 	"time"
 
@@ -26,7 +24,9 @@
 	}
 	x := &outgoing{ctx: ctx, cancel: cancel, stream: s, request: r}
 	x.stop = context.AfterFunc(ctx, s.Abort)
-	x.uploads.Go(x.upload)
+	if r.Body != nil {
+		x.uploads.Go(x.upload)
+	}
 	return x.answer()
 }
 
@@ -44,17 +44,11 @@
 // upload sends the body of the request. When the body fails the stream is
 // ended, which cancels the request.
 func (x *outgoing) upload() {
-	if x.request.Body == nil {
-		_ = finish(bufio.NewWriterSize(x.stream, endChunkBytes), encoder.Chunk{End: true})
-		return
-	}
-	w := writers.Get().(*bufio.Writer)
-	w.Reset(x.stream)
-	if err := copyChunks(w, x.request.Body); err != nil {
-		x.stream.Abort()
-	}
-	w.Reset(nil)
-	writers.Put(w)
+	withSender(x.stream, x.request.ContentLength, func(s *sender) {
+		if err := copyChunks(s.w, x.request.Body, s.chunk); err != nil {
+			x.stream.Abort()
+		}
+	})
 }
 
 func (x *outgoing) answer() *exchanger.Answer {
@@ -109,11 +103,3 @@
 	b.exchange.end()
 	return nil
 }
-
-// writerBytes holds a whole chunk, so that it goes out in one frame.
-const (
-	writerBytes   = encoder.MaxChunkBytes + 16
-	endChunkBytes = 16
-)
-
-var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(io.Discard, writerBytes) }}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,7 +6,7 @@
 //	                               ◀──    ForwardResponse, BodyChunk...
 //	close                          ──▶
 //
-// Each body ends with a chunk that carries its total length, so that a body
+// A request whose content length is 0 has no chunks. Each other body ends with a chunk that carries its total length, so that a body
 // that was cut short cannot look whole. Closing the stream earlier cancels the
 // request. An answer must carry the id of its request.
 package forwarder
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bufio"
 	"context"
 	"sync"
 	"time"
@@ -69,9 +68,6 @@
 	body := &chunkReader{r: x.stream.Reader, want: x.request.ContentLength}
 	watch := func() { x.watching.Go(func() { x.watch(cancel) }) }
 	if x.request.ContentLength == 0 {
-		if body.next(); !body.whole() {
-			return
-		}
 		watch()
 	} else {
 		body.onEnd = watch
@@ -95,27 +91,26 @@
 // send writes the answer. The stream is ended without an end chunk when the
 // answer is cut, so the peer sees that.
 func (x *incoming) send(a *exchanger.Answer) {
-	w := writers.Get().(*bufio.Writer)
-	w.Reset(x.stream)
-	defer func() {
-		w.Reset(nil)
-		writers.Put(w)
-	}()
-	m := encodeAnswer(x.request, a, x.forwarder.cfg.Incarnation)
-	if err := encoder.Write(w, m, encoder.MaxHeaderBytes); err != nil {
-		return
+	length := int64(0)
+	if a.Outcome == retrier.OutcomeDone {
+		length = bodyLength(x.request.Method, a.Status, a.ContentLength)
 	}
-	if a.Outcome != retrier.OutcomeDone {
-		_ = w.Flush()
-		return
-	}
-	length := bodyLength(x.request.Method, a.Status, a.ContentLength)
-	if length < 0 || length > shortBodyBytes {
-		if err := w.Flush(); err != nil {
+	withSender(x.stream, length, func(s *sender) {
+		m := encodeAnswer(x.request, a, x.forwarder.cfg.Incarnation)
+		if err := encoder.Write(s.w, m, encoder.MaxHeaderBytes); err != nil {
 			return
 		}
-	}
-	if err := copyChunks(w, a.Body); err != nil {
-		x.forwarder.cfg.Log.Write(logger.AnswerTruncated, logger.Fields{RequestID: x.request.ID, Service: x.request.Service, Err: err})
-	}
+		if a.Outcome != retrier.OutcomeDone {
+			_ = s.w.Flush()
+			return
+		}
+		if length < 0 || length > shortBodyBytes {
+			if err := s.w.Flush(); err != nil {
+				return
+			}
+		}
+		if err := copyChunks(s.w, a.Body, s.chunk); err != nil {
+			x.forwarder.cfg.Log.Write(logger.AnswerTruncated, logger.Fields{RequestID: x.request.ID, Service: x.request.Service, Err: err})
+		}
+	})
 }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -36,6 +36,8 @@
 	writeTimeout = 3 * time.Second
 	openTimeout  = 2 * time.Second
 	maxKindBytes = 256
+	// readerBytes is the buffer of a stream. Longer reads go past it.
+	readerBytes = 512
 )
 
 // UnreachableError tells that no stream to the peer could be opened: nothing was sent.
@@ -146,7 +148,7 @@
 		_ = conn.Close()
 		return nil, &InterruptedError{Address: address, Cause: err}
 	}
-	return &Stream{Conn: conn, Reader: bufio.NewReader(conn)}, nil
+	return &Stream{Conn: conn, Reader: bufio.NewReaderSize(conn, readerBytes)}, nil
 }
 
 // Close ends every session that this node opened.
--- a/internal/linker/serve.go
+++ b/internal/linker/serve.go
@@ -70,7 +70,7 @@
 
 func (l *Linker) serveStream(ctx context.Context, conn net.Conn) {
 	defer conn.Close() //nolint:errcheck // the stream is done with
-	r := bufio.NewReader(conn)
+	r := bufio.NewReaderSize(conn, readerBytes)
 	var open wirepb.StreamOpen
 	if err := encoder.Read(r, &open, maxKindBytes); err != nil {
 		return
