--- a/internal/receiver/mesh_test.go
+++ b/internal/receiver/mesh_test.go
@@ -4,14 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"gentianbarrow.example/internal/blackboard"
@@ -66,7 +67,9 @@
 	target     *targeter.Targeter
 	server     *http.Server
 	back       *http.Server
-	cancel     context.CancelFunc
+	// open holds the openFunc by which the node reaches peers.
+	open   atomic.Value
+	cancel context.CancelFunc
 }
 
 // bookingSnapshot routes /book (not idempotent), /read (idempotent), /upload (bulk) and /check (urgent).
@@ -92,16 +95,6 @@
 	}
 }
 
-// matchPrefix is the smallest matcher.
-func matchPrefix(s *snapshotter.Snapshot, _, path string) (snapshotter.Route, snapshotter.Service, bool) {
-	for _, r := range s.Routes {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r, s.Services[r.Service], true
-		}
-	}
-	return snapshotter.Route{}, snapshotter.Service{}, false
-}
-
 // newMesh starts nodes on the network. Stop it with close.
 func newMesh(n network, nodes int, cfg targeter.Config) *mesh {
 	m := &mesh{}
@@ -126,7 +119,8 @@
 		cfg.Slots = 20
 	}
 	n.target = targeter.New(cfg)
-	n.back = &http.Server{Handler: n.target.Handler()}
+	// A frozen target reads nothing, so it learns only from here that the test is over.
+	n.back = &http.Server{Handler: n.target.Handler(), BaseContext: func(netListener) context.Context { return m.ctx }}
 	targetListener := net.listen(n.host + targetPort)
 	callerListener := net.listen(n.host + callersPort)
 	linkListener := net.listen(n.host + nodePort)
@@ -147,12 +141,16 @@
 			return s, ok
 		},
 	})
+	n.open.Store(openFunc(n.linker.OpenWith))
 	fw := forwarder.New(forwarder.Config{
-		Open: n.linker.OpenWith, Execute: n.executor.Execute, Refuse: n.executor.Refuse, Tracker: n.tracker, Incarnation: 1,
+		Open: func(ctx context.Context, address string, traffic linker.Traffic, kind string, first proto.Message, limit int) (*linker.Stream, error) {
+			return n.open.Load().(openFunc)(ctx, address, traffic, kind, first, limit)
+		},
+		Execute: n.executor.Execute, Refuse: n.executor.Refuse, Tracker: n.tracker, Incarnation: 1,
 	})
 	n.linker.Handle(forwarder.Kind, fw.Handle)
 	n.receiver = New(Config{
-		State: n.state.Load, Match: matchPrefix, Execute: n.executor.Execute, Forward: fw.Forward,
+		State: n.state.Load, Match: snapshotter.Match, Execute: n.executor.Execute, Forward: fw.Forward,
 		Tracker: n.tracker, Explanations: n.ring, Seed: uint64(i + 1),
 	})
 	n.server = &http.Server{Handler: n.receiver}
@@ -162,7 +160,12 @@
 	return n
 }
 
-type netConn = net.Conn
+type (
+	stateType   = blackboard.State
+	openFunc    func(ctx context.Context, address string, traffic linker.Traffic, kind string, first proto.Message, limit int) (*linker.Stream, error)
+	netConn     = net.Conn
+	netListener = net.Listener
+)
 
 func closed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
@@ -210,6 +213,17 @@
 	n.change(func(s *blackboard.State) { s.Target.Record.Phase = p })
 }
 
+// setStatus changes what the node believes of another.
+func (n *node) setStatus(host string, status blackboard.MemberStatus) {
+	n.change(func(s *blackboard.State) {
+		byHost := maps.Clone(s.Members.ByHost)
+		m := byHost[host]
+		m.Status = status
+		byHost[host] = m
+		s.Members.ByHost = byHost
+	})
+}
+
 // noTarget takes the target of a node away, so that its requests go to peers.
 func (m *mesh) noTarget(i int) {
 	m.nodes[i].change(func(s *blackboard.State) { s.Target = blackboard.Target{} })
