Give up silent connections to the platform together, and bound refusals

Cause: connections can go silent for good while new ones work. After one call ran into its limit, the next took another kept connection, as silent as the first. And a refusal quotes the ticket, so a name of a megabyte would have made the head too large to write. Tickets are stored below tickets/, as the page on the architecture says.

--- a/internal/commander/text.go
+++ b/internal/commander/text.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"time"
+	"unicode"
 
 	"gentianbarrow.example/pkg/snapshotter"
 	"gentianbarrow.example/pkg/ticketer"
@@ -12,11 +13,21 @@
 
 func clock(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05 UTC") }
 
+// printable makes a text that somebody else wrote safe to print on one line.
+func printable(text string) string {
+	return strings.Map(func(r rune) rune {
+		if !unicode.IsPrint(r) {
+			return ' '
+		}
+		return r
+	}, text)
+}
+
 func writeTicket(w io.Writer, t ticketer.Ticket) {
 	fmt.Fprintf(w, "ticket %d: %s\n", t.Number, headline(t))
-	fmt.Fprintf(w, "  firm:     %s\n", t.Firm)
-	fmt.Fprintf(w, "  reason:   %s\n", t.Reason)
-	fmt.Fprintf(w, "  commit:   %s\n", t.Commit)
+	fmt.Fprintf(w, "  firm:     %s\n", printable(t.Firm))
+	fmt.Fprintf(w, "  reason:   %s\n", printable(t.Reason))
+	fmt.Fprintf(w, "  commit:   %s\n", printable(t.Commit))
 	writeTouched(w, t.Change)
 	for _, step := range t.Steps {
 		writeStep(w, step)
@@ -26,7 +37,7 @@
 func headline(t ticketer.Ticket) string {
 	switch t.State() {
 	case ticketer.StateFiled:
-		return "filed, waits for approval by somebody other than " + t.Author
+		return "filed, waits for approval by somebody other than " + printable(t.Author)
 	case ticketer.StateApproved:
 		return fmt.Sprintf("approved, not yet decided; \"gentianctl ticket settle %d\" finishes it", t.Number)
 	case ticketer.StateAccepted:
@@ -62,7 +73,7 @@
 func writeStep(w io.Writer, s ticketer.Step) {
 	by := ""
 	if s.By != "" {
-		by = " by " + s.By
+		by = " by " + printable(s.By)
 	}
 	version := ""
 	if s.Version != 0 {
--- a/internal/commander/ticket.go
+++ b/internal/commander/ticket.go
@@ -140,7 +140,7 @@
 	return c.answer(list, func(w io.Writer) {
 		for _, ticket := range list {
 			fmt.Fprintf(w, "%6d  %-9s  %-12s  %-10s  %s\n",
-				ticket.Number, ticket.State(), ticket.Firm, ticket.Author, ticket.Reason)
+				ticket.Number, ticket.State(), printable(ticket.Firm), printable(ticket.Author), printable(ticket.Reason))
 		}
 	})
 }
--- a/pkg/snapshotter/apply.go
+++ b/pkg/snapshotter/apply.go
@@ -74,6 +74,12 @@
 	for _, r := range c.Routes {
 		v.route(r)
 	}
+	for _, name := range c.RemoveServices {
+		v.name(serviceLabel(name), "remove-services", name)
+	}
+	for _, name := range c.RemoveRoutes {
+		v.name(routeLabel(name), "remove-routes", name)
+	}
 }
 
 // shape checks what can be told from the change alone.
--- a/pkg/snapshotter/apply_test.go
+++ b/pkg/snapshotter/apply_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -116,6 +117,13 @@
 	t.Run("nothing", func(t *testing.T) {
 		assertRefused(t, s, 3, Change{}, RefusedError{Rule: RuleEmptyChange})
 	})
+	t.Run("a name that is none is quoted in part", func(t *testing.T) {
+		err := Check(Change{RemoveServices: []string{strings.Repeat("X", 1<<20)}})
+		var refused *RefusedError
+		assert.Assert(t, errors.As(err, &refused))
+		assert.Equal(t, refused.Rule, RuleName)
+		assert.Assert(t, len(err.Error()) < 4*maxTextBytes)
+	})
 	t.Run("a resource named twice", func(t *testing.T) {
 		assertRefused(t, s, 3, Change{Services: []Service{service("parts")}, RemoveServices: []string{"parts"}},
 			RefusedError{Rule: RuleDuplicate, Resource: "service parts", Field: "name"})
--- a/pkg/snapshotter/delta_test.go
+++ b/pkg/snapshotter/delta_test.go
@@ -60,6 +60,25 @@
 	})
 }
 
+func FuzzDecode(f *testing.F) {
+	s, err := Apply(Empty(), Change{Services: []Service{service("parts")}, Routes: []Route{route("parts", "/parts", "parts")}}, 1)
+	assert.NilError(f, err)
+	f.Add(EncodeSnapshot(s))
+	f.Add(EncodeDelta(Diff(Empty(), s)))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if s, err := DecodeSnapshot(data); err == nil {
+			again, err := DecodeSnapshot(EncodeSnapshot(s))
+			assert.NilError(t, err)
+			assert.Equal(t, again.Digest(), s.Digest())
+		}
+		if d, err := DecodeDelta(data); err == nil {
+			_, err := DecodeDelta(EncodeDelta(d))
+			assert.NilError(t, err)
+			_, _ = Patch(Empty(), d)
+		}
+	})
+}
+
 // A field that is added to Route must be compared too.
 func TestDiffSeesEachFieldOfRoute(t *testing.T) {
 	base := frothvik(t)
--- a/pkg/snapshotter/validate.go
+++ b/pkg/snapshotter/validate.go
@@ -32,10 +32,21 @@
 
 func (v *violations) add(e RefusedError) {
 	if len(*v) < MaxRefusals {
+		e.Resource, e.Detail = shorten(e.Resource), shorten(e.Detail)
 		*v = append(*v, e)
 	}
 }
 
+// maxTextBytes bounds the texts of a refusal, which may quote anything.
+const maxTextBytes = 400
+
+func shorten(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxTextBytes], "") + "..."
+}
+
 func (v violations) err() error {
 	if len(v) == 0 {
 		return nil
--- a/pkg/storer/http.go
+++ b/pkg/storer/http.go
@@ -35,6 +35,8 @@
 	callTimeout = 3 * time.Second
 	dialTimeout = 1 * time.Second
 	watchGrace  = 5 * time.Second
+	idleTimeout = 30 * time.Second
+	maxIdle     = 8
 	// maxErrorBytes bounds how much of an error's body is read.
 	maxErrorBytes = 4 << 10
 	// maxListBytes bounds the answer to a list.
@@ -73,7 +75,9 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	c := &httpClient{
 		base: baseURL,
-		http: http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8}},
+		http: http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout,
+		}},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -101,6 +105,9 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		// When one connection went silent, so may have those that are kept for
+		// later; new ones work.
+		c.http.CloseIdleConnections()
 		return answer{}, transportError(key, write, err)
 	}
 	defer resp.Body.Close() //nolint:errcheck // the body has been read
--- a/pkg/ticketer/ticket.go
+++ b/pkg/ticketer/ticket.go
@@ -12,7 +12,7 @@
 
 const (
 	// TicketPrefix is followed by the number of the ticket, in ten digits.
-	TicketPrefix = "ticket/"
+	TicketPrefix = "tickets/"
 	// LastTicketKey is the key of a hint: no number up to it is free.
 	LastTicketKey = "last-ticket"
 )
