Check names without regular expressions

Cause: at 7,200 routes Validate took 24 to 28 ms on each node for each version (go test -run '^$' -bench Fleet/validate ./pkg/snapshotter, load 22), most of it in regular expressions and in sorting names for an error that is rare. Change: byte loops, held against the regular expressions by a rapid property; names are sorted only when there is something to report.

--- a/pkg/snapshotter/apply_test.go
+++ b/pkg/snapshotter/apply_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"regexp"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 func service(name string) Service {
@@ -175,6 +177,17 @@
 	}
 }
 
+func TestNamesAndPrefixes(t *testing.T) {
+	name := regexp.MustCompile(`^[a-z][a-z0-9]*(-[a-z0-9]+)*$`)
+	path := regexp.MustCompile(`^(/[A-Za-z0-9._~!$&'()*+,;=:@-]+)+/?$|^/$`)
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.StringOfN(rapid.SampledFrom([]rune("az09-AZ/é ")), 0, 6, -1).Draw(t, "name")
+		assert.Equal(t, isKebabCase(n), name.MatchString(n))
+		p := "/" + rapid.StringOfN(rapid.SampledFrom([]rune("aZ9/-%?#~é ")), 0, 6, -1).Draw(t, "prefix")
+		assert.Equal(t, isPath(p), path.MatchString(p))
+	})
+}
+
 func TestMatch(t *testing.T) {
 	only := route("only", "/media/only-get", "booking")
 	only.Methods = []string{"GET"}
--- a/pkg/snapshotter/validate.go
+++ b/pkg/snapshotter/validate.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"iter"
 	"maps"
-	"regexp"
 	"slices"
 	"strings"
 )
@@ -21,10 +21,8 @@
 )
 
 var (
-	namePattern   = regexp.MustCompile(`^[a-z][a-z0-9]*(-[a-z0-9]+)*$`)
-	prefixPattern = regexp.MustCompile(`^/[A-Za-z0-9._~!$&'()*+,;=:@/-]*$`)
-	knownMethods  = []string{"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"}
-	knownClasses  = []Class{ClassUrgent, ClassShort, ClassBulk}
+	knownMethods = []string{"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"}
+	knownClasses = []Class{ClassUrgent, ClassShort, ClassBulk}
 )
 
 // violations collects what is wrong with one change.
@@ -59,24 +57,71 @@
 // Validate checks every rule for a snapshot. It returns *RefusedError.
 func Validate(s *Snapshot) error {
 	var v violations
-	for _, name := range slices.Sorted(maps.Keys(s.Services)) {
+	v.snapshot(s, maps.Keys(s.Services), maps.Keys(s.Routes))
+	if len(v) == 0 {
+		return nil
+	}
+	// In order of name, the same snapshot always gives the same error.
+	v = nil
+	services := slices.Sorted(maps.Keys(s.Services))
+	routes := slices.Sorted(maps.Keys(s.Routes))
+	v.snapshot(s, slices.Values(services), slices.Values(routes))
+	return v.err()
+}
+
+func (v *violations) snapshot(s *Snapshot, services, routes iter.Seq[string]) {
+	for name := range services {
 		v.service(s.Services[name])
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.Routes)) {
+	for name := range routes {
 		r := s.Routes[name]
 		v.route(r)
 		v.routed(s, r)
 	}
 	v.prefixes(s)
-	return v.err()
 }
 
 func serviceLabel(name string) string { return "service " + name }
 
 func routeLabel(name string) string { return "route " + name }
 
+// isKebabCase tells whether a name is words of small letters and digits, joined
+// by single hyphens, with a letter first.
+func isKebabCase(name string) bool {
+	if name == "" || name[0] < 'a' || name[0] > 'z' || name[len(name)-1] == '-' {
+		return false
+	}
+	for i := range len(name) {
+		c := name[i]
+		letter := c >= 'a' && c <= 'z' || c >= '0' && c <= '9'
+		if !letter && (c != '-' || name[i-1] == '-') {
+			return false
+		}
+	}
+	return true
+}
+
+// isPath tells whether a prefix is an absolute path, in the characters that
+// need no escape, without empty segments.
+func isPath(prefix string) bool {
+	if prefix == "" || prefix[0] != '/' {
+		return false
+	}
+	for i := range len(prefix) {
+		c := prefix[i]
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && strings.IndexByte("/-._~!$&'()*+,;=:@", c) < 0 {
+			return false
+		}
+		if c == '/' && i > 0 && prefix[i-1] == '/' {
+			return false
+		}
+	}
+	return true
+}
+
 func (v *violations) name(resource, field, name string) {
-	if len(name) > MaxNameBytes || !namePattern.MatchString(name) {
+	if len(name) > MaxNameBytes || !isKebabCase(name) {
 		v.add(RefusedError{
 			Rule: RuleName, Resource: resource, Field: field,
 			Detail: fmt.Sprintf("%q is not in kebab case of at most %d bytes", name, MaxNameBytes),
@@ -111,7 +156,7 @@
 	label := routeLabel(r.Name)
 	v.name(label, "name", r.Name)
 	v.limit(label, "timeout-ms", r.TimeoutMs, 1, MaxTimeoutMs)
-	if len(r.Prefix) > MaxPrefixBytes || !prefixPattern.MatchString(r.Prefix) || strings.Contains(r.Prefix, "//") {
+	if len(r.Prefix) > MaxPrefixBytes || !isPath(r.Prefix) {
 		v.add(RefusedError{
 			Rule: RulePrefix, Resource: label, Field: "prefix",
 			Detail: fmt.Sprintf("%q is not a path that begins with a slash, of at most %d bytes", r.Prefix, MaxPrefixBytes),
