--- a/internal/limiter/pace.go
+++ b/internal/limiter/pace.go
@@ -5,16 +5,16 @@
 const (
 	// serviceWeight is the weight of one sample in a smoothed service time.
 	serviceWeight = 0.1
-	// patienceTimes is how many service times a request may wait.
-	patienceTimes = 5
-	// leastPatience is how long a request may wait however short its service time is.
-	leastPatience = 50 * time.Millisecond
+	// ageFactor times the mean age of running requests is about their service time.
+	ageFactor = 1.5
 )
 
 // pace estimates how long requests run and wait.
 type pace struct {
 	// mean service time of each class in nanoseconds; 0 before the first sample.
 	mean [classes]float64
+	// starts is the sum of the start times of each class's running requests, in microseconds since 1970.
+	starts [classes]int64
 	// lastFreed is when a slot last came free or the target went from idle to busy.
 	lastFreed time.Time
 }
@@ -36,10 +36,26 @@
 	return p.expected(short)
 }
 
-// wait returns how long a request waits behind the given number of others. A
-// target that frees no slot for longer than usual makes the wait longer.
-func (p *pace) wait(now time.Time, ahead, slots int, c class) time.Duration {
-	gap := p.expected(c) / time.Duration(slots)
+// started and ended keep the sum of the start times of running requests.
+func (p *pace) started(c class, at time.Time) { p.starts[c] += at.UnixMicro() }
+
+func (p *pace) ended(c class, started time.Time) { p.starts[c] -= started.UnixMicro() }
+
+// current returns how long requests of the class run at this moment: as the
+// smoothed mean says, or longer when those that run are already older.
+func (p *pace) current(now time.Time, c class, running int) time.Duration {
+	if running == 0 {
+		return p.expected(c)
+	}
+	age := now.UnixMicro() - p.starts[c]/int64(running)
+	return max(p.expected(c), time.Duration(ageFactor*float64(age)*float64(time.Microsecond)))
+}
+
+// wait returns how long a request waits behind the given number of others when
+// each runs for service. A target that frees no slot for longer than usual
+// makes the wait longer.
+func (p *pace) wait(now time.Time, ahead, slots int, service time.Duration) time.Duration {
+	gap := service / time.Duration(slots)
 	stalled := max(gap, now.Sub(p.lastFreed))
 	if p.lastFreed.IsZero() {
 		stalled = gap
@@ -47,11 +63,6 @@
 	return stalled + time.Duration(ahead)*gap
 }
 
-// patience returns how long a request may wait before another target is the better try.
-func (p *pace) patience(c class) time.Duration {
-	return max(leastPatience, patienceTimes*p.expected(c))
-}
-
 // smooth moves a mean towards a sample; the first sample is the mean.
 func smooth(mean, sample, weight float64) float64 {
 	if mean == 0 {
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -17,6 +17,8 @@
 	// slownessClip bounds how much a slow target costs, so that it is still
 	// taken when all others are full.
 	slownessClip = 10.0
+	// avoidFrom is the slowness from which a target counts as a straggler.
+	avoidFrom = 2.0
 	// upWeight and downWeight of one sample in a smoothed latency. It rises
 	// faster than it falls, so that a straggler is noticed by its first answers.
 	upWeight   = 0.5
@@ -28,6 +30,9 @@
 	// leastPause and mostPause bound how long a target that refused or failed is left alone.
 	leastPause = 5 * time.Millisecond
 	mostPause  = time.Second
+	// refusalDivisor of the time that a refusing target asks for is how long it
+	// is left alone: its queue has to have work until then.
+	refusalDivisor = 4
 	// failurePause is how long a target is left alone after its first failure; it doubles with each.
 	failurePause = 50 * time.Millisecond
 	// coldDivisor of the announced slots is what a cold target is believed to have.
@@ -105,7 +110,7 @@
 // answer came, for a time that doubles with each failure.
 func (x *target) failed(now time.Time, r Result) {
 	if r.Load != nil {
-		pause := min(max(r.RetryAfter.Sub(now), leastPause), mostPause)
+		pause := min(max(r.RetryAfter.Sub(now)/refusalDivisor, leastPause), mostPause)
 		x.refusals[classIndex(r.Class)] = now.Add(pause)
 		return
 	}
@@ -152,7 +157,7 @@
 			slots += weight * (float64(x.load.Slots) - slots)
 		}
 	}
-	cost := (pending + 1) / slots * x.slowness(now, l)
+	cost := (pending + 1) / slots * aversion(x.slowness(now, l))
 	if !c.Learned.IsZero() {
 		cost *= 1 + float64(max(now.Sub(c.Learned), 0))/float64(oldAfter)
 	}
@@ -176,6 +181,13 @@
 	return min(max(slow, 1), slownessClip)
 }
 
+// aversion returns the factor by which slowness raises the cost: itself up to
+// avoidFrom, and more than itself beyond, so that a straggler is left to the
+// requests that find the others full.
+func aversion(slowness float64) float64 {
+	return slowness * max(slowness/avoidFrom, 1)
+}
+
 // faded moves a ratio towards 1 with its age.
 func faded(ratio float64, age, fades time.Duration) float64 {
 	return 1 + (ratio-1)*fade(age, fades)
--- a/pkg/ticketer/load.go
+++ b/pkg/ticketer/load.go
@@ -15,8 +15,6 @@
 const (
 	// ShardPrefix is followed by the SHA-256 of the shard in hexadecimal.
 	ShardPrefix = "config/shard/"
-	// parallelReads bounds how many shards are fetched at once.
-	parallelReads = 8
 	// loadAttempts bounds how often Load follows a head that moves.
 	loadAttempts = 5
 )
@@ -44,12 +42,16 @@
 }
 
 // LoadSnapshot returns the snapshot that a head names, verified by its digest.
-// It fetches only the shards that differ from have, which may be nil. It
+// It applies the tickets since have where the head lists them and they are
+// few, and else fetches the shards that differ from have, which may be nil. It
 // returns *ShardGoneError when the head is too old.
 func LoadSnapshot(ctx context.Context, client storer.Client, h Head, have *snapshotter.Snapshot) (*snapshotter.Snapshot, error) {
 	if have != nil && have.Digest() == h.Digest {
 		return have, nil
 	}
+	if s := replayTickets(ctx, client, h, have); s != nil {
+		return s, nil
+	}
 	shards, err := collectShards(ctx, client, h, have)
 	if err != nil {
 		return nil, err
@@ -75,7 +77,7 @@
 	encoded := snapshotter.EncodeShards(have)
 	shards := make([][]byte, len(h.Shards))
 	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(parallelReads)
+	group.SetLimit(parallelCalls)
 	for i, want := range h.Shards {
 		if want == emptyShard {
 			continue
--- a/pkg/ticketer/ticketer.go
+++ b/pkg/ticketer/ticketer.go
@@ -38,11 +38,18 @@
 	NewOperationID func() string
 	// Pause waits before the given attempt, counted from 1, or returns ctx.Err().
 	Pause func(ctx context.Context, attempt int) error
+
+	// keep is how many decisions the head lists.
+	keep int
+	// all runs tasks, at once or one after the other, and returns an error of one that failed.
+	all func(tasks []func() error) error
 }
 
 // New returns a ticketer with the clock and random operation ids.
 func New(store storer.Client) *Ticketer {
-	return &Ticketer{Store: store, Now: time.Now, NewOperationID: rand.Text, Pause: pause}
+	return &Ticketer{
+		Store: store, Now: time.Now, NewOperationID: rand.Text, Pause: pause, keep: RecentDecisions, all: parallel,
+	}
 }
 
 // stored is a ticket with the revision of its object.
@@ -183,14 +190,8 @@
 }
 
 func (t Ticket) stateError(operation State) error {
-	e := &StateError{Number: t.Number, Actual: t.State(), Operation: operation}
-	if step, ok := t.Step(StateApproved); ok {
-		e.By = step.By
-	}
-	if step, ok := t.Step(StateWithdrawn); ok {
-		e.By = step.By
-	}
-	return e
+	step, _ := t.Step(t.State())
+	return &StateError{Number: t.Number, Actual: t.State(), By: step.By, Operation: operation}
 }
 
 // advance adds a step to a filed ticket. allowed returns true when the step was
