Carry one exchange after the other on a stream

Cause: each forwarded request opened a yamux stream and closed it, six frames and as many goroutine hand-overs for one request and one answer.

Change: the target's node says with the end of an answer whether the stream can carry another exchange: only when the whole request has come and the node does not drain. A stream whose session is closed or silent is not used. Bulk streams are closed. The request counts as ended once its answer is sent, so a draining node now ends only 1 s after the last one (Life.EndAt in place of CountFrom).

Ruled out: one stream for many exchanges at once, since a slow body would stand in front of the others.

--- a/internal/blackboard/state.go
+++ b/internal/blackboard/state.go
@@ -52,8 +52,8 @@
 	Phase LifePhase
 	// StopRequests counts the requests to stop. The second logs what an end would cut, the third ends.
 	StopRequests int
-	// CountFrom is when requests in flight are first counted. Set while draining.
-	CountFrom time.Time
+	// EndAt is when a draining node ends unless a request is still in flight.
+	EndAt time.Time
 	// CutAt is when the node ends also with requests in flight; zero means never.
 	CutAt time.Time
 	// InFlight is the latest count while draining.
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -20,8 +20,8 @@
 // stopsThatCut is how many stop requests end the node with requests in flight.
 const stopsThatCut = 3
 
-// settleTime passes between closing and the first count, so that peers learn
-// of the drain before the node may end.
+// settleTime passes between the end of the last request and the end of the
+// node: peers learn of the drain, and the last bytes of answers arrive.
 const settleTime = 1 * time.Second
 
 // Counted reports the requests in flight of a draining node.
@@ -80,7 +80,7 @@
 	switch {
 	case s.Life.StopRequests == 1:
 		s.Life.Phase = blackboard.LifeDraining
-		s.Life.CountFrom = now.Add(settleTime)
+		s.Life.EndAt = now.Add(settleTime)
 		if d.cutAfter > 0 {
 			s.Life.CutAt = now.Add(d.cutAfter)
 		}
@@ -103,8 +103,6 @@
 	case !s.Life.CutAt.IsZero() && !now.Before(s.Life.CutAt):
 		s.Life.Phase = blackboard.LifeStopped
 		return s, []blackboard.Effect{reportCut{final: true}}
-	case now.Before(s.Life.CountFrom):
-		return s, nil
 	default:
 		return s, []blackboard.Effect{countRequests{now: now}}
 	}
@@ -115,7 +113,11 @@
 		return s, nil
 	}
 	s.Life.InFlight = msg.Total
-	if msg.Total == 0 {
+	if msg.Total > 0 {
+		s.Life.EndAt = msg.Now.Add(settleTime)
+		return s, nil
+	}
+	if !msg.Now.Before(s.Life.EndAt) {
 		s.Life.Phase = blackboard.LifeStopped
 	}
 	return s, nil
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -73,7 +73,9 @@
 		b.assertPhase(t, blackboard.LifeDraining)
 		assert.Equal(t, b.state.Life.InFlight, 1)
 		done()
-		b.tickAfter(time.Second)
+		b.tickAfter(settleTime / 2)
+		b.assertPhase(t, blackboard.LifeDraining)
+		b.tickAfter(settleTime)
 		b.assertPhase(t, blackboard.LifeStopped)
 	})
 	t.Run("a second stop says what it would cut and cuts nothing", func(t *testing.T) {
--- a/internal/encoder/chunk.go
+++ b/internal/encoder/chunk.go
@@ -16,6 +16,7 @@
 	chunkData  protowire.Number = 1
 	chunkEnd   protowire.Number = 2
 	chunkTotal protowire.Number = 3
+	chunkReuse protowire.Number = 4
 )
 
 // Chunk is a decoded wirepb.BodyChunk.
@@ -26,6 +27,8 @@
 	End bool
 	// Total is the length of the whole body; set with End.
 	Total int64
+	// Reuse tells that the stream can carry another exchange; set with End.
+	Reuse bool
 }
 
 // WriteChunk writes a body chunk in the form of Write, without allocating.
@@ -62,7 +65,12 @@
 	b = protowire.AppendTag(b, chunkEnd, protowire.VarintType)
 	b = protowire.AppendVarint(b, 1)
 	b = protowire.AppendTag(b, chunkTotal, protowire.VarintType)
-	return protowire.AppendVarint(b, uint64(c.Total))
+	b = protowire.AppendVarint(b, uint64(c.Total))
+	if c.Reuse {
+		b = protowire.AppendTag(b, chunkReuse, protowire.VarintType)
+		b = protowire.AppendVarint(b, 1)
+	}
+	return b
 }
 
 // ReadChunk reads a body chunk into buf, which it grows to at most
@@ -115,6 +123,10 @@
 		v, n := protowire.ConsumeVarint(b)
 		c.Total = int64(v)
 		return n
+	case num == chunkReuse && kind == protowire.VarintType:
+		v, n := protowire.ConsumeVarint(b)
+		c.Reuse = v != 0
+		return n
 	default:
 		return protowire.ConsumeFieldValue(num, kind, b)
 	}
--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -19,6 +19,8 @@
 	want int64
 	// err is returned by all further reads.
 	err error
+	// reuse is set when the body is whole and its stream can carry another exchange.
+	reuse bool
 	// onEnd is called once when the body is whole.
 	onEnd func()
 }
@@ -55,6 +57,7 @@
 		return
 	}
 	c.err = io.EOF
+	c.reuse = chunk.Reuse
 	if c.onEnd != nil {
 		c.onEnd()
 	}
@@ -64,7 +67,8 @@
 func (c *chunkReader) whole() bool { return c.err == io.EOF && len(c.rest) == 0 } //nolint:errorlint // set by next
 
 // copyChunks sends a body, flushing after each read so that nothing waits.
-func copyChunks(w *bufio.Writer, body io.Reader, buf []byte) error {
+// The function reuse is asked once, before the last chunk.
+func copyChunks(w *bufio.Writer, body io.Reader, buf []byte, reuse func() bool) error {
 	var total int64
 	for {
 		n, err := body.Read(buf)
@@ -74,7 +78,7 @@
 			return err
 		}
 		if last {
-			return finish(w, encoder.Chunk{Data: buf[:n], End: true, Total: total})
+			return finish(w, encoder.Chunk{Data: buf[:n], End: true, Total: total, Reuse: reuse()})
 		}
 		if n == 0 {
 			continue
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gentianbarrow.example/internal/encoder"
@@ -16,50 +18,89 @@
 // header of the answer has come. The answer must be closed.
 func (f *Forwarder) Forward(ctx context.Context, address string, r *exchanger.Request) *exchanger.Answer {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	s, err := f.cfg.Open(ctx, address, trafficOf(r.Class), Kind, encodeRequest(r), encoder.MaxHeaderBytes)
+	s, err := f.begin(ctx, address, r)
 	if err != nil {
 		a := openFailure(ctx, err)
 		cancel()
 		return a
 	}
-	x := &outgoing{ctx: ctx, cancel: cancel, stream: s, request: r}
+	x := &outgoing{forwarder: f, address: address, ctx: ctx, cancel: cancel, stream: s, request: r}
 	x.stop = context.AfterFunc(ctx, s.Abort)
 	if r.Body != nil {
 		x.uploads.Go(x.upload)
+	} else {
+		x.uploaded.Store(true)
 	}
 	return x.answer()
 }
 
+// begin sends the request's header on a waiting stream or on a new one.
+func (f *Forwarder) begin(ctx context.Context, address string, r *exchanger.Request) (*linker.Stream, error) {
+	m := encodeRequest(r)
+	traffic := trafficOf(r.Class)
+	if traffic == linker.TrafficShort {
+		if s := f.idle.take(address); s != nil {
+			return s, resume(s, address, m)
+		}
+	}
+	return f.cfg.Open(ctx, address, traffic, Kind, m, encoder.MaxHeaderBytes)
+}
+
+// resume starts another exchange on a stream.
+func resume(s *linker.Stream, address string, m *wirepb.ForwardRequest) error {
+	var tooLarge *encoder.TooLargeError
+	err := encoder.Write(s, m, encoder.MaxHeaderBytes)
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &tooLarge):
+		s.Abort()
+		return &linker.UnreachableError{Address: address, Cause: err}
+	default:
+		s.Abort()
+		return &linker.InterruptedError{Address: address, Cause: err}
+	}
+}
+
 // outgoing is one exchange as the caller's node sees it.
 type outgoing struct {
+	forwarder *Forwarder
+	address   string
+
 	ctx     context.Context
 	cancel  context.CancelFunc
 	stop    func() bool
 	stream  *linker.Stream
 	request *exchanger.Request
 	uploads sync.WaitGroup
-	closing sync.Once
+	// uploaded tells that the whole request has been sent.
+	uploaded atomic.Bool
+	closing  sync.Once
 }
 
 // upload sends the body of the request. When the body fails the stream is
 // ended, which cancels the request.
 func (x *outgoing) upload() {
 	withSender(x.stream, x.request.ContentLength, func(s *sender) {
-		if err := copyChunks(s.w, x.request.Body, s.chunk); err != nil {
+		if err := copyChunks(s.w, x.request.Body, s.chunk, never); err != nil {
 			x.stream.Abort()
+			return
 		}
+		x.uploaded.Store(true)
 	})
 }
 
+func never() bool { return false }
+
 func (x *outgoing) answer() *exchanger.Answer {
-	a, err := x.read()
+	a, reuse, err := x.read()
 	if err != nil {
 		reason := lossReason(x.ctx, err)
-		x.end()
+		x.end(false)
 		return exchanger.Unknown(reason, err)
 	}
 	if a.Outcome != retrier.OutcomeDone {
-		x.end()
+		x.end(reuse)
 		return a
 	}
 	a.Body = &answerBody{
@@ -69,23 +110,29 @@
 	return a
 }
 
-func (x *outgoing) read() (*exchanger.Answer, error) {
+func (x *outgoing) read() (a *exchanger.Answer, reuse bool, err error) {
 	var m wirepb.ForwardResponse
 	if err := encoder.Read(x.stream.Reader, &m, encoder.MaxHeaderBytes); err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	if m.GetRequestId() != x.request.ID {
-		return nil, &CrossedError{Want: x.request.ID, Got: m.GetRequestId()}
+		return nil, false, &CrossedError{Want: x.request.ID, Got: m.GetRequestId()}
 	}
-	return decodeAnswer(&m, time.Now())
+	a, err = decodeAnswer(&m, time.Now())
+	return a, m.GetReuse(), err
 }
 
-// end closes the stream, which cancels the request unless it has ended.
-func (x *outgoing) end() {
+// end keeps the stream for another exchange, or closes it, which cancels the
+// request unless it has ended.
+func (x *outgoing) end(reuse bool) {
 	x.closing.Do(func() {
-		x.stop()
+		defer x.cancel()
+		intact := x.stop()
+		if reuse && intact && x.uploaded.Load() && trafficOf(x.request.Class) == linker.TrafficShort {
+			x.forwarder.idle.put(x.address, x.stream)
+			return
+		}
 		x.stream.Abort()
-		x.cancel()
 	})
 }
 
@@ -100,6 +147,6 @@
 
 // Close ends the exchange.
 func (b *answerBody) Close() error {
-	b.exchange.end()
+	b.exchange.end(b.chunks.whole() && b.chunks.reuse)
 	return nil
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -1,14 +1,16 @@
 // Package forwarder carries requests from the node that took them to the node
-// in front of their target. One stream carries one exchange:
+// in front of their target. A stream carries one exchange at a time:
 //
 //	caller's node                          target's node
 //	ForwardRequest, BodyChunk...   ──▶
 //	                               ◀──    ForwardResponse, BodyChunk...
-//	close                          ──▶
+//	next ForwardRequest, or close  ──▶
 //
 // A request whose content length is 0 has no chunks. Each other body ends with a chunk that carries its total length, so that a body
 // that was cut short cannot look whole. Closing the stream earlier cancels the
-// request. An answer must carry the id of its request.
+// request. An answer must carry the id of its request. A stream is used again
+// only when the target's node has said so with the end of an answer and nothing
+// of the exchange is left on either side.
 package forwarder
 
 import (
@@ -76,10 +78,13 @@
 }
 
 // Forwarder is both ends of the protocol.
-type Forwarder struct{ cfg Config }
+type Forwarder struct {
+	cfg  Config
+	idle *idleStreams
+}
 
 // New returns a forwarder. Register Handle with the linker under Kind.
-func New(cfg Config) *Forwarder { return &Forwarder{cfg: cfg} }
+func New(cfg Config) *Forwarder { return &Forwarder{cfg: cfg, idle: newIdleStreams()} }
 
 // trafficOf keeps long bodies off the connections of short requests.
 func trafficOf(c snapshotter.Class) linker.Traffic {
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gentianbarrow.example/internal/encoder"
@@ -16,26 +18,31 @@
 // headerTimeout is how long a peer may take to send the first message.
 const headerTimeout = 5 * time.Second
 
-// closeTimeout is how long a peer may take to close a finished exchange.
-const closeTimeout = 30 * time.Second
-
-// Handle serves one stream of a peer.
+// Handle serves the exchanges of one stream of a peer.
 func (f *Forwarder) Handle(ctx context.Context, s *linker.Stream) {
-	r, err := f.readRequest(s)
-	if err != nil {
-		f.cfg.Log.Write(logger.ForwardRejected, logger.Fields{Err: err})
-		return
+	for {
+		r, err := f.readRequest(s)
+		if err != nil {
+			f.rejected(err)
+			return
+		}
+		x := &incoming{forwarder: f, stream: s, request: r}
+		if !x.handle(ctx) || !x.next() {
+			return
+		}
 	}
-	x := &incoming{forwarder: f, stream: s, request: r}
-	done, ok := f.cfg.Tracker.Begin(r.Class)
-	if !ok {
-		a := f.cfg.Refuse(r, exchanger.ReasonNodeDraining)
-		x.send(a)
-		a.Close()
-		return
+}
+
+// rejected logs a message that no node of this system sends.
+func (f *Forwarder) rejected(err error) {
+	var (
+		invalid   *InvalidError
+		malformed *encoder.MalformedError
+		tooLarge  *encoder.TooLargeError
+	)
+	if errors.As(err, &invalid) || errors.As(err, &malformed) || errors.As(err, &tooLarge) {
+		f.cfg.Log.Write(logger.ForwardRejected, logger.Fields{Err: err})
 	}
-	defer done()
-	x.serve(ctx)
 }
 
 func (f *Forwarder) readRequest(s *linker.Stream) (*exchanger.Request, error) {
@@ -58,6 +65,29 @@
 	stream    *linker.Stream
 	request   *exchanger.Request
 	watching  sync.WaitGroup
+	// received tells that the whole request has come.
+	received atomic.Bool
+	// ending is set before the end of the answer is sent: only then may the
+	// peer begin another exchange.
+	ending atomic.Bool
+	// reuse tells that the peer may do so. It is used by one goroutine.
+	reuse bool
+	// peeked is set when the first byte of another exchange has come.
+	peeked atomic.Bool
+}
+
+// handle runs the exchange and tells whether another one may follow.
+func (x *incoming) handle(ctx context.Context) bool {
+	done, ok := x.forwarder.cfg.Tracker.Begin(x.request.Class)
+	if !ok {
+		a := x.forwarder.cfg.Refuse(x.request, exchanger.ReasonNodeDraining)
+		x.send(a)
+		a.Close()
+		return false
+	}
+	defer done()
+	x.serve(ctx)
+	return x.reuse
 }
 
 func (x *incoming) serve(ctx context.Context) {
@@ -66,28 +96,49 @@
 	// A write that waits for a peer that has gone must end too.
 	stop := context.AfterFunc(ctx, x.stream.Abort)
 	body := &chunkReader{r: x.stream.Reader, want: x.request.ContentLength}
-	watch := func() { x.watching.Go(func() { x.watch(cancel) }) }
+	body.onEnd = func() {
+		x.received.Store(true)
+		x.watching.Go(func() { x.watch(cancel) })
+	}
 	if x.request.ContentLength == 0 {
-		watch()
+		body.onEnd()
 	} else {
-		body.onEnd = watch
 		x.request.Body = body
 	}
 	a := x.forwarder.cfg.Execute(ctx, x.request)
 	x.send(a)
 	a.Close()
-	stop()
-	// Ends reads of the request's body that are still under way.
-	_ = x.stream.SetReadDeadline(time.Now().Add(closeTimeout))
-	x.watching.Wait()
+	if !stop() {
+		x.reuse = false
+	}
 }
 
-// watch cancels the request when the peer closes the stream or breaks the protocol.
+// watch waits for the first byte after the request. One that comes before the
+// end of the answer breaks the protocol; like the end of the stream it cancels
+// the request.
 func (x *incoming) watch(cancel context.CancelFunc) {
-	_, _ = x.stream.Reader.ReadByte()
+	_, err := x.stream.Reader.Peek(1)
+	if err == nil && x.ending.Load() {
+		x.peeked.Store(true)
+		return
+	}
 	cancel()
 }
 
+// next waits for another exchange on the stream.
+func (x *incoming) next() bool {
+	_ = x.stream.SetReadDeadline(time.Now().Add(serverIdleTimeout))
+	x.watching.Wait()
+	return x.peeked.Load()
+}
+
+// mayReuse is asked before the end of the answer is sent.
+func (x *incoming) mayReuse() bool {
+	x.reuse = x.received.Load() && !x.forwarder.cfg.Tracker.Closed()
+	x.ending.Store(x.reuse)
+	return x.reuse
+}
+
 // send writes the answer. The stream is ended without an end chunk when the
 // answer is cut, so the peer sees that.
 func (x *incoming) send(a *exchanger.Answer) {
@@ -96,21 +147,28 @@
 		length = bodyLength(x.request.Method, a.Status, a.ContentLength)
 	}
 	withSender(x.stream, length, func(s *sender) {
-		m := encodeAnswer(x.request, a, x.forwarder.cfg.Incarnation)
-		if err := encoder.Write(s.w, m, encoder.MaxHeaderBytes); err != nil {
-			return
-		}
-		if a.Outcome != retrier.OutcomeDone {
-			_ = s.w.Flush()
-			return
-		}
-		if length < 0 || length > shortBodyBytes {
-			if err := s.w.Flush(); err != nil {
-				return
-			}
-		}
-		if err := copyChunks(s.w, a.Body, s.chunk); err != nil {
-			x.forwarder.cfg.Log.Write(logger.AnswerTruncated, logger.Fields{RequestID: x.request.ID, Service: x.request.Service, Err: err})
+		if err := x.write(s, a, length); err != nil {
+			x.reuse = false
+			fields := logger.Fields{RequestID: x.request.ID, Service: x.request.Service, Err: err}
+			x.forwarder.cfg.Log.Write(logger.AnswerTruncated, fields)
 		}
 	})
 }
+
+func (x *incoming) write(s *sender, a *exchanger.Answer, length int64) error {
+	m := encodeAnswer(x.request, a, x.forwarder.cfg.Incarnation)
+	done := a.Outcome == retrier.OutcomeDone
+	m.Reuse = !done && x.mayReuse()
+	if err := encoder.Write(s.w, m, encoder.MaxHeaderBytes); err != nil {
+		return err
+	}
+	if !done {
+		return s.w.Flush()
+	}
+	if length < 0 || length > shortBodyBytes {
+		if err := s.w.Flush(); err != nil {
+			return err
+		}
+	}
+	return copyChunks(s.w, a.Body, s.chunk, x.mayReuse)
+}
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -72,6 +72,16 @@
 	return l.session.NumStreams() > 0 || l.since(&l.used) < restAfter
 }
 
+// usable tells that the session is neither closed nor known to be silent, and
+// marks it as used.
+func (l *link) usable() bool {
+	if l.session.IsClosed() || l.since(&l.answered) > silentAfter {
+		return false
+	}
+	l.touch(&l.used)
+	return true
+}
+
 func (l *link) ping() bool {
 	if _, err := l.session.Ping(); err != nil {
 		return false
@@ -121,10 +131,9 @@
 	l.mu.Lock()
 	current := s.current
 	l.mu.Unlock()
-	if current == nil || current.session.IsClosed() || current.since(&current.answered) > silentAfter {
+	if current == nil || !current.usable() {
 		return nil
 	}
-	current.touch(&current.used)
 	return current
 }
 
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
 	"gentianbarrow.example/internal/encoder"
@@ -72,6 +73,18 @@
 type Stream struct {
 	net.Conn
 	Reader *bufio.Reader
+	// link is nil on the serving side.
+	link *link
+}
+
+// Reusable tells that the stream's session is not known to be closed or silent.
+func (s *Stream) Reusable() bool { return s.link != nil && s.link.usable() }
+
+// Rest frees what the stream holds beyond need. Nothing may be under way on it.
+func (s *Stream) Rest() {
+	if y, ok := s.Conn.(*yamux.Stream); ok {
+		y.Shrink()
+	}
 }
 
 // Abort ends the stream at once in both directions, reads under way included.
@@ -148,7 +161,7 @@
 		_ = conn.Close()
 		return nil, &InterruptedError{Address: address, Cause: err}
 	}
-	return &Stream{Conn: conn, Reader: bufio.NewReaderSize(conn, readerBytes)}, nil
+	return &Stream{Conn: conn, Reader: bufio.NewReaderSize(conn, readerBytes), link: link}, nil
 }
 
 // Close ends every session that this node opened.
--- a/internal/receiver/fault_test.go
+++ b/internal/receiver/fault_test.go
@@ -322,7 +322,7 @@
 					assert.Equal(t, r.reason(), exchanger.ReasonNodeDraining)
 					assertTruthful(t, m, "b-1", r)
 				})
-				time.Sleep(time.Second)
+				time.Sleep(2 * time.Second)
 				assert.Equal(t, board.Read().Life.Phase, blackboard.LifeStopped)
 			})
 		})
