--- /dev/null
+++ b/internal/forwarder/server.go
@@ -0,0 +1,174 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gentianbarrow.example/internal/encoder"
+	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/linker"
+	"gentianbarrow.example/internal/logger"
+	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/internal/wirepb"
+)
+
+// headerTimeout is how long a peer may take to send the first message.
+const headerTimeout = 5 * time.Second
+
+// Handle serves the exchanges of one stream of a peer.
+func (f *Forwarder) Handle(ctx context.Context, s *linker.Stream) {
+	for {
+		r, err := f.readRequest(s)
+		if err != nil {
+			f.rejected(err)
+			return
+		}
+		x := &incoming{forwarder: f, stream: s, request: r}
+		if !x.handle(ctx) || !x.next() {
+			return
+		}
+	}
+}
+
+// rejected logs a message that no node of this system sends.
+func (f *Forwarder) rejected(err error) {
+	var (
+		invalid   *InvalidError
+		malformed *encoder.MalformedError
+		tooLarge  *encoder.TooLargeError
+	)
+	if errors.As(err, &invalid) || errors.As(err, &malformed) || errors.As(err, &tooLarge) {
+		f.cfg.Log.Write(logger.ForwardRejected, logger.Fields{Err: err})
+	}
+}
+
+func (f *Forwarder) readRequest(s *linker.Stream) (*exchanger.Request, error) {
+	if err := s.SetReadDeadline(time.Now().Add(headerTimeout)); err != nil {
+		return nil, err
+	}
+	var m wirepb.ForwardRequest
+	if err := encoder.Read(s.Reader, &m, encoder.MaxHeaderBytes); err != nil {
+		return nil, err
+	}
+	if err := s.SetReadDeadline(time.Time{}); err != nil {
+		return nil, err
+	}
+	return decodeRequest(&m, time.Now())
+}
+
+// incoming is one exchange as the target's node sees it.
+type incoming struct {
+	forwarder *Forwarder
+	stream    *linker.Stream
+	request   *exchanger.Request
+	watching  sync.WaitGroup
+	// received tells that the whole request has come.
+	received atomic.Bool
+	// ending is set before the end of the answer is sent: only then may the
+	// peer begin another exchange.
+	ending atomic.Bool
+	// reuse tells that the peer may do so. It is used by one goroutine.
+	reuse bool
+	// peeked is set when the first byte of another exchange has come.
+	peeked atomic.Bool
+}
+
+// handle runs the exchange and tells whether another one may follow.
+func (x *incoming) handle(ctx context.Context) bool {
+	done, ok := x.forwarder.cfg.Tracker.Begin(x.request.Class)
+	if !ok {
+		a := x.forwarder.cfg.Refuse(x.request, exchanger.ReasonNodeDraining)
+		x.send(a)
+		a.Close()
+		return false
+	}
+	defer done()
+	x.serve(ctx)
+	return x.reuse
+}
+
+func (x *incoming) serve(ctx context.Context) {
+	ctx, cancel := context.WithDeadline(ctx, x.request.Deadline)
+	defer cancel()
+	// A write that waits for a peer that has gone must end too.
+	stop := context.AfterFunc(ctx, x.stream.Abort)
+	body := &chunkReader{r: x.stream.Reader, want: x.request.ContentLength}
+	body.onEnd = func() {
+		x.received.Store(true)
+		x.watching.Go(func() { x.watch(cancel) })
+	}
+	if x.request.ContentLength == 0 {
+		body.onEnd()
+	} else {
+		x.request.Body = body
+	}
+	a := x.forwarder.cfg.Execute(ctx, x.request)
+	x.send(a)
+	a.Close()
+	if !stop() {
+		x.reuse = false
+	}
+}
+
+// watch waits for the first byte after the request. One that comes before the
+// end of the answer breaks the protocol; like the end of the stream it cancels
+// the request.
+func (x *incoming) watch(cancel context.CancelFunc) {
+	_, err := x.stream.Reader.Peek(1)
+	if err == nil && x.ending.Load() {
+		x.peeked.Store(true)
+		return
+	}
+	cancel()
+}
+
+// next waits for another exchange on the stream.
+func (x *incoming) next() bool {
+	_ = x.stream.SetReadDeadline(time.Now().Add(serverIdleTimeout))
+	x.watching.Wait()
+	return x.peeked.Load()
+}
+
+// mayReuse is asked before the end of the answer is sent.
+func (x *incoming) mayReuse() bool {
+	x.reuse = x.received.Load() && !x.forwarder.cfg.Tracker.Closed()
+	x.ending.Store(x.reuse)
+	return x.reuse
+}
+
+// send writes the answer. The stream is ended without an end chunk when the
+// answer is cut, so the peer sees that.
+func (x *incoming) send(a *exchanger.Answer) {
+	length := int64(0)
+	if a.Outcome == retrier.OutcomeDone {
+		length = bodyLength(x.request.Method, a.Status, a.ContentLength)
+	}
+	withSender(x.stream, length, func(s *sender) {
+		if err := x.write(s, a, length); err != nil {
+			x.reuse = false
+			fields := logger.Fields{RequestID: x.request.ID, Service: x.request.Service, Err: err}
+			x.forwarder.cfg.Log.Write(logger.AnswerTruncated, fields)
+		}
+	})
+}
+
+func (x *incoming) write(s *sender, a *exchanger.Answer, length int64) error {
+	m := encodeAnswer(x.request, a, x.forwarder.cfg.Incarnation)
+	done := a.Outcome == retrier.OutcomeDone
+	m.Reuse = !done && x.mayReuse()
+	if err := encoder.Write(s.w, m, encoder.MaxHeaderBytes); err != nil {
+		return err
+	}
+	if !done {
+		return s.w.Flush()
+	}
+	if length < 0 || length > shortBodyBytes {
+		if err := s.w.Flush(); err != nil {
+			return err
+		}
+	}
+	return copyChunks(s.w, a.Body, s.chunk, x.mayReuse)
+}
