--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -41,6 +41,7 @@
 }
 
 func TestHostDies(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{3, 30, 100} {
 		w := settled(t, 1, n)
 		w.kill(n - 1)
@@ -49,6 +50,7 @@
 }
 
 func TestHostReturns(t *testing.T) {
+	t.Parallel()
 	for name, skew := range map[string]time.Duration{
 		"with its clock right":          0,
 		"with its clock an hour behind": -time.Hour,
@@ -68,6 +70,7 @@
 }
 
 func TestFalseSuspicionIsRefuted(t *testing.T) {
+	t.Parallel()
 	w := settled(t, 3, 30)
 	forbidDeaths(w, none)
 	before := w.nodes[7].state.Members.ByHost[host(7)].Incarnation
@@ -80,6 +83,7 @@
 }
 
 func TestPausedNodeWakes(t *testing.T) {
+	t.Parallel()
 	for _, pause := range []time.Duration{2 * time.Second, 5 * time.Second, 40 * time.Second} {
 		t.Run(pause.String(), func(t *testing.T) {
 			w := settled(t, 4, 40)
@@ -97,6 +101,7 @@
 }
 
 func TestHalfDieAtOnce(t *testing.T) {
+	t.Parallel()
 	w := settled(t, 5, 100)
 	forbidDeaths(w, func(_, dead string) bool { return !w.hostUp(dead) })
 	for i := 50; i < 100; i++ {
@@ -106,6 +111,7 @@
 }
 
 func TestPartitionHeals(t *testing.T) {
+	t.Parallel()
 	for name, length := range map[string]time.Duration{"after a minute": time.Minute, "after all are forgotten": 2 * ForgetAfter} {
 		t.Run(name, func(t *testing.T) {
 			const nodes = 12
@@ -126,6 +132,7 @@
 }
 
 func TestDataCentreRestarts(t *testing.T) {
+	t.Parallel()
 	w := newNetwork(t, 7, 300) // hosts keep nothing, so a restart of all is a first start of all
 	w.bootAll()
 	took := w.until(convergenceTarget, "all know each other", w.agree)
@@ -136,6 +143,7 @@
 }
 
 func TestLossyNetwork(t *testing.T) {
+	t.Parallel()
 	w := settled(t, 8, 40)
 	forbidDeaths(w, func(_, dead string) bool { return dead == host(9) })
 	w.loss = 0.2
@@ -145,6 +153,7 @@
 }
 
 func TestLatePackets(t *testing.T) {
+	t.Parallel()
 	w := settled(t, 9, 40)
 	forbidDeaths(w, func(_, dead string) bool { return dead == host(4) })
 	w.latencyMax = 120 * time.Millisecond // several packets overtake each other in each exchange
@@ -160,6 +169,7 @@
 }
 
 func TestLeaveIsToldAtOnce(t *testing.T) {
+	t.Parallel()
 	w := settled(t, 10, 100)
 	w.handle(w.nodes[6], func() blackboard.Msg { return blackboard.LeaveRequested{Now: w.now} })
 	assert.Assert(t, Left(&w.nodes[6].state))
@@ -170,6 +180,7 @@
 func left(s blackboard.MemberStatus) bool { return s == blackboard.MemberLeft }
 
 func TestDeadAreForgotten(t *testing.T) {
+	t.Parallel()
 	w := settled(t, 11, 10)
 	w.kill(6)
 	w.advance(ForgetAfter)
@@ -186,6 +197,7 @@
 }
 
 func TestJoinThroughThePlatform(t *testing.T) {
+	t.Parallel()
 	const nodes = 60
 	w := newNetwork(t, 12, nodes)
 	for _, v := range w.nodes {
@@ -205,6 +217,7 @@
 }
 
 func TestReturnedHostIsCorrected(t *testing.T) {
+	t.Parallel()
 	w := settled(t, 14, 4)
 	v := w.nodes[2]
 	next, effects := Reduce(v.state, blackboard.PacketReceived{From: address(0), Now: w.now, Packet: &wirepb.GossipPacket{
@@ -220,6 +233,7 @@
 }
 
 func TestTargetChangeSpreads(t *testing.T) {
+	t.Parallel()
 	w := settled(t, 13, 100)
 	w.advance(time.Minute)
 	v := w.nodes[8]
--- a/internal/gossiper/network_test.go
+++ b/internal/gossiper/network_test.go
@@ -33,6 +33,8 @@
 	relays []string
 	finds  int
 	busy   time.Duration
+	// viewer and viewed are the pair that disagreed last, and is looked at first.
+	viewer, viewed *node
 }
 
 type node struct {
@@ -279,12 +281,18 @@
 
 // disagreement returns the first error in the views of the running nodes; empty means that all hold the truth.
 func (w *network) disagreement() string {
+	if w.viewer != nil && w.viewer.up {
+		if wrong := w.wrongView(w.viewer, w.viewed); wrong != "" {
+			return wrong
+		}
+	}
 	for _, v := range w.nodes {
 		if !v.up {
 			continue
 		}
 		for _, o := range w.nodes {
 			if wrong := w.wrongView(v, o); wrong != "" {
+				w.viewer, w.viewed = v, o
 				return wrong
 			}
 		}
--- a/internal/gossiper/property_test.go
+++ b/internal/gossiper/property_test.go
@@ -26,6 +26,7 @@
 }
 
 func TestAllAgreeAfterAnySchedule(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		const nodes = 8
 		w := newNetwork(t, rapid.Uint64().Draw(rt, "seed"), nodes)
@@ -77,6 +78,7 @@
 }
 
 func TestMergeIsIndependentOfOrder(t *testing.T) {
+	t.Parallel()
 	states := []blackboard.MemberStatus{blackboard.MemberAlive, blackboard.MemberSuspect, blackboard.MemberDead, blackboard.MemberLeft}
 	rapid.Check(t, func(rt *rapid.T) {
 		w := settled(t, 1, 2)
