--- a/pkg/snapshotter/apply.go
+++ b/pkg/snapshotter/apply.go
@@ -23,14 +23,22 @@
 
 // clone copies everything but what is made on first use.
 func clone(s *Snapshot) *Snapshot {
-	next := Empty()
-	next.Version = s.Version
-	next.RemovedFloor = s.RemovedFloor
-	maps.Copy(next.Services, s.Services)
-	maps.Copy(next.Routes, s.Routes)
-	maps.Copy(next.RemovedServices, s.RemovedServices)
-	maps.Copy(next.RemovedRoutes, s.RemovedRoutes)
-	return next
+	return &Snapshot{
+		Version:         s.Version,
+		RemovedFloor:    s.RemovedFloor,
+		Services:        cloneMap(s.Services),
+		Routes:          cloneMap(s.Routes),
+		RemovedServices: cloneMap(s.RemovedServices),
+		RemovedRoutes:   cloneMap(s.RemovedRoutes),
+	}
+}
+
+// cloneMap never returns nil.
+func cloneMap[V any](m map[string]V) map[string]V {
+	if m == nil {
+		return map[string]V{}
+	}
+	return maps.Clone(m)
 }
 
 // Apply returns the next version: base with the whole change, set by the given
