--- /dev/null
+++ b/internal/commander/view_test.go
@@ -0,0 +1,37 @@
+package commander
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/inspector"
+)
+
+// assertExit runs "nodes" against a handler in place of a node.
+func assertExit(t *testing.T, h http.Handler, want int) string {
+	t.Helper()
+	server := httptest.NewServer(h)
+	defer server.Close()
+	var out strings.Builder
+	c := New(&out, io.Discard)
+	assert.Equal(t, c.Run(t.Context(), []string{"nodes", "--node", server.Listener.Addr().String()}), want)
+	return out.String()
+}
+
+func TestNodesOverHTTP(t *testing.T) {
+	t.Run("a node", func(t *testing.T) {
+		state := &blackboard.State{Self: blackboard.Self{Host: "reyk-a-1", DataCentre: "reyk-a"}}
+		node := &inspector.Inspector{Read: func() *blackboard.State { return state }}
+		out := assertExit(t, node.Handler(), ExitDone)
+		assert.Assert(t, strings.Contains(out, "as reyk-a-1 in reyk-a sees it"), out)
+	})
+	t.Run("something else", func(t *testing.T) {
+		assertExit(t, http.NotFoundHandler(), ExitUnreachable)
+	})
+}
--- a/pkg/ticketer/interleaving_test.go
+++ b/pkg/ticketer/interleaving_test.go
@@ -29,8 +29,13 @@
 	mishapLost    mishap = "answer-lost"
 	mishapLate    mishap = "effect-late"
 	mishapCrash   mishap = "crash"
+	// mishapOutage refuses this call and those of the next outageCalls turns.
+	mishapOutage mishap = "outage"
 )
 
+// outageCalls is more than the attempts at one call.
+const outageCalls = 3 * callAttempts
+
 // keptDecisions is small, so that heads drop decisions soon.
 const keptDecisions = 2
 
@@ -44,6 +49,8 @@
 	// heads holds every head that was ever stored.
 	heads    []Head
 	revision uint64
+	// outage is how many turns the platform stays down.
+	outage int
 	// programs counts the ticketers.
 	programs int
 }
@@ -152,11 +159,18 @@
 func (w *world) run(t *rapid.T, operators []operator) {
 	mishaps := rapid.SampledFrom(append(
 		slices.Repeat([]mishap{mishapNone}, 40),
-		mishapRefused, mishapRefused, mishapLost, mishapLost, mishapLate, mishapLate, mishapCrash,
+		mishapRefused, mishapRefused, mishapLost, mishapLost, mishapLate, mishapLate, mishapCrash, mishapOutage,
 	))
 	for len(operators) > 0 {
 		i := rapid.IntRange(0, len(operators)-1).Draw(t, "operator")
 		w.next = mishaps.Draw(t, "mishap")
+		if w.next == mishapOutage {
+			w.outage = outageCalls
+		}
+		if w.outage > 0 {
+			w.outage--
+			w.next = mishapRefused
+		}
 		if w.next == mishapCrash {
 			operators[i].stop()
 			operators = slices.Delete(operators, i, i+1)
