Make deletions and reads of a list at once

Cause: with a platform that takes 500 ms a call, trimming forty shards one after the other would have held an operator's command for 20 s, and a list of twenty tickets for 10 s. Change: both use the bound of eight calls at once that shards have; trimming comes after the ticket's record.

--- a/pkg/ticketer/settle.go
+++ b/pkg/ticketer/settle.go
@@ -34,8 +34,9 @@
 			return s.Ticket, s.stateError(StateAccepted)
 		}
 		if d, ok := head.Decision(number); ok {
+			ticket := t.record(ctx, s, d)
 			t.trimSometimes(ctx, d)
-			return t.record(ctx, s, d), nil
+			return ticket, nil
 		}
 		have, err = t.decide(ctx, head, revision, s.Ticket, have)
 		if err != nil && !retryable(err) {
--- a/pkg/ticketer/show.go
+++ b/pkg/ticketer/show.go
@@ -75,15 +75,16 @@
 	if err != nil {
 		return nil, err
 	}
-	var list []Ticket
-	for number := last; number > 0 && len(list) < limit; number-- {
-		s, err := t.load(ctx, number)
-		if err != nil {
-			return nil, err
-		}
-		list = append(list, s.Ticket)
+	list := make([]Ticket, min(uint64(max(limit, 0)), last))
+	var reads []func() error
+	for i := range list {
+		reads = append(reads, func() error {
+			s, err := t.load(ctx, last-uint64(i))
+			list[i] = s.Ticket
+			return err
+		})
 	}
-	return list, nil
+	return list, t.all(reads)
 }
 
 // lastExisting follows the numbers from the hint, which may be behind.
--- a/pkg/ticketer/trim.go
+++ b/pkg/ticketer/trim.go
@@ -96,16 +96,24 @@
 // deleteOrphans deletes what was found before and is unnamed still, and takes
 // it out of unnamed.
 func (t *Ticketer) deleteOrphans(ctx context.Context, found orphans, unnamed map[string]uint64) int {
-	deleted := 0
-	for _, o := range found.Shards {
+	gone := make([]bool, len(found.Shards))
+	var deletions []func() error
+	for i, o := range found.Shards {
 		if unnamed[o.Key] != o.Revision {
 			continue
 		}
-		if err := t.Store.Delete(ctx, o.Key, o.Revision); err != nil {
-			continue
+		deletions = append(deletions, func() error {
+			gone[i] = t.Store.Delete(ctx, o.Key, o.Revision) == nil
+			return nil
+		})
+	}
+	_ = t.all(deletions)
+	deleted := 0
+	for i, o := range found.Shards {
+		if gone[i] {
+			delete(unnamed, o.Key)
+			deleted++
 		}
-		delete(unnamed, o.Key)
-		deleted++
 	}
 	return deleted
 }
