Play whole sessions under failure against golden transcripts

Ruled out: a harness in Go that starts processes; curl, which a fresh machine may lack. Change: scripts/mesh.sh holds what sessions share; sessions for a platform outage with lost answers and a data centre that restarts without evidence, for frozen relays and targets, and for a rolling replacement under load. A session fails when one of its processes has ended, since another mesh on the same ports once answered in its place.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PROTO_FILES := $(wildcard internal/wirepb/*.proto)
 PROGRAMS := $(notdir $(wildcard cmd/*))
 
-.PHONY: all build demo test race format format-check lint generate bench fuzz
+.PHONY: all build demo sessions test race format format-check lint generate bench fuzz
 
 all: build
 
@@ -15,7 +15,11 @@
 	go build -o bin/ ./cmd/...
 
 demo: build
-	./scripts/demo.sh
+	./sessions/demo.sh
+
+# Whole-path sessions under failure, one after the other.
+sessions: build
+	@for s in platform-outage frozen rolling-restart; do ./sessions/$$s.sh || exit 1; done
 
 test:
 	go vet ./...
--- a/scripts/demo.sh
+++ b/scripts/mesh.sh
@@ -1,13 +1,14 @@
-#!/usr/bin/env bash
-# Starts a system of three data centres as separate processes on loopback, files
-# tickets, sends requests, kills a node, and compares the transcript with
-# demo/transcript.golden. It ends only processes that it started, by id.
-#   DEMO_PORT     first of about 200 ports (default 21000)
-#   DEMO_UPDATE=1 writes the golden file instead of comparing
+# Functions of the whole-path sessions. A session is a script that sources this
+# file, defines the function "session", and ends with "play NAME": its transcript
+# is compared with sessions/NAME.golden. Processes run on loopback; the script
+# ends only processes that it started, by id.
+#   SESSION_PORT     first of about 200 ports (default 21000)
+#   SESSION_UPDATE=1 writes the golden file instead of comparing
+# shellcheck shell=bash
 set -euo pipefail
-cd "$(dirname "$0")/.."
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
 
-port=${DEMO_PORT:-21000}
+port=${SESSION_PORT:-21000}
 platform=127.0.0.1:$port
 work=$(mktemp -d)
 declare -A pids=()
@@ -21,7 +22,7 @@
   local status=$?
   stop_all
   if [ "$status" != 0 ]; then
-    echo "demo failed; the logs are in $work" >&2
+    echo "session failed; the logs are in $work" >&2
     tail -n 5 "$work"/*.log >&2 || true
   else
     rm -rf "$work"
@@ -33,7 +34,7 @@
 start() {
   local name=$1
   shift
-  "$@" >"$work/$name.log" 2>&1 &
+  "$@" >"$work/$name.log" 2>&1 8>&- &
   pids[$name]=$!
 }
 address() { echo "127.0.0.1:$((port + 10 * $1 + $2))"; }
@@ -80,6 +81,7 @@
 nodes() { address "${number[$1]}" 2; }
 targets() { address "${number[$1]}" 3; }
 admin() { address "${number[$1]}" 4; }
+target_address() { address "${number[$1]}" 5; }
 
 write_settings() {
   local host=$1 data_centre=$2
@@ -112,62 +114,80 @@
   knows reyk-a-1 "$1" && knows reyk-b-1 3 && knows hafn-c-1 3
 }
 
-run_demo() {
-  say "The platform, ten nodes and their targets start as separate processes."
+# put_json ADDRESS PATH BODY changes the faults of a stand-in.
+put_json() {
+  local to=$1
+  exec 9<>"/dev/tcp/${to%:*}/${to#*:}"
+  printf 'PUT %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s' \
+    "$2" "$to" "${#3}" "$3" >&9
+  head -n 1 <&9 | grep -q ' 20[0-9] '
+  exec 9<&- 9>&-
+}
+platform_faults() { put_json "$platform" /admin/faults "$1"; }
+target_faults() { put_json "$(target_address "$1")" /admin/faults "$2"; }
+
+# get ADDRESS PATH prints the body of an answer.
+get() {
+  local to=$1
+  exec 9<>"/dev/tcp/${to%:*}/${to#*:}"
+  printf 'GET %s HTTP/1.0\r\nHost: %s\r\nConnection: close\r\n\r\n' "$2" "$to" >&9
+  cat <&9
+  exec 9<&- 9>&-
+}
+is_ready() { get "$(admin "$1")" /readyz | grep -q ' 200 '; }
+not_ready() { ! is_ready "$1"; }
+
+start_target() {
+  local entry host service
+  for entry in "${hosts[@]}"; do
+    read -r host _ service <<<"$entry"
+    [ "$host" = "$1" ] || continue
+    start "target-$host" ./bin/target-standin --service "$service" --node "$(targets "$host")" \
+      --listen "$(target_address "$host")" --slots 20 --connections 110
+  done
+}
+
+# none_ended fails when a process has ended, as it does when its port is taken.
+none_ended() {
+  local name
+  for name in "${!pids[@]}"; do
+    kill -0 "${pids[$name]}" 2>/dev/null || { echo "$name has ended; set SESSION_PORT if its port is taken" >&2; exit 1; }
+  done
+}
+
+# start_mesh starts the platform, every node and every target.
+start_mesh() {
   start platform ./bin/platform-standin --listen "$platform"
-  local entry host data_centre service
+  local entry host data_centre
   for entry in "${hosts[@]}"; do
-    read -r host data_centre service <<<"$entry"
+    read -r host data_centre _ <<<"$entry"
     write_settings "$host" "$data_centre"
     start_node "$host"
-    start "target-$host" ./bin/target-standin --service "$service" --node "$(targets "$host")" \
-      --slots 20 --connections 110
+    start_target "$host"
   done
   wait_for "every target is known in its data centre" all_know 4
+  none_ended
+}
 
-  say "An operator files a ticket; the author may not approve it; another operator does."
-  ctl ticket file demo/ticket-1.yaml --author sigrun --firm frothvik
-  ctl ticket approve 1 --author sigrun
+# first_ticket files and approves the first ticket and waits for it.
+first_ticket() {
+  ctl ticket file sessions/ticket-1.yaml --author sigrun --firm frothvik
   ctl ticket approve 1 --author jon
   wait_for "version 1 is in force on every node" all_run 1
-
-  say "A ticket whose route names no service is refused, and says why."
-  ctl ticket plan demo/ticket-2.yaml
-  ctl ticket file demo/ticket-2.yaml --author jon --firm frothvik
-  ctl ticket approve 2 --author sigrun
-
-  say "Requests reach any node and are served by the right target."
-  ./bin/caller-standin --node "$(callers reyk-a-4)" --read /status/machine-7 --reads 50
-  ./bin/caller-standin --node "$(callers reyk-b-3)" --book /bookings/41 --key booking-41
-  ./bin/caller-standin --node "$(callers hafn-c-1)" --upload /media/wand-41.mp4 --upload-mb 64
-
-  say "A host dies without a word. Reads go on through the others."
-  kill_host reyk-a-1
-  killed=reyk-a-1
-  ./bin/caller-standin --node "$(callers reyk-a-4)" --read /status/machine-7 --reads 50
-
-  say "The host returns and runs the accepted version."
-  start_node reyk-a-1
-  start target-reyk-a-1 ./bin/target-standin --service status-page --node "$(targets reyk-a-1)" --slots 20 --connections 110
-  killed=
-  wait_for "version 1 is in force on every node" all_run 1
-
-  say "A node is asked to stop during an upload. The upload ends whole, then the node ends."
-  ./bin/caller-standin --node "$(callers reyk-b-1)" --upload /media/wand-42.mp4 --upload-mb 16 --pause-every-mb 100ms &
-  local upload=$!
-  sleep 0.5
-  kill -TERM "${pids[node-reyk-b-1]}"
-  wait "$upload"
-  wait "${pids[node-reyk-b-1]}" && echo "the node ended with code 0"
 }
 
-# The demo runs in this shell, so that the trap knows every process.
-run_demo > >(tee "$work/transcript")
-wait $! || true
-if [ "${DEMO_UPDATE:-}" = 1 ]; then
-  cp "$work/transcript" demo/transcript.golden
-  exit 0
-fi
-diff -u demo/transcript.golden "$work/transcript"
-echo
-echo "the transcript agrees with demo/transcript.golden"
+# play NAME runs the session in this shell, so that the trap knows every process.
+play() {
+  local tee
+  exec 8> >(tee "$work/transcript")
+  tee=$!
+  session >&8
+  exec 8>&-
+  wait "$tee"
+  if [ "${SESSION_UPDATE:-}" = 1 ]; then
+    cp "$work/transcript" "sessions/$1.golden"
+    return
+  fi
+  diff -u "sessions/$1.golden" "$work/transcript"
+  printf '\nthe transcript agrees with sessions/%s.golden\n' "$1"
+}
