Hold the first version to the floor of the recovery alone

Cause: a version was held back while the node had recorded a greater one for a neighbour, so under steady changes it could wait for the next one again and again. Only the first version after a restart has to reach the floor. Also: the first relay's index children, the other relays and the candidates could exceed its limit of children. Conclusion: the never-older cases hold unchanged.

--- a/internal/blackboard/config.go
+++ b/internal/blackboard/config.go
@@ -12,9 +12,10 @@
 	// is not older than what this host has run. Its version never decreases.
 	Running *snapshotter.Snapshot
 	// Floor is the greatest version that this node has recorded for itself or
-	// for others. It never decreases. Running is never replaced by a lower one,
-	// and the first Running is at least the Floor.
+	// for others. It never decreases.
 	Floor uint64
+	// Least is the Floor at the end of the recovery. The first Running is not lower.
+	Least uint64
 	// Recovering is true until the node has evidence for a safe first version.
 	Recovering bool
 	// Parent is the address that the node follows; empty means none.
--- a/internal/follower/recovery.go
+++ b/internal/follower/recovery.go
@@ -79,6 +79,7 @@
 		return
 	}
 	c.Floor = max(c.Floor, floor)
+	c.Least = c.Floor
 	c.Recovering = false
 	c.Recovery.Asked = nil
 	c.Recovery.Answers = nil
--- a/internal/follower/stage.go
+++ b/internal/follower/stage.go
@@ -113,7 +113,7 @@
 func (st *step) apply() bool {
 	c := &st.s.Config
 	next := c.Stage.Next
-	if c.Recovering || next.Version < c.Floor || next.Version <= number(c.Running) || !st.witnessed() {
+	if c.Recovering || next.Version < c.Least || next.Version <= number(c.Running) || !st.witnessed() {
 		return false
 	}
 	c.Running = next
--- a/internal/follower/tree.go
+++ b/internal/follower/tree.go
@@ -24,8 +24,8 @@
 	inForceVersions = 6
 )
 
-// childLimit leaves room for children whose own parent is gone.
-func (f *Follower) childLimit() int { return f.FanOut + f.FanOut/2 }
+// childLimit leaves room for the other relays and candidates, and for children whose own parent is gone.
+func (f *Follower) childLimit() int { return f.FanOut + max(f.FanOut/2, 2*f.RelaySlots) }
 
 func (st *step) tickParent() {
 	t := &st.s.Config.Tree
