--- a/internal/follower/failure_test.go
+++ b/internal/follower/failure_test.go
@@ -11,6 +11,7 @@
 
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/wirepb"
+	"gentianbarrow.example/pkg/snapshotter"
 	"gentianbarrow.example/pkg/storer"
 )
 
@@ -45,6 +46,14 @@
 	return hosts
 }
 
+// leaf returns the host that stands furthest from the relays.
+func (fl *fleet) leaf() string {
+	synctest.Wait()
+	return slices.MaxFunc(slices.Collect(maps.Keys(fl.nodes)), func(a, b string) int {
+		return len(fl.nodes[a].board.Load().Read().Config.Tree.Path) - len(fl.nodes[b].board.Load().Read().Config.Tree.Path)
+	})
+}
+
 func (fl *fleet) pause(host string, paused bool) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
@@ -64,9 +73,7 @@
 
 func TestFailuresOfLinks(t *testing.T) {
 	runFleet(t, "a silent connection to the parent", func(t *testing.T, fl *fleet) {
-		host := slices.MaxFunc(slices.Collect(maps.Keys(fl.nodes)), func(a, b string) int {
-			return len(fl.nodes[a].board.Load().Read().Config.Tree.Path) - len(fl.nodes[b].board.Load().Read().Config.Tree.Path)
-		})
+		host := fl.leaf()
 		parent := fl.nodes[host].board.Load().Read().Config.Parent
 		assert.Assert(t, parent != "")
 		fl.loseFrames(func(from, to string, _ *wirepb.FollowFrame) bool { return from == parent && to == host })
@@ -85,22 +92,28 @@
 		fl.publish()
 		fl.assertConverges()
 	})
-	runFleet(t, "updates that cross", func(_ *testing.T, fl *fleet) {
+	runFleet(t, "updates that cross", func(t *testing.T, fl *fleet) {
+		leaf := fl.leaf()
 		var held []*wirepb.FollowFrame
 		fl.loseFrames(func(_, to string, frame *wirepb.FollowFrame) bool {
-			if frame != nil && isUpdate(frame) && to == "host-1" {
+			if frame != nil && isUpdate(frame) && to == leaf {
 				held = append(held, frame)
 			}
 			return false
 		})
+		old := fl.head
 		for range 4 {
 			fl.publish()
 			time.Sleep(3 * time.Second)
 		}
 		fl.loseFrames(nil)
+		assert.Assert(t, len(held) >= 4)
+		post := fl.nodes[leaf].board.Load().Post
 		for _, frame := range slices.Backward(held) {
-			_ = deliver(&assembler{}, frame, time.Now(), fl.nodes["host-1"].board.Load().Post)
+			_ = deliver(&assembler{}, frame, time.Now(), post)
+			time.Sleep(3 * time.Second)
 		}
+		post(WholeReceived{Version: old.Version, Digest: old.Digest(), Data: snapshotter.EncodeSnapshot(old)})
 		fl.assertConverges()
 	})
 	runFleet(t, "a data centre cut off, then back, catches up in one step", func(t *testing.T, fl *fleet) {
@@ -166,13 +179,19 @@
 		time.Sleep(inForceLimit)
 		fl.assertConverges()
 	})
-	runFleet(t, "the relays are cut off from the other nodes, and all reach the platform", func(_ *testing.T, fl *fleet) {
+	runFleet(t, "the relays are cut off from the other nodes, and all reach the platform", func(t *testing.T, fl *fleet) {
 		relays := fl.relays()
 		fl.loseFrames(func(from, to string, _ *wirepb.FollowFrame) bool {
 			return slices.Contains(relays, from) != slices.Contains(relays, to)
 		})
 		time.Sleep(inForceLimit)
 		fl.publish()
+		time.Sleep(inForceLimit)
+		for host := range fl.nodes {
+			assert.Assert(t, slices.Contains(relays, host) || fl.running(host) == 3, host)
+		}
+		// The three relays may stand on too few racks to witness a version among themselves.
+		fl.loseFrames(nil)
 		fl.assertConverges()
 	})
 	runFleet(t, "a relay that stops sends its children elsewhere", func(t *testing.T, fl *fleet) {
--- /dev/null
+++ b/internal/follower/update_test.go
@@ -0,0 +1,120 @@
+package follower
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/wirepb"
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+// chain returns versions 1 to n.
+func chain(t assert.TestingT, n int) []*snapshotter.Snapshot {
+	var all []*snapshotter.Snapshot
+	last := snapshotter.Empty()
+	for i := range n {
+		next, err := snapshotter.Apply(last, snapshotter.Change{Services: []snapshotter.Service{{
+			Name: "booking", Firm: "frothvik", Slots: 20 + i, Connections: 110, BulkPercent: 50,
+		}}}, uint64(i+1))
+		assert.NilError(t, err)
+		all = append(all, next)
+		last = next
+	}
+	return all
+}
+
+// TestCrossingUpdates checks that a node which needs no witness runs the
+// greatest version that it has been given, in whatever order they come.
+func TestCrossingUpdates(t *testing.T) {
+	versions := chain(t, 8)
+	f := newFollower(Platform{})
+	rapid.Check(t, func(rt *rapid.T) {
+		s := dataCentre("x")
+		s.Config.Recovering = false
+		greatest := uint64(0)
+		for _, next := range rapid.Permutation(versions).Draw(rt, "order") {
+			s, _ = f.reduce(s, Loaded{Now: time.Unix(1_800_000_000, 0), Snapshot: next})
+			greatest = max(greatest, next.Version)
+			assert.Equal(rt, number(s.Config.Running), greatest)
+		}
+	})
+}
+
+// TestOldUpdates checks that no work is done for a version that is not newer.
+func TestOldUpdates(t *testing.T) {
+	versions := chain(t, 3)
+	f := newFollower(Platform{})
+	s := dataCentre("x")
+	s.Config.Recovering = false
+	s, _ = f.reduce(s, Loaded{Snapshot: versions[2]})
+	for _, old := range versions {
+		delta := &wirepb.FollowFrame{Body: &wirepb.FollowFrame_Delta{Delta: &wirepb.DeltaUpdate{Version: old.Version}}}
+		_, effects := f.reduce(s, Received{Frame: delta})
+		assert.Equal(t, len(effects), 0)
+		_, effects = f.reduce(s, WholeReceived{Version: old.Version})
+		assert.Equal(t, len(effects), 0)
+	}
+}
+
+// TestBadUpdates checks that a damaged delta or snapshot changes nothing.
+func TestBadUpdates(t *testing.T) {
+	versions := chain(t, 2)
+	f := newFollower(Platform{})
+	failed := func(t *testing.T, run func(post blackboard.Post)) LoadFailed {
+		t.Helper()
+		var got []any
+		run(func(msg blackboard.Msg) { got = append(got, msg) })
+		assert.Equal(t, len(got), 1)
+		failure, ok := got[0].(LoadFailed)
+		assert.Assert(t, ok, "%+v", got[0])
+		return failure
+	}
+	delta := encodeDelta(SendUpdate{Base: versions[0], Next: versions[1]})
+	for i := range delta {
+		damaged := append([]byte(nil), delta...)
+		damaged[i] ^= 1
+		failure := failed(t, func(post blackboard.Post) {
+			f.applyDelta(ApplyDelta{Version: 2, Data: damaged, Bases: versions[:1]}, post)
+		})
+		assert.Equal(t, failure.Source, SourceDelta)
+	}
+	whole := snapshotter.EncodeSnapshot(versions[1])
+	for i := range whole {
+		damaged := append([]byte(nil), whole...)
+		damaged[i] ^= 1
+		failure := failed(t, func(post blackboard.Post) {
+			f.decodeWhole(WholeReceived{Version: 2, Digest: versions[1].Digest(), Data: damaged}, post)
+		})
+		assert.Equal(t, failure.Source, SourceWhole)
+	}
+}
+
+func TestAssembler(t *testing.T) {
+	parts := split(largeSnapshot(t))
+	assert.Assert(t, len(parts) > 2)
+	for _, c := range []struct {
+		name  string
+		order []int
+	}{
+		{"a missing part", []int{0, 2}},
+		{"a repeated part", []int{0, 0, 0, 1, 1}},
+		{"a part without the first", []int{1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var a assembler
+			var err error
+			for _, i := range c.order {
+				if err == nil {
+					_, _, err = a.add("host-1", parts[i])
+				}
+			}
+			var broken *ChunkError
+			assert.Assert(t, errors.As(err, &broken), "%v", err)
+		})
+	}
+}
