--- a/internal/follower/fleet_basic_test.go
+++ b/internal/follower/fleet_basic_test.go
@@ -1,16 +1,18 @@
 package follower
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 )
 
 func TestDistribution(t *testing.T) {
-	for _, hosts := range []int{1, 2, 5, 12, 60} {
-		t.Run("every node of a data centre runs what was accepted", func(t *testing.T) {
+	for _, c := range []struct{ hosts, fanOut int }{{1, 8}, {2, 8}, {5, 8}, {12, 8}, {60, 8}, {60, 2}} {
+		t.Run(fmt.Sprintf("%d nodes with fan-out %d run what was accepted", c.hosts, c.fanOut), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fl := newFleet(t, hosts, 4, 1)
+				fl := newFleet(t, c.hosts, 4, 1)
+				fl.fanOut = c.fanOut
 				fl.publish()
 				fl.startAll()
 				time.Sleep(inForceLimit)
--- a/internal/follower/streams.go
+++ b/internal/follower/streams.go
@@ -188,7 +188,13 @@
 	p := s.peer(address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.stream == stream {
-		p.stream = nil
+	if p.stream != stream {
+		return
+	}
+	p.stream = nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.peers[address] == p {
+		delete(s.peers, address)
 	}
 }
