--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -13,6 +13,9 @@
 	sampleSize = 3
 	// sampleDraws is how many random draws find the sample.
 	sampleDraws = 4 * sampleSize
+	// clearlyLess is the part of the best cost that a later sample must be
+	// below. Targets of about the same cost share the requests.
+	clearlyLess = 0.95
 	// spillFactor is how much cheaper a farther target must be than a nearer one without room.
 	spillFactor = 1.5
 )
@@ -147,7 +150,7 @@
 	if s.best >= 0 && c.Distance > s.candidates[s.best].Distance {
 		cost *= spillFactor
 	}
-	if s.best < 0 || cost < s.bestCost {
+	if s.best < 0 || cost < s.bestCost*clearlyLess {
 		s.best, s.bestCost, s.bestRoom = i, cost, room
 	}
 	return true
