--- a/pkg/snapshotter/apply_test.go
+++ b/pkg/snapshotter/apply_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"regexp"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 func service(name string) Service {
@@ -116,6 +119,13 @@
 	t.Run("nothing", func(t *testing.T) {
 		assertRefused(t, s, 3, Change{}, RefusedError{Rule: RuleEmptyChange})
 	})
+	t.Run("a name that is none is quoted in part", func(t *testing.T) {
+		err := Check(Change{RemoveServices: []string{strings.Repeat("X", 1<<20)}})
+		var refused *RefusedError
+		assert.Assert(t, errors.As(err, &refused))
+		assert.Equal(t, refused.Rule, RuleName)
+		assert.Assert(t, len(err.Error()) < 4*maxTextBytes)
+	})
 	t.Run("a resource named twice", func(t *testing.T) {
 		assertRefused(t, s, 3, Change{Services: []Service{service("parts")}, RemoveServices: []string{"parts"}},
 			RefusedError{Rule: RuleDuplicate, Resource: "service parts", Field: "name"})
@@ -167,6 +177,17 @@
 	}
 }
 
+func TestNamesAndPrefixes(t *testing.T) {
+	name := regexp.MustCompile(`^[a-z][a-z0-9]*(-[a-z0-9]+)*$`)
+	path := regexp.MustCompile(`^(/[A-Za-z0-9._~!$&'()*+,;=:@-]+)+/?$|^/$`)
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.StringOfN(rapid.SampledFrom([]rune("az09-AZ/é ")), 0, 6, -1).Draw(t, "name")
+		assert.Equal(t, isKebabCase(n), name.MatchString(n))
+		p := "/" + rapid.StringOfN(rapid.SampledFrom([]rune("aZ9/-%?#~é ")), 0, 6, -1).Draw(t, "prefix")
+		assert.Equal(t, isPath(p), path.MatchString(p))
+	})
+}
+
 func TestMatch(t *testing.T) {
 	only := route("only", "/media/only-get", "booking")
 	only.Methods = []string{"GET"}
