Keep the buffers of streams between short exchanges

Cause: the profile after the reuse of streams showed 7% of all bytes in receive buffers that were dropped after each exchange and made anew, and 4% in 32 KiB copy buffers for answers of some hundred bytes.

Change: a waiting stream drops its buffer only when it has received more than 16 KiB; answers up to 2 KiB are copied by a small buffer.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -96,11 +96,11 @@
 	a, reuse, err := x.read()
 	if err != nil {
 		reason := lossReason(x.ctx, err)
-		x.end(false)
+		x.end(false, 0)
 		return exchanger.Unknown(reason, err)
 	}
 	if a.Outcome != retrier.OutcomeDone {
-		x.end(reuse)
+		x.end(reuse, 0)
 		return a
 	}
 	a.Body = &answerBody{
@@ -122,14 +122,14 @@
 	return a, m.GetReuse(), err
 }
 
-// end keeps the stream for another exchange, or closes it, which cancels the
+// end keeps the stream, on which an answer of received bytes came, for another exchange, or closes it, which cancels the
 // request unless it has ended.
-func (x *outgoing) end(reuse bool) {
+func (x *outgoing) end(reuse bool, received int64) {
 	x.closing.Do(func() {
 		defer x.cancel()
 		intact := x.stop()
 		if reuse && intact && x.uploaded.Load() && trafficOf(x.request.Class) == linker.TrafficShort {
-			x.forwarder.idle.put(x.address, x.stream)
+			x.forwarder.idle.put(x.address, x.stream, received)
 			return
 		}
 		x.stream.Abort()
@@ -147,6 +147,6 @@
 
 // Close ends the exchange.
 func (b *answerBody) Close() error {
-	b.exchange.end(b.chunks.whole() && b.chunks.reuse)
+	b.exchange.end(b.chunks.whole() && b.chunks.reuse, b.chunks.got)
 	return nil
 }
--- a/internal/forwarder/idle.go
+++ b/internal/forwarder/idle.go
@@ -13,6 +13,8 @@
 	// its peer is about to close.
 	idleTimeout       = 3 * time.Second
 	serverIdleTimeout = 30 * time.Second
+	// keptBufferBytes is how much a waiting stream may have received at once.
+	keptBufferBytes = 16 << 10
 	// maxIdle bounds the waiting streams to one peer.
 	maxIdle = 16
 )
@@ -58,9 +60,12 @@
 	return s
 }
 
-// put keeps a stream for the next exchange with the peer.
-func (i *idleStreams) put(address string, stream *linker.Stream) {
-	stream.Rest()
+// put keeps a stream for the next exchange with the peer. A stream that has
+// carried much gives its buffer back.
+func (i *idleStreams) put(address string, stream *linker.Stream, received int64) {
+	if received > keptBufferBytes {
+		stream.Rest()
+	}
 	s := &idleStream{stream: stream}
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/internal/receiver/reply.go
+++ b/internal/receiver/reply.go
@@ -14,12 +14,30 @@
 	"gentianbarrow.example/internal/retrier"
 )
 
-const copyBytes = 32 << 10
+const (
+	copyBytes      = 32 << 10
+	shortCopyBytes = 2 << 10
+)
+
+var (
+	copyBuffers      = newBuffers(copyBytes)
+	shortCopyBuffers = newBuffers(shortCopyBytes)
+)
 
-var copyBuffers = sync.Pool{New: func() any {
-	b := make([]byte, copyBytes)
-	return &b
-}}
+func newBuffers(size int) *sync.Pool {
+	return &sync.Pool{New: func() any {
+		b := make([]byte, size)
+		return &b
+	}}
+}
+
+// buffersFor returns the pool for a body of the given length; -1 when not known.
+func buffersFor(length int64) *sync.Pool {
+	if length >= 0 && length <= shortCopyBytes {
+		return shortCopyBuffers
+	}
+	return copyBuffers
+}
 
 // ownedBody detaches the body of the request and cancels the attempt when the answer is closed.
 type ownedBody struct {
@@ -136,8 +154,9 @@
 
 // copyBody passes the answer on as it comes. It returns nil only when all of it was written.
 func (c *call) copyBody(a *exchanger.Answer) error {
-	held := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(held)
+	buffers := buffersFor(a.ContentLength)
+	held := buffers.Get().(*[]byte)
+	defer buffers.Put(held)
 	streamed := a.ContentLength < 0
 	for {
 		n, err := a.Body.Read(*held)
