--- a/internal/gossiper/packet.go
+++ b/internal/gossiper/packet.go
@@ -1,6 +1,8 @@
 package gossiper
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"gentianbarrow.example/internal/blackboard"
@@ -31,9 +33,6 @@
 	if d.state.Config.Running != nil {
 		p.Version = d.state.Config.Running.Version
 	}
-	if d.state.Members.Summary != nil {
-		p.SummaryDigest = d.state.Members.Summary.Digest
-	}
 	return p
 }
 
@@ -86,7 +85,7 @@
 			sent = append(sent, rumour)
 		}
 	}
-	d.g.Rumours = append(next, sent...)
+	d.g.Rumours = slices.Concat(next, sent)
 	d.rumoursCopied = true
 }
 
