Tell data centres about each other, and follow nobody where there is nobody

Cause: summaries were built and not wired. Wired, every node that started alone ended: the choice of a node to follow indexed an empty list when a node knew no peer, or a relay a data centre without relays. Ruled out: waiting for a first peer before the summarizer starts, since peers can also go away later. Change: composer wires the summarizer and its search for relays; keys without addresses are passed over. Before: TestNobodyToFollow 'a node that knows no other' panicked with 'index out of range [0] with length 0', and so did every node of the demo. After: both cases pass, and make demo agrees with its golden file. Conclusion: the reducer holds for a node that is alone.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -33,6 +33,7 @@
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/meter"
 	"gentianbarrow.example/internal/receiver"
+	"gentianbarrow.example/internal/summarizer"
 	"gentianbarrow.example/pkg/snapshotter"
 	"gentianbarrow.example/pkg/storer"
 )
@@ -90,7 +91,8 @@
 }
 
 // buildBoard makes the blackboard. The order of the controllers matters in one
-// place: the announcer stands before the gossiper, which passes on what it decides.
+// chain: the announcer stands before the gossiper, which passes on what it
+// decides, and the gossiper before the summarizer, which sums it up.
 func (n *Node) buildBoard(platform storer.Client) {
 	n.streams = follower.NewStreams(n.links)
 	state := blackboard.State{
@@ -108,15 +110,21 @@
 		gossiper.New(gossiper.Config{
 			Seeds:     n.settings.SeedPeers,
 			Send:      n.listeners.packets.Send,
-			Open:      n.openSync,
+			Open:      n.openStream(gossiper.StreamKind),
 			FindPeers: findPeers(platform, n.settings.DataCentre),
 			Log:       n.log,
 		}),
+		summarizer.New(summarizer.Config{
+			Open:       n.openStream(summarizer.StreamKind),
+			FindRelays: findRelays(platform),
+			Log:        n.log,
+		}),
 		n.executor.Controller(),
 	})
 	n.streams.Post = n.board.Post
 	n.links.Handle(follower.StreamKind, n.streams.Serve)
 	n.links.Handle(gossiper.StreamKind, gossiper.Handler(n.board.Read, n.board.Post, time.Now))
+	n.links.Handle(summarizer.StreamKind, summarizer.Handler(n.board.Read, n.board.Post))
 }
 
 func (n *Node) drainOptions() []drainer.Option {
@@ -127,8 +135,11 @@
 	return []drainer.Option{drainer.WithCutAfter(limit)}
 }
 
-func (n *Node) openSync(ctx context.Context, address string) (*linker.Stream, error) {
-	return n.links.Open(ctx, address, linker.TrafficControl, gossiper.StreamKind)
+// openStream returns a function that opens control streams of one kind.
+func (n *Node) openStream(kind string) func(context.Context, string) (*linker.Stream, error) {
+	return func(ctx context.Context, address string) (*linker.Stream, error) {
+		return n.links.Open(ctx, address, linker.TrafficControl, kind)
+	}
 }
 
 // buildRequestPath makes what carries callers' requests. It reads the board, which is made after it.
--- a/internal/summarizer/follow.go
+++ b/internal/summarizer/follow.go
@@ -119,7 +119,7 @@
 	for _, key := range slices.Sorted(maps.Keys(wanted)) {
 		f := follows[key]
 		f.Key = key
-		if d.keeps(f, wanted[key]) {
+		if len(wanted[key]) == 0 || d.keeps(f, wanted[key]) {
 			continue
 		}
 		f.Address = d.choose(wanted[key], f)
