Spread the platform calls of nodes that lost sight of most others

Cause: where all nodes of a data centre lose sight of each other but reach the platform, each is first in its own order, so 1,000 nodes read the leases within 8 s. Ruled out: reckoning the place from the known members, dead ones included: a data centre whose first six hosts died would have no candidate.

--- a/internal/blackboard/config.go
+++ b/internal/blackboard/config.go
@@ -137,6 +137,8 @@
 	ReadingHead bool
 	// ReadHeadAt is the earliest time of the next read of the head.
 	ReadHeadAt time.Time
+	// Orphan is true once the node has been without a parent for long.
+	Orphan bool
 	// OrphanAt is when to consider a read of the head for want of a parent.
 	OrphanAt time.Time
 	// Waiting are the questions that need a read begun after them. Read only; replaced on change.
@@ -182,6 +184,8 @@
 	ReadAt time.Time
 	// Waited is when the first wait ended; zero before.
 	Waited time.Time
+	// Candidate is true while this node is one of those that read and claim leases.
+	Candidate bool
 	// BusyUntil is when the platform call under way has ended at the latest; zero when there is none.
 	BusyUntil time.Time
 	// Failures counts the platform calls that failed since the last success.
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -115,15 +115,32 @@
 			return s, effects
 		}
 	}
-	if l.Slot < 0 && e.rank(s) >= Candidates(e.Slots) {
-		l.Relays = nil
-		l.ReadAt = now.Add(readEvery)
+	if l.Slot < 0 && e.holdsOff(s, l, now) {
 		return s, effects
 	}
 	l.BusyUntil = now.Add(callTimeout * time.Duration(e.Slots))
 	return s, append(effects, ReadLeases{})
 }
 
+// holdsOff tells whether a node without a lease leaves out this read, and sets
+// when to look again.
+func (e *Elector) holdsOff(s blackboard.State, l *blackboard.Lease, now time.Time) bool {
+	if e.rank(s) >= Candidates(e.Slots) {
+		l.Candidate = false
+		l.Relays = nil
+		l.ReadAt = now.Add(readEvery)
+		return true
+	}
+	spread := ranker.Spread(s.Members.ByHost)
+	if l.Candidate || spread == 1 {
+		l.Candidate = true
+		return false
+	}
+	l.Candidate = true
+	l.ReadAt = now.Add(ranker.Jitter(s.Self.Host, now, 2, spread*readEvery))
+	return true
+}
+
 // rank returns the place of this node among those that may become relays.
 func (e *Elector) rank(s blackboard.State) int {
 	return ranker.Place(s.Members.ByHost, s.Self.Host)
@@ -157,7 +174,8 @@
 		return s, nil
 	}
 	l.Failures = 0
-	l.ReadAt = m.Now.Add(readEvery + ranker.Jitter(s.Self.Host, m.Now, 1, readSpread))
+	wait := readEvery + ranker.Jitter(s.Self.Host, m.Now, 1, readSpread)
+	l.ReadAt = m.Now.Add(wait * ranker.Spread(s.Members.ByHost))
 	l.Relays = nil
 	var vacant []int
 	for i, seen := range m.Slots {
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -227,6 +227,20 @@
 		c.know(hosts)
 		assertRates(t, c, 30)
 	})
+	t.Run("every node loses sight of all others", func(t *testing.T) {
+		c := newCentre(t, hosts)
+		c.run(15 * time.Second)
+		dead := map[string]blackboard.Member{}
+		for _, n := range c.nodes {
+			m := n.member()
+			m.Status = blackboard.MemberDead
+			dead[m.Host] = m
+		}
+		for _, n := range c.nodes {
+			n.state.Members.ByHost = dead
+		}
+		assertRates(t, c, 60)
+	})
 	t.Run("the platform comes back after an outage", func(t *testing.T) {
 		c := newCentre(t, hosts)
 		c.run(15 * time.Second)
--- a/internal/follower/failure_test.go
+++ b/internal/follower/failure_test.go
@@ -72,6 +72,7 @@
 }
 
 func TestFailuresOfLinks(t *testing.T) {
+	t.Parallel()
 	runFleet(t, "a silent connection to the parent", func(t *testing.T, fl *fleet) {
 		host := fl.leaf()
 		parent := fl.nodes[host].board.Load().Read().Config.Parent
@@ -133,6 +134,7 @@
 }
 
 func TestFailuresOfThePlatform(t *testing.T) {
+	t.Parallel()
 	runFleet(t, "outages while versions are accepted", func(_ *testing.T, fl *fleet) {
 		for range 5 {
 			fl.publish()
@@ -161,6 +163,7 @@
 }
 
 func TestFailuresOfRelays(t *testing.T) {
+	t.Parallel()
 	runFleet(t, "half the relays die", func(t *testing.T, fl *fleet) {
 		relays := fl.relays()
 		assert.Equal(t, len(relays), 3)
@@ -220,6 +223,7 @@
 }
 
 func TestNeverOlder(t *testing.T) {
+	t.Parallel()
 	runFleet(t, "a node killed between stage and swap", func(t *testing.T, fl *fleet) {
 		fl.loseFrames(func(_, to string, frame *wirepb.FollowFrame) bool {
 			return to == "host-1" && frame.GetWitnessAck() != nil
--- a/internal/follower/fleet_basic_test.go
+++ b/internal/follower/fleet_basic_test.go
@@ -8,6 +8,7 @@
 )
 
 func TestDistribution(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ hosts, fanOut int }{{1, 8}, {2, 8}, {5, 8}, {12, 8}, {60, 8}, {60, 2}} {
 		t.Run(fmt.Sprintf("%d nodes with fan-out %d run what was accepted", c.hosts, c.fanOut), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/follower/measure_test.go
+++ b/internal/follower/measure_test.go
@@ -196,6 +196,7 @@
 // linkDelay and a call of the platform platformDelayMs. Bytes are those of the
 // encoded frames and an allowance for the headers below them.
 func TestMeasure(t *testing.T) {
+	t.Parallel()
 	assertBudgets(t, measure(t, designMix, budgetNodes, DefaultFanOut))
 	if *measureNodes == 0 {
 		return
--- a/internal/follower/property_test.go
+++ b/internal/follower/property_test.go
@@ -165,6 +165,7 @@
 // runs a version older than one it has run, every version in force is one that
 // was accepted, and every node reaches the head once the faults have ended.
 func TestSchedules(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		schedule := drawSchedule(rt)
 		seed := rapid.Uint64().Draw(rt, "seed")
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -63,14 +63,18 @@
 func (st *step) tickOrphan() {
 	src := &st.s.Config.Source
 	if st.s.Config.Tree.Joined || src.OrphanAt.IsZero() {
+		src.Orphan = false
 		src.OrphanAt = st.now.Add(orphanAfter)
 		return
 	}
 	if st.now.Before(src.OrphanAt) {
 		return
 	}
-	src.OrphanAt = st.now.Add(orphanAfter)
-	if ranker.Place(st.s.Members.ByHost, st.s.Self.Host) < 2*st.f.RelaySlots {
+	spread := ranker.Spread(st.s.Members.ByHost)
+	waited := src.Orphan || spread == 1
+	src.Orphan = true
+	src.OrphanAt = st.now.Add(orphanAfter*spread + ranker.Jitter(st.s.Self.Host, st.now, 14, orphanAfter*(spread-1)))
+	if waited && ranker.Place(st.s.Members.ByHost, st.s.Self.Host) < 2*st.f.RelaySlots {
 		st.readHead()
 	}
 }
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -43,6 +43,32 @@
 	return place
 }
 
+const (
+	// ordinaryLoss is how many times fewer members may be seen than are known
+	// before calls to the platform are spread out.
+	ordinaryLoss = 10
+	// mostSpread bounds how much the time between calls grows.
+	mostSpread = 20
+)
+
+// Spread returns how many times longer than usual the first nodes in the order
+// wait between calls to the platform. It is more than 1 when a node sees far
+// fewer members than it knows: then there may be many parts of the data centre
+// cut off from each other, each with first nodes of its own.
+func Spread(members map[string]blackboard.Member) time.Duration {
+	known, seen := 0, 0
+	for _, m := range members {
+		if m.Status != blackboard.MemberLeft {
+			known++
+		}
+		if present(m) {
+			seen++
+		}
+	}
+	parts := known / max(1, seen)
+	return time.Duration(min(max(1, parts/ordinaryLoss), mostSpread))
+}
+
 type ranked struct {
 	hash   uint64
 	member blackboard.Member
--- a/internal/ranker/ranker_test.go
+++ b/internal/ranker/ranker_test.go
@@ -43,3 +43,16 @@
 		assert.Assert(t, wait >= 500*time.Millisecond && wait <= 10*time.Second, "%v after %d failures", wait, failures)
 	}
 }
+
+func TestSpread(t *testing.T) {
+	for _, c := range []struct{ known, seen, want int }{
+		{1, 1, 1}, {100, 100, 1}, {100, 50, 1}, {100, 2, 5}, {1000, 1, 20}, {1000, 40, 2},
+	} {
+		byHost := members(c.known)
+		for i := range c.known - c.seen {
+			host := fmt.Sprintf("host-%d", i)
+			byHost[host] = blackboard.Member{Host: host, Status: blackboard.MemberDead}
+		}
+		assert.Equal(t, Spread(byHost), time.Duration(c.want), "%+v", c)
+	}
+}
