--- a/internal/elector/calls.go
+++ b/internal/elector/calls.go
@@ -7,10 +7,10 @@
 	"gentianbarrow.example/pkg/storer"
 )
 
-func (e *Elector) readLeases(ctx context.Context) ([]Seen, error) {
-	out := make([]Seen, e.Slots)
+func readLeases(ctx context.Context, client storer.Client, dataCentre string, slots int) ([]Seen, error) {
+	out := make([]Seen, slots)
 	for i := range out {
-		seen, err := e.readLease(ctx, Key(e.DataCentre, i))
+		seen, err := readLease(ctx, client, Key(dataCentre, i))
 		if err != nil {
 			return nil, err
 		}
@@ -19,10 +19,11 @@
 	return out, nil
 }
 
-func (e *Elector) readLease(ctx context.Context, key string) (Seen, error) {
+// readLease returns a lease without a record when it does not exist or is malformed.
+func readLease(ctx context.Context, client storer.Client, key string) (Seen, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	obj, err := e.Client.Get(ctx, key)
+	obj, err := client.Get(ctx, key)
 	var missing *storer.NotFoundError
 	if errors.As(err, &missing) {
 		return Seen{}, nil
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -268,7 +268,7 @@
 func (e *Elector) run(ctx context.Context, effect blackboard.Effect, post blackboard.Post) {
 	switch f := effect.(type) {
 	case ReadLeases:
-		slots, err := e.readLeases(ctx)
+		slots, err := readLeases(ctx, e.Client, e.DataCentre, e.Slots)
 		post(LeasesRead{Now: e.Now(), Slots: slots, Err: err})
 	case WriteLease:
 		obj, err := e.writeLease(ctx, f)
--- a/internal/elector/holders.go
+++ b/internal/elector/holders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"gentianbarrow.example/pkg/storer"
 )
@@ -10,19 +9,14 @@
 // Holders reads who holds the relay slots of a data centre. Slots that are
 // free, or whose object is malformed, are left out. Records may have lapsed.
 func Holders(ctx context.Context, client storer.Client, dataCentre string) ([]Record, error) {
+	all, err := readLeases(ctx, client, dataCentre, DefaultSlots)
+	if err != nil {
+		return nil, err
+	}
 	var out []Record
-	for slot := range DefaultSlots {
-		key := Key(dataCentre, slot)
-		obj, err := client.Get(ctx, key)
-		var missing *storer.NotFoundError
-		if errors.As(err, &missing) {
-			continue
-		}
-		if err != nil {
-			return nil, err
-		}
-		if r, err := decodeRecord(key, obj.Value); err == nil {
-			out = append(out, r)
+	for _, seen := range all {
+		if seen.Record.Host != "" {
+			out = append(out, seen.Record)
 		}
 	}
 	return out, nil
