--- a/internal/blackboard/config.go
+++ b/internal/blackboard/config.go
@@ -184,6 +184,8 @@
 	ReadAt time.Time
 	// Waited is when the first wait ended; zero before.
 	Waited time.Time
+	// Stopping is true once the node was asked to stop. It takes no lease any more.
+	Stopping bool
 	// Candidate is true while this node is one of those that read and claim leases.
 	Candidate bool
 	// BusyUntil is when the platform call under way has ended at the latest; zero when there is none.
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -82,6 +82,8 @@
 	switch m := msg.(type) {
 	case blackboard.Tick:
 		return e.tick(s, m.Now)
+	case blackboard.StopRequested:
+		return e.stop(s, m.Now)
 	case LeasesRead:
 		return e.leasesRead(s, m)
 	case LeaseWritten:
@@ -90,9 +92,26 @@
 	return s, nil
 }
 
+// stop gives the held slot up, so that another node takes it at its next read.
+// It is tried once; otherwise the lease lapses.
+func (e *Elector) stop(s blackboard.State, now time.Time) (blackboard.State, []blackboard.Effect) {
+	l := &s.Lease
+	l.Stopping = true
+	if l.Slot < 0 {
+		return s, nil
+	}
+	record := newRecord(s.Self, l.Slot, l.Epoch, now)
+	record.Expires = now.Add(-lapseGrace)
+	release := WriteLease{Record: record, Revision: l.Revision}
+	return s, []blackboard.Effect{e.drop(s.Self, l, "stopping"), release}
+}
+
 func (e *Elector) tick(s blackboard.State, now time.Time) (blackboard.State, []blackboard.Effect) {
 	var effects []blackboard.Effect
 	l := &s.Lease
+	if l.Stopping {
+		return s, nil
+	}
 	if l.ReadAt.IsZero() {
 		l.ReadAt = now.Add(startWait + ranker.Jitter(s.Self.Host, now, 0, startSpread))
 	}
@@ -168,6 +187,9 @@
 
 func (e *Elector) leasesRead(s blackboard.State, m LeasesRead) (blackboard.State, []blackboard.Effect) {
 	l := &s.Lease
+	if l.Stopping {
+		return s, nil
+	}
 	l.BusyUntil = time.Time{}
 	if m.Err != nil {
 		e.backOff(s.Self, l, m.Now)
@@ -226,6 +248,9 @@
 
 func (e *Elector) leaseWritten(s blackboard.State, m LeaseWritten) (blackboard.State, []blackboard.Effect) {
 	l := &s.Lease
+	if l.Stopping {
+		return s, nil
+	}
 	l.BusyUntil = time.Time{}
 	if m.Err != nil {
 		e.backOff(s.Self, l, m.Now)
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -182,6 +182,15 @@
 			assert.Equal(t, r.Epoch, uint64(1), obj.Key)
 		}
 	})
+	t.Run("a holder that is asked to stop gives its slot up before it would lapse", func(t *testing.T) {
+		c := newCentre(t, 20)
+		c.run(15 * time.Second)
+		holder := c.holders()[2][0]
+		c.handle(holder, blackboard.StopRequested{Now: c.now})
+		assert.Equal(t, holder.state.Lease.Slot, -1)
+		c.run(leaseTerm - time.Second)
+		c.assertHeld()
+	})
 	t.Run("a malformed lease counts as lapsed", func(t *testing.T) {
 		c := newCentre(t, 20)
 		for slot := range DefaultSlots {
