--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -82,6 +82,8 @@
 	switch m := msg.(type) {
 	case blackboard.Tick:
 		return e.tick(s, m.Now)
+	case blackboard.StopRequested:
+		return e.stop(s, m.Now)
 	case LeasesRead:
 		return e.leasesRead(s, m)
 	case LeaseWritten:
@@ -90,9 +92,26 @@
 	return s, nil
 }
 
+// stop gives the held slot up, so that another node takes it at its next read.
+// It is tried once; otherwise the lease lapses.
+func (e *Elector) stop(s blackboard.State, now time.Time) (blackboard.State, []blackboard.Effect) {
+	l := &s.Lease
+	l.Stopping = true
+	if l.Slot < 0 {
+		return s, nil
+	}
+	record := newRecord(s.Self, l.Slot, l.Epoch, now)
+	record.Expires = now.Add(-lapseGrace)
+	release := WriteLease{Record: record, Revision: l.Revision}
+	return s, []blackboard.Effect{e.drop(s.Self, l, "stopping"), release}
+}
+
 func (e *Elector) tick(s blackboard.State, now time.Time) (blackboard.State, []blackboard.Effect) {
 	var effects []blackboard.Effect
 	l := &s.Lease
+	if l.Stopping {
+		return s, nil
+	}
 	if l.ReadAt.IsZero() {
 		l.ReadAt = now.Add(startWait + ranker.Jitter(s.Self.Host, now, 0, startSpread))
 	}
@@ -115,15 +134,32 @@
 			return s, effects
 		}
 	}
-	if l.Slot < 0 && e.rank(s) >= Candidates(e.Slots) {
-		l.Relays = nil
-		l.ReadAt = now.Add(readEvery)
+	if l.Slot < 0 && e.holdsOff(s, l, now) {
 		return s, effects
 	}
 	l.BusyUntil = now.Add(callTimeout * time.Duration(e.Slots))
 	return s, append(effects, ReadLeases{})
 }
 
+// holdsOff tells whether a node without a lease leaves out this read, and sets
+// when to look again.
+func (e *Elector) holdsOff(s blackboard.State, l *blackboard.Lease, now time.Time) bool {
+	if e.rank(s) >= Candidates(e.Slots) {
+		l.Candidate = false
+		l.Relays = nil
+		l.ReadAt = now.Add(readEvery)
+		return true
+	}
+	spread := ranker.Spread(s.Members.ByHost)
+	if l.Candidate || spread == 1 {
+		l.Candidate = true
+		return false
+	}
+	l.Candidate = true
+	l.ReadAt = now.Add(ranker.Jitter(s.Self.Host, now, 2, spread*readEvery))
+	return true
+}
+
 // rank returns the place of this node among those that may become relays.
 func (e *Elector) rank(s blackboard.State) int {
 	return ranker.Place(s.Members.ByHost, s.Self.Host)
@@ -151,13 +187,17 @@
 
 func (e *Elector) leasesRead(s blackboard.State, m LeasesRead) (blackboard.State, []blackboard.Effect) {
 	l := &s.Lease
+	if l.Stopping {
+		return s, nil
+	}
 	l.BusyUntil = time.Time{}
 	if m.Err != nil {
 		e.backOff(s.Self, l, m.Now)
 		return s, nil
 	}
 	l.Failures = 0
-	l.ReadAt = m.Now.Add(readEvery + ranker.Jitter(s.Self.Host, m.Now, 1, readSpread))
+	wait := readEvery + ranker.Jitter(s.Self.Host, m.Now, 1, readSpread)
+	l.ReadAt = m.Now.Add(wait * ranker.Spread(s.Members.ByHost))
 	l.Relays = nil
 	var vacant []int
 	for i, seen := range m.Slots {
@@ -208,6 +248,9 @@
 
 func (e *Elector) leaseWritten(s blackboard.State, m LeaseWritten) (blackboard.State, []blackboard.Effect) {
 	l := &s.Lease
+	if l.Stopping {
+		return s, nil
+	}
 	l.BusyUntil = time.Time{}
 	if m.Err != nil {
 		e.backOff(s.Self, l, m.Now)
@@ -250,7 +293,7 @@
 func (e *Elector) run(ctx context.Context, effect blackboard.Effect, post blackboard.Post) {
 	switch f := effect.(type) {
 	case ReadLeases:
-		slots, err := e.readLeases(ctx)
+		slots, err := readLeases(ctx, e.Client, e.DataCentre, e.Slots)
 		post(LeasesRead{Now: e.Now(), Slots: slots, Err: err})
 	case WriteLease:
 		obj, err := e.writeLease(ctx, f)
--- a/internal/elector/holders.go
+++ b/internal/elector/holders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 
 	"gentianbarrow.example/pkg/storer"
@@ -14,14 +13,14 @@
 // Holders reads who holds the relay slots of a data centre. Slots that are
 // free, or whose object is malformed, are left out. Records may have lapsed.
 func Holders(ctx context.Context, client storer.Client, dataCentre string) ([]Record, error) {
+	all, err := readLeases(ctx, client, dataCentre, DefaultSlots)
+	if err != nil {
+		return nil, err
+	}
 	var out []Record
-	for slot := range DefaultSlots {
-		r, held, err := readHolder(ctx, client, Key(dataCentre, slot))
-		if err != nil {
-			return nil, err
-		}
-		if held {
-			out = append(out, r)
+	for _, seen := range all {
+		if seen.held() {
+			out = append(out, seen.Record)
 		}
 	}
 	return out, nil
@@ -36,12 +35,12 @@
 	}
 	out := map[string][]Record{}
 	for _, lease := range leases {
-		r, held, err := readHolder(ctx, client, lease.Key)
+		seen, err := readLease(ctx, client, lease.Key)
 		if err != nil {
 			return nil, err
 		}
-		if dataCentre, ok := dataCentreOf(lease.Key); ok && held {
-			out[dataCentre] = append(out[dataCentre], r)
+		if dataCentre, ok := dataCentreOf(lease.Key); ok && seen.held() {
+			out[dataCentre] = append(out[dataCentre], seen.Record)
 		}
 	}
 	return out, nil
@@ -57,16 +56,5 @@
 	return dataCentre, ok
 }
 
-// readHolder reads one lease; false when it is free or malformed.
-func readHolder(ctx context.Context, client storer.Client, key string) (Record, bool, error) {
-	obj, err := client.Get(ctx, key)
-	var missing *storer.NotFoundError
-	if errors.As(err, &missing) {
-		return Record{}, false, nil
-	}
-	if err != nil {
-		return Record{}, false, err
-	}
-	r, err := decodeRecord(key, obj.Value)
-	return r, err == nil, nil //nolint:nilerr // a malformed lease counts as free
-}
+// held tells that the object exists and names a holder, whose lease may have lapsed.
+func (s Seen) held() bool { return s.Record.Host != "" }
