--- a/internal/limiter/adapter.go
+++ b/internal/limiter/adapter.go
@@ -11,8 +11,10 @@
 	adaptEvery = 50 * time.Millisecond
 	// adaptRounds times the slots is how many requests must end between two changes.
 	adaptRounds = 2
-	// holdFor is how long all slots stay in use after a lower limit has cost throughput.
-	holdFor = time.Second
+	// holdFor is how long all slots stay in use after a lower limit has cost
+	// throughput. It doubles with each further time, mostHolds times.
+	holdFor   = 2 * time.Second
+	mostHolds = 4
 	// slowRatio of the recent service time to the usual one lowers the limit.
 	slowRatio = 2.5
 	// lowerBy is the factor by which a slow target's limit shrinks.
@@ -51,8 +53,12 @@
 	round round
 	// before is the throughput before the limit was lowered; 0 unless it has just been.
 	before float64
+	// wasSlow tells that the target was slow throughout the round before.
+	wasSlow bool
 	// holdUntil is when the limit may be lowered again.
 	holdUntil time.Time
+	// holds counts the times in a row that a lower limit cost throughput.
+	holds int
 }
 
 // round counts the requests that ended since it began.
@@ -130,17 +136,19 @@
 // change ends a round in which so many requests ended a second.
 func (a *adapter) change(now time.Time, throughput float64) {
 	slots := float64(a.limits.Slots)
-	before := a.before
-	a.before = 0
+	before, wasSlow := a.before, a.wasSlow
+	a.before, a.wasSlow = 0, a.ratio > slowRatio
 	switch {
 	case !a.round.full:
 		return
 	case a.ratio <= slowRatio:
 		a.limit = min(a.limit+max(slots/raiseDivisor, 1), slots)
+		a.holds, a.holdUntil = 0, time.Time{}
 	case throughput < before*keptThroughput:
 		a.limit = slots
-		a.holdUntil = now.Add(holdFor)
-	case now.Before(a.holdUntil):
+		a.holdUntil = now.Add(holdFor << min(a.holds, mostHolds))
+		a.holds++
+	case !wasSlow || now.Before(a.holdUntil):
 		return
 	default:
 		a.limit = max(a.limit*lowerBy, a.floor())
--- a/internal/limiter/share.go
+++ b/internal/limiter/share.go
@@ -70,9 +70,12 @@
 // ordinary counts the requests that are not urgent.
 func (t *tally) ordinary() int { return t.total - t.classes[urgent] }
 
-// ordinaryShare is the part of the slots that urgent requests leave to waiting
-// others, as a divisor.
-const ordinaryShare = 5
+const (
+	// ordinaryShare is the part of the slots that urgent requests leave to waiting others, as a divisor.
+	ordinaryShare = 5
+	// keptBulk is the part of their share that bulk requests keep against waiting short ones, as a divisor.
+	keptBulk = 2
+)
 
 // room is how many requests of each kind may run.
 type room struct {
@@ -119,15 +122,17 @@
 }
 
 // order returns the classes in the order in which waiting requests start:
-// urgent first while others keep their share, then one bulk request, then short ones.
+// urgent first while others keep their share, then bulk ones while they hold
+// less than they may keep, then short ones.
 func (r room) order(t tally) [classes]class {
 	last := max(r.slots-max(r.slots/ordinaryShare, 1), r.urgentSlots)
+	keepsBulk := t.classes[bulk] < max(r.bulkSlots/keptBulk, 1)
 	switch {
-	case t.classes[urgent] >= last && t.classes[bulk] == 0:
+	case t.classes[urgent] >= last && keepsBulk:
 		return [classes]class{bulk, short, urgent}
 	case t.classes[urgent] >= last:
 		return [classes]class{short, bulk, urgent}
-	case t.classes[bulk] == 0:
+	case keepsBulk:
 		return [classes]class{urgent, bulk, short}
 	}
 	return [classes]class{urgent, short, bulk}
