--- a/internal/experimenter/loop.go
+++ b/internal/experimenter/loop.go
@@ -12,32 +12,33 @@
 	"time"
 )
 
-// event is something that happens at a time.
+// event is something that happens at a time, counted from Epoch.
 type event struct {
-	at time.Time
+	at time.Duration
 	// order breaks ties: events of one time happen in the order in which they were added.
 	order uint64
 	do    func()
 }
 
-type eventHeap []event
+type eventHeap []*event
 
 func (h eventHeap) Len() int { return len(h) }
 func (h eventHeap) Less(i, j int) bool {
-	if h[i].at.Equal(h[j].at) {
+	if h[i].at == h[j].at {
 		return h[i].order < h[j].order
 	}
-	return h[i].at.Before(h[j].at)
+	return h[i].at < h[j].at
 }
 func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
 // Push appends an event.
-func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(*event)) }
 
 // Pop removes the last event.
 func (h *eventHeap) Pop() any {
 	last := len(*h) - 1
 	e := (*h)[last]
+	(*h)[last] = nil
 	*h = (*h)[:last]
 	return e
 }
@@ -55,16 +56,16 @@
 		t = l.now
 	}
 	l.added++
-	heap.Push(&l.events, event{at: t, order: l.added, do: do})
+	heap.Push(&l.events, &event{at: t.Sub(Epoch), order: l.added, do: do})
 }
 
 func (l *loop) after(d time.Duration, do func()) { l.at(l.now.Add(d), do) }
 
 // run handles events until none is left before end.
 func (l *loop) run(end time.Time) {
-	for len(l.events) > 0 && l.events[0].at.Before(end) {
-		e := heap.Pop(&l.events).(event)
-		l.now = e.at
+	for len(l.events) > 0 && At(l.events[0].at).Before(end) {
+		e := heap.Pop(&l.events).(*event)
+		l.now = At(e.at)
 		e.do()
 	}
 	l.now = end
--- a/internal/limiter/adapter.go
+++ b/internal/limiter/adapter.go
@@ -31,6 +31,8 @@
 	// that a slow spell does not become usual but a lasting change does.
 	usualUpWeight   = 0.001
 	usualDownWeight = 0.01
+	// usualSamples is how many samples the first usual service time is the mean of.
+	usualSamples = 50
 	// usualClip bounds a sample's effect on the usual service time, as a multiple of it.
 	usualClip = 2.0
 	// ratioClip bounds a sample's effect on the recent ratio.
@@ -47,6 +49,8 @@
 	limit float64
 	// usual service time of each class in nanoseconds; 0 before the first sample.
 	usual [classes]float64
+	// samples counts those of usual up to usualSamples.
+	samples [classes]int
 	// ratio of recent service times to the usual ones.
 	ratio float64
 	// round is what was seen since the latest change.
@@ -126,6 +130,11 @@
 	if !answered {
 		return
 	}
+	if a.samples[c] < usualSamples {
+		a.samples[c]++
+		a.usual[c] = smooth(a.usual[c], ran, 1/float64(a.samples[c]))
+		return
+	}
 	weight := usualDownWeight
 	if ran > a.usual[c] {
 		weight = usualUpWeight
