--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -91,6 +91,9 @@
 
 // endOfDistance returns the index after the last candidate as near as the one at low.
 func endOfDistance(candidates []Candidate, low int) int {
+	if last := len(candidates); candidates[last-1].Distance == candidates[low].Distance {
+		return last
+	}
 	high := low + 1
 	for high < len(candidates) && candidates[high].Distance == candidates[low].Distance {
 		high++
