Write down the measurements of the request path

A test that leaving an answer cancels the request at the peer is new: the broken variant that does not end the stream had survived.

--- a/internal/forwarder/reuse_test.go
+++ b/internal/forwarder/reuse_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,6 +55,18 @@
 	return c.ReadCloser.Close()
 }
 
+// untilDone is a body that never ends by itself.
+type untilDone struct {
+	ctx   context.Context
+	ended *atomic.Bool
+}
+
+func (b untilDone) Read([]byte) (int, error) {
+	<-b.ctx.Done()
+	b.ended.Store(true)
+	return 0, b.ctx.Err()
+}
+
 // inPair runs a test with two forwarders under fake time.
 func inPair(t *testing.T, f func(t *testing.T, p *pair)) {
 	t.Helper()
@@ -122,6 +135,20 @@
 			assert.Equal(t, p.opened, 2)
 		})
 	})
+	t.Run("leaving an answer cancels the request at the peer", func(t *testing.T) {
+		inPair(t, func(t *testing.T, p *pair) {
+			var ended atomic.Bool
+			p.execute = func(ctx context.Context, r *exchanger.Request) *exchanger.Answer {
+				a := echoID(ctx, r)
+				a.ContentLength = -1
+				a.Body = io.NopCloser(untilDone{ctx, &ended})
+				return a
+			}
+			p.near.Forward(t.Context(), "peer", testRequest()).Close()
+			synctest.Wait()
+			assert.Assert(t, ended.Load())
+		})
+	})
 	t.Run("not when the target has not read the request", func(t *testing.T) {
 		inPair(t, func(t *testing.T, p *pair) {
 			p.execute = func(ctx context.Context, r *exchanger.Request) *exchanger.Answer {
--- a/internal/receiver/bench_test.go
+++ b/internal/receiver/bench_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -78,10 +79,12 @@
 }
 
 // BenchmarkAddedLatency sends each request to the target itself, through one
-// node and through two, in turn.
+// node and through two, in turn, by the collector's target for heap growth.
 func BenchmarkAddedLatency(b *testing.B) {
-	for _, callers := range []int{1, 4} {
-		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+	cases := []struct{ callers, gcPercent int }{{1, 100}, {1, 400}, {4, 100}, {4, 400}}
+	for _, c := range cases {
+		b.Run(fmt.Sprintf("callers=%d/gc-percent=%d", c.callers, c.gcPercent), func(b *testing.B) {
+			defer debug.SetGCPercent(debug.SetGCPercent(c.gcPercent))
 			m := newBench(b, 2, targeter.Config{})
 			paths := map[string]string{
 				"direct": m.nodes[1].state.Load().Target.Address,
@@ -90,7 +93,7 @@
 			}
 			m.noTarget(0)
 			m.nodes[1].change(func(s *stateType) { s.Members.ByHost = nil })
-			samples := m.sample(b, callers, paths)
+			samples := m.sample(b, c.callers, paths)
 			for _, name := range []string{"direct", "one", "two"} {
 				report(b, name, samples[name])
 			}
