--- a/internal/summarizer/follow.go
+++ b/internal/summarizer/follow.go
@@ -134,10 +134,17 @@
 	d.x.Follows = follows
 }
 
-// wanted returns the addresses to choose from, by key.
+// wanted returns the addresses to choose from, by key. The publisher alone
+// follows other data centres; its fellow relays follow it.
 func (d *draft) wanted() map[string][]string {
 	if d.isRelay() {
-		return d.x.Relays
+		if d.isPublisher() {
+			return d.x.Relays
+		}
+		if publisher := d.publisher(); publisher.Address != "" {
+			return map[string][]string{blackboard.FollowAll: {publisher.Address}}
+		}
+		return nil
 	}
 	if parent := d.state.Config.Parent; parent != "" {
 		return map[string][]string{blackboard.FollowAll: {parent}}
--- a/internal/summarizer/publisher.go
+++ b/internal/summarizer/publisher.go
@@ -68,8 +68,8 @@
 	return slices.ContainsFunc(d.relays(), func(r blackboard.Relay) bool { return r.Host == d.state.Self.Host })
 }
 
-// isPublisher tells whether this node is the live relay with the greatest epoch of its data centre.
-func (d *draft) isPublisher() bool {
+// publisher returns the live relay with the greatest epoch of the own data centre; the zero value when there is none.
+func (d *draft) publisher() blackboard.Member {
 	var best blackboard.Relay
 	for _, r := range d.relays() {
 		m := d.state.Members.ByHost[r.Host]
@@ -78,9 +78,11 @@
 			best = r
 		}
 	}
-	return best.Host == d.state.Self.Host
+	return d.state.Members.ByHost[best.Host]
 }
 
+func (d *draft) isPublisher() bool { return d.publisher().Host == d.state.Self.Host }
+
 // Count sums up the ready targets of a member table, in order of service.
 func Count(members map[string]blackboard.Member) []blackboard.ServiceSummary {
 	hosts := map[string][]blackboard.Member{}
--- a/internal/summarizer/runner.go
+++ b/internal/summarizer/runner.go
@@ -26,7 +26,7 @@
 	// findTimeout ends a search for relays.
 	findTimeout = 10 * time.Second
 	// maxFollowers bounds the streams that a node serves at once.
-	maxFollowers = 64
+	maxFollowers = 128
 
 	maxDataCentres      = 256
 	maxServices         = 1 << 14
