Spread the first searches for relays, and keep the test of an empty list strict

Cause: every new relay read all leases at once, 57 reads by each of 57 relays when all data centres start together; and since only a publisher follows other data centres, the test of a data centre without relays no longer reached that code. Change: the first search comes within 5 s at random; the test's relay is now a live member, so a publisher.

--- a/internal/summarizer/follow_test.go
+++ b/internal/summarizer/follow_test.go
@@ -37,6 +37,9 @@
 	})
 	t.Run("a relay that knows a data centre without relays", func(t *testing.T) {
 		s := blackboard.State{Self: self, Lease: blackboard.Lease{Slot: 0, Expires: time.Unix(0, 0).Add(2 * time.Hour)}}
+		s.Members.ByHost = map[string]blackboard.Member{
+			self.Host: {Host: self.Host, Address: self.Address, Status: blackboard.MemberAlive}, // else it is no publisher
+		}
 		s, _ = Reduce(s, blackboard.RelaysFound{Relays: map[string][]string{"hafn-c": nil}, Now: time.Unix(0, 0).Add(time.Hour)})
 		assertFollowsNobody(t, tickFor(s, time.Minute))
 	})
--- a/internal/summarizer/summarizer.go
+++ b/internal/summarizer/summarizer.go
@@ -43,6 +43,8 @@
 	maxRaises   = 8
 	// relaysPeriod is the time between two readings of the other data centres' relays.
 	relaysPeriod = 60 * time.Second
+	// findSpread is how far the first readings of relays that start together are apart.
+	findSpread = 5 * time.Second
 	// followPeriod is the time between two looks at which nodes to follow.
 	followPeriod = 500 * time.Millisecond
 	// choosePeriod is how long a randomly chosen peer is followed.
@@ -138,9 +140,8 @@
 		d.x.NextSummary = now.Add(summaryPeriod)
 		d.publish()
 	}
-	if d.isRelay() && !now.Before(d.x.NextRelays) {
-		d.x.NextRelays = now.Add(d.jitter(relaysPeriod))
-		d.effects = append(d.effects, FindRelays{})
+	if d.isRelay() {
+		d.findRelays()
 	}
 	if !now.Before(d.x.NextFlush) {
 		d.x.NextFlush = now.Add(flushPeriod)
@@ -152,6 +153,18 @@
 	}
 }
 
+// findRelays reads the relays of the other data centres now and then. The first
+// searches of relays that start together are spread.
+func (d *draft) findRelays() {
+	if d.x.NextRelays.IsZero() {
+		d.x.NextRelays = d.now.Add(time.Duration(d.rand().Int64N(int64(findSpread))))
+	}
+	if !d.now.Before(d.x.NextRelays) {
+		d.x.NextRelays = d.now.Add(d.jitter(relaysPeriod))
+		d.effects = append(d.effects, FindRelays{})
+	}
+}
+
 // rand returns random numbers that the state alone determines.
 func (d *draft) rand() *rand.Rand {
 	d.x.Draws++
