Send garbage to a real socket, and take a port that is free for UDP and TCP

Cause: TestRealSockets failed once with "bind: address already in use": the TCP port of a free UDP port belonged to another process. And no test sent a malformed or oversized packet over a real socket. Change: the test tries further ports; a malformed and an oversized packet wait in the first node's socket. A receiver that ends at a refused packet was seen failing: "panic: test timed out after 10s". BenchmarkRestart prints memory.

--- a/internal/gossiper/measure_test.go
+++ b/internal/gossiper/measure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -201,18 +202,27 @@
 
 // BenchmarkRestart prints how long a whole data centre takes to know itself again, and the bytes of the first minute.
 func BenchmarkRestart(b *testing.B) {
-	fmt.Printf("| nodes | seed | all know all after | bytes/node in the first minute |\n")
+	fmt.Printf("| nodes | seed | all know all after | bytes/node in the first minute | heap/node |\n")
 	for _, n := range []int{10, 100, 300, 1000} {
 		for seed := range uint64(3) {
+			before := heapInUse()
 			w := newNetwork(b, seed+1, n)
 			w.bootAll()
 			took := w.until(2*time.Minute, "all know each other", w.agree)
 			w.advance(time.Minute - took)
 			_, bytes, syncBytes := w.countBytes()
-			fmt.Printf("| %d | %d | %v | %d |\n", n, seed+1, took, (bytes+syncBytes)/n)
+			fmt.Printf("| %d | %d | %v | %d | %d |\n", n, seed+1, took, (bytes+syncBytes)/n, (heapInUse()-before)/uint64(n))
+			runtime.KeepAlive(w)
 			if n == 1000 {
 				break
 			}
 		}
 	}
 }
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/gossiper/udp_test.go
+++ b/internal/gossiper/udp_test.go
@@ -21,12 +21,12 @@
 	var seed string
 	ready := make(chan struct{}, nodes)
 	for i := range nodes {
-		udp, err := ListenUDP(ctx, "127.0.0.1:0")
-		assert.NilError(t, err)
+		udp, ln := listenBoth(ctx, t)
 		if i == 0 {
 			seed = udp.Address()
+			sendGarbage(ctx, t, seed)
 		}
-		startNode(ctx, t, group, udp, host(i), seed, func() { ready <- struct{}{} }, nodes-1)
+		startNode(ctx, group, udp, ln, host(i), seed, func() { ready <- struct{}{} }, nodes-1)
 	}
 	for range nodes {
 		<-ready
@@ -35,10 +35,35 @@
 	assert.NilError(t, group.Wait())
 }
 
-func startNode(ctx context.Context, t *testing.T, group *errgroup.Group, udp *UDP, name, seed string, done func(), others int) {
+// sendGarbage sends a malformed and an oversized packet, which must not stop the receiver.
+func sendGarbage(ctx context.Context, t *testing.T, address string) {
 	t.Helper()
-	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", udp.Address())
+	conn, err := (&net.Dialer{}).DialContext(ctx, "udp", address)
 	assert.NilError(t, err)
+	for _, packet := range [][]byte{{0xff}, make([]byte, 2*MaxPacketBytes)} {
+		_, err = conn.Write(packet)
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, conn.Close())
+}
+
+// listenBoth opens a UDP and a TCP socket on one free port.
+func listenBoth(ctx context.Context, t *testing.T) (*UDP, net.Listener) {
+	t.Helper()
+	for range 100 {
+		udp, err := ListenUDP(ctx, "127.0.0.1:0")
+		assert.NilError(t, err)
+		ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", udp.Address())
+		if err == nil {
+			return udp, ln
+		}
+		_ = udp.conn.Close() // another process has the TCP port of this number
+	}
+	t.Fatal("no port is free for both UDP and TCP")
+	return nil, nil
+}
+
+func startNode(ctx context.Context, group *errgroup.Group, udp *UDP, ln net.Listener, name, seed string, done func(), others int) {
 	links := linker.New()
 	told := false
 	watcher := blackboard.Controller{
