Show in the demo where a ticket is in force

Cause: the transcript ended a ticket at its acceptance, though what counts is that every node runs it. Change: the demo waits for the status of each data centre and prints ticket show.

--- a/sessions/demo.sh
+++ b/sessions/demo.sh
@@ -2,6 +2,13 @@
 # A first look: three data centres, tickets, requests, a killed host, a drained node.
 source "$(dirname "$0")/../scripts/mesh.sh"
 
+# reported N: the status of ticket N counts every node of every data centre.
+reported() {
+  local status
+  status=$(./bin/gentianctl ticket show "$1" --platform "http://$platform")
+  grep -q "hafn-c .*3 of 3" <<<"$status" && grep -q "reyk-a .*4 of 4" <<<"$status" && grep -q "reyk-b .*3 of 3" <<<"$status"
+}
+
 session() {
   say "The platform, ten nodes and their targets start as separate processes."
   start_mesh
@@ -12,6 +19,9 @@
   ctl ticket approve 1 --author jon
   wait_for "version 1 is in force on every node" all_run 1
 
+  wait_for "every data centre has reported the version in force" reported 1
+  ctl ticket show 1
+
   say "A ticket whose route names no service is refused, and says why."
   ctl ticket plan sessions/ticket-2.yaml
   ctl ticket file sessions/ticket-2.yaml --author jon --firm frothvik
