Do not blame a target for a caller that goes away; seam: router.Result says Cancelled, the receiver sets it

Cause: an attempt that this node ended itself came back as unknown without a load, so the target was left alone by every class for 50 ms and more, doubling. Baristas who refresh a page cancel requests over and over; each would have shut a good target out. Change: such an attempt counts as slow if it ran longer than usual, else not at all. One line in internal/receiver sets the field.

--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -165,6 +165,7 @@
 	defer rc.mu.Unlock()
 	rc.table.Finished(time.Now(), r.Service, host, router.Result{
 		Outcome: a.Outcome, Class: r.Class, Latency: took, Load: a.Load, RetryAfter: a.RetryAt,
+		Cancelled: a.Reason == exchanger.ReasonCancelled || a.Reason == exchanger.ReasonDeadline,
 	})
 	if b := rc.budgets[r.Service]; b != nil && a.Outcome == retrier.OutcomeDone {
 		b.Observed(took)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -111,6 +111,9 @@
 	Latency time.Duration
 	// Load that came with the answer; nil when none came.
 	Load *limiter.Load
+	// Cancelled tells that this node ended the attempt: the caller went away, its
+	// time was over, or another attempt was quicker.
+	Cancelled bool
 	// RetryAfter is when a refusing target expects to have room; zero means unknown.
 	RetryAfter time.Time
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -197,6 +197,16 @@
 			assert.Assert(t, share(table, at(201), roster(), near(5), isHost(host)) > 0, host)
 		}
 	})
+	t.Run("a caller that goes away is not the target's fault", func(t *testing.T) {
+		table := usual()
+		visit(table, "near-0", at(200), Result{Outcome: retrier.OutcomeUnknown, Latency: time.Millisecond, Cancelled: true})
+		assert.Assert(t, share(table, at(201), roster(), near(5), isHost("near-0")) > 0)
+	})
+	t.Run("a target that lets callers wait until they go is avoided", func(t *testing.T) {
+		table := usual()
+		visit(table, "near-0", at(200), Result{Outcome: retrier.OutcomeUnknown, Latency: 200 * time.Millisecond, Cancelled: true})
+		assert.Equal(t, share(table, at(201), roster(), near(5), isHost("near-0")), 0)
+	})
 	t.Run("a target that fails is left alone for a while", func(t *testing.T) {
 		table := usual()
 		visit(table, "near-0", at(200), Result{Outcome: retrier.OutcomeUnknown})
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -86,15 +86,19 @@
 	}
 	x.inFlight = max(x.inFlight-1, 0)
 	x.progressed = now
-	if r.Outcome == retrier.OutcomeDone {
-		x.succeeded(now, l, r)
-		return
+	switch {
+	case r.Outcome == retrier.OutcomeDone:
+		x.failures = 0
+		x.sample(now, l, r)
+	case !r.Cancelled:
+		x.failed(now, r)
+	case float64(r.Latency) > x.latency:
+		// The target owed an answer for longer than usual. Less tells nothing of it.
+		x.sample(now, l, r)
 	}
-	x.failed(now, r)
 }
 
-func (x *target) succeeded(now time.Time, l *level, r Result) {
-	x.failures = 0
+func (x *target) sample(now time.Time, l *level, r Result) {
 	if r.Class == snapshotter.ClassBulk {
 		return
 	}
