--- a/internal/experimenter/entry.go
+++ b/internal/experimenter/entry.go
@@ -144,6 +144,7 @@
 	latency := e.now().Sub(sent)
 	e.table.Finished(e.now(), serviceName, host, router.Result{
 		Outcome: r.outcome, Class: c.flow.Class, Latency: latency, Load: &r.load, RetryAfter: r.retryAfter,
+		Cancelled: c.ended && r.outcome != retrier.OutcomeDone,
 	})
 	if r.outcome == retrier.OutcomeDone && c.flow.Class != snapshotter.ClassBulk {
 		e.budget.Observed(latency)
