--- a/internal/experimenter/experiments.go
+++ b/internal/experimenter/experiments.go
@@ -7,10 +7,17 @@
 	"gentianbarrow.example/pkg/snapshotter"
 )
 
-// The sizes of the two users' services, and what they share.
+// Size is how many targets a service has, and what each takes.
+type Size struct{ Targets, Slots, Connections int }
+
+// The sizes of the users' services.
+var (
+	Roster     = Size{Targets: 5, Slots: 10, Connections: 120}
+	StatusPage = Size{Targets: 4, Slots: 20, Connections: 110}
+	BenchMedia = Size{Targets: 3, Slots: 20, Connections: 110}
+)
+
 const (
-	rosterTargets, rosterSlots, rosterConnections = 5, 10, 120
-	mediaTargets, mediaSlots, mediaConnections    = 3, 20, 110
 	// hosts of a user that take callers' requests.
 	userHosts = 11
 	// work of a short request.
@@ -34,24 +41,17 @@
 	FirmSteady   = "steady"
 )
 
-func rosterLimits() limiter.Limits {
+func (z Size) limits() limiter.Limits {
 	return limiter.Limits{
-		Slots: rosterSlots, Connections: rosterConnections, Queue: 2 * rosterSlots, BulkPercent: 40, UrgentSlots: 2,
+		Slots: z.Slots, Connections: z.Connections, Queue: 2 * z.Slots, BulkPercent: 40, UrgentSlots: 2,
 	}
 }
 
-func mediaLimits() limiter.Limits {
-	return limiter.Limits{
-		Slots: mediaSlots, Connections: mediaConnections, Queue: 2 * mediaSlots, BulkPercent: 40, UrgentSlots: 2,
-	}
+// capacity is how many short requests a second all targets serve.
+func (z Size) capacity() float64 {
+	return float64(z.Targets*z.Slots) * float64(time.Second/work)
 }
 
-// rosterCapacity is how many short requests a second all roster targets serve.
-const rosterCapacity = rosterTargets * rosterSlots * float64(time.Second/work)
-
-// mediaCapacity is how many short requests a second all media targets serve.
-const mediaCapacity = mediaTargets * mediaSlots * float64(time.Second/work)
-
 func steady(rate float64) func(time.Time) float64 {
 	return func(time.Time) float64 { return rate }
 }
@@ -61,12 +61,12 @@
 // PhaseAll is the only phase of scenarios that have one.
 const PhaseAll = "all"
 
-// base returns Paza's roster at half of its capacity, all targets well.
-func base(seed uint64) Scenario {
+// base returns a service at half of its capacity, all targets well.
+func base(seed uint64, z Size) Scenario {
 	return Scenario{
-		Seed: seed, Entries: userHosts, Targets: make([]Target, rosterTargets), Limits: rosterLimits(),
+		Seed: seed, Entries: userHosts, Targets: make([]Target, z.Targets), Limits: z.limits(),
 		Flows: []Flow{{
-			Class: snapshotter.ClassShort, Firm: FirmPaza, Rate: steady(0.5 * rosterCapacity),
+			Class: snapshotter.ClassShort, Firm: FirmPaza, Rate: steady(0.5 * z.capacity()),
 			Work: work, Timeout: shortTimeout, Idempotent: true,
 		}},
 		Phases:  onePhase(PhaseAll, 10*time.Second),
@@ -77,7 +77,7 @@
 // SlowTarget slows one of five targets ten times for half a second, another
 // one each two seconds.
 func SlowTarget(seed uint64) Scenario {
-	s := base(seed)
+	s := base(seed, Roster)
 	for k := range len(s.Targets) {
 		from := At(time.Duration(2*k+1) * time.Second)
 		t := &s.Targets[k]
@@ -88,7 +88,7 @@
 
 // AllSlow slows every target ten times for five seconds.
 func AllSlow(seed uint64) Scenario {
-	s := base(seed)
+	s := base(seed, Roster)
 	for i := range s.Targets {
 		s.Targets[i].Spells = []Spell{{From: At(3 * time.Second), Until: At(8 * time.Second), Slowness: 10, Loss: 1}}
 	}
@@ -104,7 +104,7 @@
 
 // Liar slows one target ten times for the whole run while its reports say that it is idle.
 func Liar(seed uint64) Scenario {
-	s := base(seed)
+	s := base(seed, Roster)
 	s.Targets[0] = Target{
 		Lies:   true,
 		Spells: []Spell{{From: Epoch, Until: At(time.Hour), Slowness: 10, Loss: 1}},
@@ -115,7 +115,7 @@
 // MostSlow slows three of five targets ten times for the whole run, so that the
 // two others can't serve everything.
 func MostSlow(seed uint64) Scenario {
-	s := base(seed)
+	s := base(seed, Roster)
 	for i := range 3 {
 		s.Targets[i].Spells = []Spell{{From: Epoch, Until: At(time.Hour), Slowness: 10, Loss: 1}}
 	}
@@ -136,7 +136,7 @@
 // ColdStart adds a sixth target at three seconds that is five times slower in
 // its first three.
 func ColdStart(seed uint64) Scenario {
-	s := base(seed)
+	s := base(seed, Roster)
 	ready := At(3 * time.Second)
 	s.Targets = append(s.Targets, Target{
 		Ready:  ready,
@@ -153,13 +153,13 @@
 // Crest raises one firm's short requests so that all requests together go
 // from once to four times the capacity and back, each within a second, while
 // the flows of a steady firm, of urgent checks and of uploads stay as they are.
-func Crest(seed uint64) Scenario {
-	s := base(seed)
+func Crest(seed uint64, z Size) Scenario {
+	s, capacity := base(seed, z), z.capacity()
 	s.Flows = []Flow{
-		{Class: snapshotter.ClassShort, Firm: FirmPaza, Rate: swing(0.65*rosterCapacity, 3*rosterCapacity), Work: work, Timeout: shortTimeout, Idempotent: true},
-		{Class: snapshotter.ClassShort, Firm: FirmSteady, Rate: steady(0.15 * rosterCapacity), Work: work, Timeout: shortTimeout, Idempotent: true},
-		{Class: snapshotter.ClassUrgent, Firm: FirmPaza, Rate: steady(0.1 * rosterCapacity), Work: work, Timeout: urgentTimeout, Idempotent: true},
-		{Class: snapshotter.ClassBulk, Firm: FirmPaza, Rate: steady(0.1 * rosterCapacity * float64(work) / float64(photoWork)), Work: photoWork, Timeout: uploadTimeout},
+		{Class: snapshotter.ClassShort, Firm: FirmPaza, Rate: swing(0.65*capacity, 3*capacity), Work: work, Timeout: shortTimeout, Idempotent: true},
+		{Class: snapshotter.ClassShort, Firm: FirmSteady, Rate: steady(0.15 * capacity), Work: work, Timeout: shortTimeout, Idempotent: true},
+		{Class: snapshotter.ClassUrgent, Firm: FirmPaza, Rate: steady(0.1 * capacity), Work: work, Timeout: urgentTimeout, Idempotent: true},
+		{Class: snapshotter.ClassBulk, Firm: FirmPaza, Rate: steady(0.1 * capacity * float64(work) / float64(photoWork)), Work: photoWork, Timeout: uploadTimeout},
 	}
 	s.Phases = []Phase{
 		{Name: "warm-up", Until: At(2 * time.Second)},
@@ -184,12 +184,11 @@
 // Uploads sends Frothvik's bench-media lookups at a third of its capacity
 // beside uploads that ask for the whole of it.
 func Uploads(seed uint64) Scenario {
-	s := base(seed)
-	s.Targets, s.Limits = make([]Target, mediaTargets), mediaLimits()
+	s, capacity := base(seed, BenchMedia), BenchMedia.capacity()
 	s.Flows = []Flow{
-		{Class: snapshotter.ClassShort, Firm: FirmFrothvik, Rate: steady(0.3 * mediaCapacity), Work: work, Timeout: shortTimeout, Idempotent: true},
-		{Class: snapshotter.ClassUrgent, Firm: FirmFrothvik, Rate: steady(0.05 * mediaCapacity), Work: work, Timeout: urgentTimeout, Idempotent: true},
-		{Class: snapshotter.ClassBulk, Firm: FirmFrothvik, Rate: steady(mediaCapacity * float64(work) / float64(uploadWork)), Work: uploadWork, Timeout: uploadTimeout},
+		{Class: snapshotter.ClassShort, Firm: FirmFrothvik, Rate: steady(0.3 * capacity), Work: work, Timeout: shortTimeout, Idempotent: true},
+		{Class: snapshotter.ClassUrgent, Firm: FirmFrothvik, Rate: steady(0.05 * capacity), Work: work, Timeout: urgentTimeout, Idempotent: true},
+		{Class: snapshotter.ClassBulk, Firm: FirmFrothvik, Rate: steady(capacity * float64(work) / float64(uploadWork)), Work: uploadWork, Timeout: uploadTimeout},
 	}
 	s.Phases = []Phase{{Name: "warm-up", Until: At(5 * time.Second)}, {Name: PhaseAll, Until: At(20 * time.Second)}}
 	return s
@@ -216,9 +215,9 @@
 // Fleet spreads the callers of the roster, at two thirds of its capacity, over
 // many entry nodes, each of which sees little of it.
 func Fleet(seed uint64, entries int) Scenario {
-	s := base(seed)
+	s := base(seed, Roster)
 	s.Entries = entries
-	s.Flows[0].Rate = steady(rosterCapacity * 2 / 3)
+	s.Flows[0].Rate = steady(Roster.capacity() * 2 / 3)
 	return s
 }
 
--- a/internal/experimenter/experiments_test.go
+++ b/internal/experimenter/experiments_test.go
@@ -108,7 +108,7 @@
 	})
 }
 
-// goodput returns the answers in time a second of a phase, weighed by work.
+// goodput returns the answers in time a second of a phase, uploads excluded.
 func goodput(s Scenario, r *Report, phase string, seconds float64) float64 {
 	sum := 0.0
 	for _, f := range s.Flows {
@@ -121,19 +121,25 @@
 
 func TestCrest(t *testing.T) {
 	eachSeed(t, func(t *testing.T, seed uint64) {
-		s := Crest(seed)
-		got := Run(s)
-		usual, crest := goodput(s, got, "1x", 4), goodput(s, got, "4x", 4)
-		assert.Assert(t, crest >= goodputKept*usual, "%f answers a second at the crest, %f before", crest, usual)
-		for _, f := range s.Flows[1:] {
-			before, at := got.Of("1x", f.Class, f.Firm).GoodPercent(), got.Of("4x", f.Class, f.Firm).GoodPercent()
-			assert.Assert(t, at >= before-swingCost, "%s of %s: %f%% at the crest, %f%% before", f.Class, f.Firm, at, before)
+		for _, z := range []Size{Roster, StatusPage} {
+			assertCrest(t, Crest(seed, z))
 		}
-		fifo := With(s, RouteTable, AdmitFIFO)
-		assert.Assert(t, crest > goodput(fifo, Run(fifo), "4x", 4), "unbounded FIFO")
 	})
 }
 
+func assertCrest(t *testing.T, s Scenario) {
+	t.Helper()
+	got := Run(s)
+	usual, crest := goodput(s, got, "1x", 4), goodput(s, got, "4x", 4)
+	assert.Assert(t, crest >= goodputKept*usual, "%f answers a second at the crest, %f before", crest, usual)
+	for _, f := range s.Flows[1:] {
+		before, at := got.Of("1x", f.Class, f.Firm).GoodPercent(), got.Of("4x", f.Class, f.Firm).GoodPercent()
+		assert.Assert(t, at >= before-swingCost, "%s of %s: %f%% at the crest, %f%% before", f.Class, f.Firm, at, before)
+	}
+	fifo := With(s, RouteTable, AdmitFIFO)
+	assert.Assert(t, crest > goodput(fifo, Run(fifo), "4x", 4), "unbounded FIFO")
+}
+
 func TestUploads(t *testing.T) {
 	short := func(s Scenario) time.Duration {
 		return Run(s).Of(PhaseAll, snapshotter.ClassShort, FirmFrothvik).Percentile(99)
--- a/internal/experimenter/table.go
+++ b/internal/experimenter/table.go
@@ -35,8 +35,9 @@
 		{"fleet-3000", routings(fleet(3000))},
 		{"slow-fleet-300", routings(slowFleet(300))},
 		{"slow-fleet-3000", routings(slowFleet(3000))},
-		{"crest", admissions(Crest)},
-		{"queue-order", orders(Crest)},
+		{"crest", admissions(crest(Roster))},
+		{"crest-status-page", admissions(crest(StatusPage))},
+		{"queue-order", orders(crest(Roster))},
 		{"uploads", shares(Uploads)},
 		{"retry-storm", printStorm},
 	}
@@ -61,6 +62,10 @@
 	return func(seed uint64) Scenario { return Fleet(seed, entries) }
 }
 
+func crest(z Size) func(uint64) Scenario {
+	return func(seed uint64) Scenario { return Crest(seed, z) }
+}
+
 func slowFleet(entries int) func(uint64) Scenario {
 	return func(seed uint64) Scenario { return SlowFleet(seed, entries) }
 }
