Wait for a new home of a key when every host is new

Change: when every host passed a key on because it is new, the caller's node waits until the last one asked takes keys, if the deadline and the body allow it, and begins again. The refusal says when to try again.

Ruled out: letting a service that is new as a whole take keys at once, since a joining node that knows nobody yet cannot tell that case from its own start.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -70,8 +70,12 @@
 	if !keyed(r) {
 		return e.stamp(e.admit(ctx, t, r, nil))
 	}
-	if time.Now().Before(t.ReadySince.Add(newHomeTime)) {
-		return e.Refuse(r, exchanger.ReasonKeyHomeNew)
+	if takesKeys := t.ReadySince.Add(newHomeTime); time.Now().Before(takesKeys) {
+		a := e.Refuse(r, exchanger.ReasonKeyHomeNew)
+		if a.Reason == exchanger.ReasonKeyHomeNew {
+			a.RetryAt = takesKeys
+		}
+		return a
 	}
 	entry, known, fresh, err := e.keys.Begin(time.Now(), r.IdempotencyKey, fingerprint(r))
 	if err != nil {
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -22,6 +22,9 @@
 	r.offered(time.Now())
 	for {
 		t, ok := r.choose(explainer.WhyCost)
+		if !ok && r.waitForHome(ctx, r.last) {
+			continue
+		}
 		if !ok {
 			return r.truthful(r.exhausted())
 		}
@@ -29,7 +32,10 @@
 			return a
 		}
 		a := r.hedged(ctx, t)
-		if a.Outcome == retrier.OutcomeDone || !r.again(ctx, a) {
+		if a.Outcome == retrier.OutcomeDone {
+			return a
+		}
+		if !r.again(ctx, a) && !r.waitForHome(ctx, a) {
 			return r.truthful(a)
 		}
 		r.last = a
--- a/internal/receiver/key.go
+++ b/internal/receiver/key.go
@@ -45,6 +45,19 @@
 	}
 }
 
+// waitForHome waits until the last host that passed a key on, because it is new,
+// takes keys. All hosts of a service are new after it has started as a whole.
+func (r *run) waitForHome(ctx context.Context, a *exchanger.Answer) bool {
+	if a == nil || a.Reason != exchanger.ReasonKeyHomeNew || !r.call.body.replayable() {
+		return false
+	}
+	if a.RetryAt.IsZero() || !a.RetryAt.Before(r.call.request.Deadline) {
+		return false
+	}
+	r.tried, r.moves = nil, 0
+	return sleepUntil(ctx, a.RetryAt)
+}
+
 // remembered returns what an earlier home knows of the key, or nil. A host that
 // this node has known for less than youngTime may have joined since the
 // request was first sent; then the next hosts in order are asked, up to the
--- a/internal/receiver/key_test.go
+++ b/internal/receiver/key_test.go
@@ -241,6 +241,29 @@
 			assert.Equal(t, m.nodes[home].target.Counts().ByKey[key], 1)
 		})
 	})
+	t.Run("is waited for when all are new", func(t *testing.T) {
+		inMesh(t, 3, targeter.Config{}, func(t *testing.T, m *mesh) {
+			for _, n := range m.nodes {
+				n.change(func(s *stateType) { s.Target.ReadySince = time.Now() })
+			}
+			begun := time.Now()
+			assertDone(t, m.ask(t.Context(), 0, "POST", "/book", nil, withKey("b-0", key)))
+			assert.Assert(t, time.Since(begun) <= 6*time.Second)
+			assert.Equal(t, m.nodes[m.homeOf(key)].target.Counts().ByKey[key], 1)
+		})
+	})
+	t.Run("is not waited for beyond the deadline", func(t *testing.T) {
+		inMesh(t, 3, targeter.Config{}, func(t *testing.T, m *mesh) {
+			for _, n := range m.nodes {
+				n.change(func(s *stateType) { s.Target.ReadySince = time.Now() })
+			}
+			header := withKey("b-0", key)
+			header[exchanger.HeaderDeadline] = "2000"
+			r := m.ask(t.Context(), 0, "POST", "/book", nil, header)
+			assertOutcome(t, r, retrier.OutcomeNotRun, http.StatusServiceUnavailable)
+			assert.Equal(t, r.reason(), exchanger.ReasonKeyHomeNew)
+		})
+	})
 	t.Run("refuses when the word of a former home is lost", func(t *testing.T) {
 		inMesh(t, 3, targeter.Config{}, func(t *testing.T, m *mesh) {
 			home := m.homeOf(key)
