Count the bytes between nodes at their sockets

Ruled out: wrapping the TCP connection, which would hide its writev from the coalescer; a traffic field in StreamOpen, which costs every request bytes for a figure that only the accepting side lacks. Change: the coalescer counts reads and writes by traffic class, and the UDP socket its packets. An accepted connection is classed by its first stream (control or requests). Four counters in docs/METRICS.md.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -66,18 +66,33 @@
 		settings:  settings,
 		log:       log,
 		listeners: opened,
-		links:     linker.New(),
 		tracker:   drainer.NewTracker(),
 		explainer: explainer.New(),
 		metrics:   prometheus.NewRegistry(),
 	}
 	n.listeners.packets.Log = log
+	n.countTraffic()
 	n.buildRequestPath()
 	n.buildBoard(storer.NewHTTPClient(settings.Platform))
 	n.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return n, nil
 }
 
+// countTraffic makes the links and counts the bytes between nodes.
+func (n *Node) countTraffic() {
+	t := meter.NewTraffic(n.metrics)
+	n.links = linker.New(linker.WithCount(t.Link, trafficOf))
+	n.listeners.packets.Count = t.Packet
+}
+
+// trafficOf tells requests from control by the kind of stream.
+func trafficOf(kind string) linker.Traffic {
+	if kind == forwarder.Kind {
+		return linker.TrafficRequests
+	}
+	return linker.TrafficControl
+}
+
 func (n *Node) self() blackboard.Self {
 	return blackboard.Self{
 		Host:        n.settings.Host,
--- a/internal/gossiper/udp.go
+++ b/internal/gossiper/udp.go
@@ -10,14 +10,17 @@
 	"github.com/rotisserie/eris"
 
 	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/logger"
 )
 
 // UDP sends and receives packets on one socket.
 type UDP struct {
 	// Log receives an event for refused packets, at most one a second.
-	Log  *logger.Logger
-	conn *net.UDPConn
+	Log *logger.Logger
+	// Count, when set, is told of each packet that was sent or received.
+	Count func(d linker.Direction, bytes int)
+	conn  *net.UDPConn
 }
 
 // refusedLogPeriod is the least time between two events about refused packets.
@@ -45,10 +48,19 @@
 	if err != nil {
 		return eris.Wrap(err, "parse the receiver's address")
 	}
-	_, err = u.conn.WriteToUDPAddrPort(packet, to)
+	n, err := u.conn.WriteToUDPAddrPort(packet, to)
+	if err == nil {
+		u.count(linker.DirectionSent, n)
+	}
 	return err
 }
 
+func (u *UDP) count(d linker.Direction, bytes int) {
+	if u.Count != nil {
+		u.Count(d, bytes)
+	}
+}
+
 // Receive posts packets until ctx ends, and then closes the socket.
 func (u *UDP) Receive(ctx context.Context, dataCentre string, post blackboard.Post) error {
 	stop := context.AfterFunc(ctx, func() { _ = u.conn.Close() })
@@ -64,6 +76,7 @@
 		if err != nil {
 			continue // on a UDP socket an error tells of an earlier packet that could not be delivered
 		}
+		u.count(linker.DirectionReceived, n)
 		now := time.Now()
 		address := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
 		if err = Receive(buf[:n], address, dataCentre, now, post); err == nil {
--- a/internal/linker/coalescer.go
+++ b/internal/linker/coalescer.go
@@ -20,10 +20,19 @@
 	net.Conn
 	// header waits for its body; empty when none does.
 	header []byte
+	// bytes counts what passes.
+	bytes *connCounter
 }
 
-func newCoalescer(conn net.Conn) *coalescer {
-	return &coalescer{Conn: conn, header: make([]byte, 0, frameHeaderBytes)}
+func newCoalescer(conn net.Conn, bytes *connCounter) *coalescer {
+	return &coalescer{Conn: conn, header: make([]byte, 0, frameHeaderBytes), bytes: bytes}
+}
+
+// Read counts what it reads.
+func (c *coalescer) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.add(DirectionReceived, n)
+	return n, err
 }
 
 // Write keeps back the header of a data frame until its body comes.
@@ -33,10 +42,13 @@
 		return len(b), nil
 	}
 	if len(c.header) == 0 {
-		return c.Conn.Write(b)
+		n, err := c.Conn.Write(b)
+		c.bytes.add(DirectionSent, n)
+		return n, err
 	}
 	buffers := net.Buffers{c.header, b}
-	_, err := buffers.WriteTo(c.Conn)
+	n, err := buffers.WriteTo(c.Conn)
+	c.bytes.add(DirectionSent, int(n))
 	c.header = c.header[:0]
 	if err != nil {
 		return 0, err
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -176,7 +176,7 @@
 	if err != nil {
 		return nil, err
 	}
-	session, err := yamux.Client(newCoalescer(conn), l.yamuxConfig())
+	session, err := yamux.Client(newCoalescer(conn, newConnCounter(l.count, key.traffic)), l.yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -30,6 +30,10 @@
 	TrafficControl Traffic = "control"
 	TrafficShort   Traffic = "short"
 	TrafficBulk    Traffic = "bulk"
+	// TrafficRequests stands for short and bulk together, where they cannot be told apart.
+	TrafficRequests Traffic = "requests"
+	// TrafficUnknown stands for an accepted connection before its first stream.
+	TrafficUnknown Traffic = "unknown"
 )
 
 const (
@@ -108,7 +112,10 @@
 	// window is how many bytes a stream may have on its way, in bytes.
 	window   uint32
 	handlers map[string]Handler
-	mu       sync.Mutex
+	// count and trafficOf are nil when bytes are not counted.
+	count     Count
+	trafficOf TrafficOf
+	mu        sync.Mutex
 	// slots holds what is known of each peer and traffic class. Guarded by mu.
 	slots map[slotKey]*slot
 	// watchers are the goroutines that check sessions.
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -215,7 +215,7 @@
 func TestCoalescer(t *testing.T) {
 	header := []byte{0, frameTypeData, 0, 0, 0, 0, 0, 1, 0, 0, 0, 4}
 	near, far := net.Pipe()
-	c := newCoalescer(near)
+	c := newCoalescer(near, newConnCounter(nil, TrafficControl))
 	var group sync.WaitGroup
 	group.Go(func() {
 		_, _ = c.Write(header)
--- a/internal/linker/serve.go
+++ b/internal/linker/serve.go
@@ -44,7 +44,8 @@
 	cfg := l.yamuxConfig()
 	cfg.EnableKeepAlive = true
 	cfg.KeepAliveInterval = serverPingEvery
-	session, err := yamux.Server(newCoalescer(conn), cfg)
+	counter := newConnCounter(l.count, TrafficUnknown)
+	session, err := yamux.Server(newCoalescer(conn, counter), cfg)
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -60,7 +61,7 @@
 			break
 		}
 		group.Go(func() error {
-			l.serveStream(ctx, stream)
+			l.serveStream(ctx, stream, counter)
 			return nil
 		})
 	}
@@ -68,13 +69,14 @@
 	_ = group.Wait()
 }
 
-func (l *Linker) serveStream(ctx context.Context, conn net.Conn) {
+func (l *Linker) serveStream(ctx context.Context, conn net.Conn, counter *connCounter) {
 	defer conn.Close() //nolint:errcheck // the stream is done with
 	r := bufio.NewReaderSize(conn, readerBytes)
 	var open wirepb.StreamOpen
 	if err := encoder.Read(r, &open, maxKindBytes); err != nil {
 		return
 	}
+	counter.begin(open.GetKind(), l.trafficOf)
 	if h := l.handlers[open.GetKind()]; h != nil {
 		h(ctx, &Stream{Conn: conn, Reader: r})
 	}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -56,9 +56,12 @@
 	}
 )
 
-// Metrics lists what a Meter registers.
+// Metrics lists what a Meter and a Traffic register.
 func Metrics() []Metric {
-	return []Metric{latency, queueWait, serviceTime, outcomes, attempts, inFlight}
+	return []Metric{
+		latency, queueWait, serviceTime, outcomes, attempts, inFlight,
+		linkBytes, linkTransfers, packetBytes, packets,
+	}
 }
 
 // buckets reach from 0.1 ms to 100 s.
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/retrier"
 	"gentianbarrow.example/pkg/snapshotter"
 )
@@ -21,6 +22,9 @@
 	}
 	m.Served(&exchanger.Request{Firm: "paza", Class: "no-such-class"}, time.Millisecond, time.Millisecond)
 	m.Attempted("cost")
+	traffic := NewTraffic(registry)
+	traffic.Link(linker.TrafficControl, linker.DirectionSent, 1)
+	traffic.Packet(linker.DirectionSent, 1)
 	families, err := registry.Gather()
 	assert.NilError(t, err)
 
--- a/internal/meter/reference.go
+++ b/internal/meter/reference.go
@@ -5,7 +5,7 @@
 	"strings"
 )
 
-// Reference returns docs/METRICS.md: every metric of the request path with its labels and meaning.
+// Reference returns docs/METRICS.md: every metric with its labels and meaning.
 func Reference() string {
 	var b strings.Builder
 	b.WriteString("# Metrics\n\n")
