--- a/internal/composer/memory.go
+++ b/internal/composer/memory.go
@@ -16,6 +16,9 @@
 	// The heap may always grow by a half over what is live, so that requests
 	// which need much memory do not make the collector run all the time.
 	heapShareNumerator, heapShareDenominator = 3, 2
+	// growthPercent is how far the heap grows over what is live before it is
+	// collected, where the limit allows it: seldom, for the tail of latency.
+	growthPercent = 400
 )
 
 // memoryLimit returns the soft limit, in bytes, for a live heap and what the runtime holds besides the heap.
@@ -25,6 +28,7 @@
 
 // boundMemory collects garbage before it fills the memory for control. It runs until ctx ends.
 func boundMemory(ctx context.Context) {
+	debug.SetGCPercent(growthPercent)
 	ticker := time.NewTicker(memoryLimitEvery)
 	defer ticker.Stop()
 	for {
