Time an operator's command at the size of the fleet's configuration

Cause: no page said what gentianctl costs when there are 3,600 services. Change: scripts/measure-fleet.sh times a ticket plan, with its memory.

--- a/scripts/measure-fleet.sh
+++ b/scripts/measure-fleet.sh
@@ -99,7 +99,19 @@
 
 survey() { ./bin/surveyor -nodes "$work/nodes" -platform "http://$platform" -data-centre buc-a "$@"; }
 
-go build -o bin/ ./cmd/gentian-node ./cmd/platform-standin ./internal/surveyor
+# measure_operator times a command that reads the whole configuration.
+measure_operator() {
+  cat >"$work/ticket.yaml" <<TICKET
+reason: measurement
+commit: "0"
+services:
+  - {name: service-0, firm: firm-0, slots: 10, connections: 120, queue: 1, bulk-percent: 50, urgent-slots: 2, retry-percent: 10}
+TICKET
+  /usr/bin/time -f "operator ticket plan: wall=%es user=%Us system=%Ss most-rss-KB=%M" \
+    ./bin/gentianctl ticket plan "$work/ticket.yaml" --platform "http://$platform" 2>&1 >"$work/plan.log"
+}
+
+go build -o bin/ ./cmd/gentian-node ./cmd/gentianctl ./cmd/platform-standin ./internal/surveyor
 for ((i = 0; i < nodes; i++)); do write_settings "$i"; done
 ./bin/platform-standin --listen "$platform" >"$work/platform.log" 2>&1 &
 platform_pid=$!
@@ -107,6 +119,7 @@
 watch_memory &
 watcher_pid=$!
 survey -step survey -services "$services" -seconds "$seconds"
+measure_operator
 
 stop_nodes
 counts >"$work/counts"
