--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -22,6 +22,9 @@
 	r.offered(time.Now())
 	for {
 		t, ok := r.choose(explainer.WhyCost)
+		if !ok && r.waitForHome(ctx, r.last) {
+			continue
+		}
 		if !ok {
 			return r.truthful(r.exhausted())
 		}
@@ -29,7 +32,10 @@
 			return a
 		}
 		a := r.hedged(ctx, t)
-		if a.Outcome == retrier.OutcomeDone || !r.again(ctx, a) {
+		if a.Outcome == retrier.OutcomeDone {
+			return a
+		}
+		if !r.again(ctx, a) && !r.waitForHome(ctx, a) {
 			return r.truthful(a)
 		}
 		r.last = a
@@ -165,6 +171,7 @@
 	defer rc.mu.Unlock()
 	rc.table.Finished(time.Now(), r.Service, host, router.Result{
 		Outcome: a.Outcome, Class: r.Class, Latency: took, Load: a.Load, RetryAfter: a.RetryAt,
+		Cancelled: a.Reason == exchanger.ReasonCancelled || a.Reason == exchanger.ReasonDeadline,
 	})
 	if b := rc.budgets[r.Service]; b != nil && a.Outcome == retrier.OutcomeDone {
 		b.Observed(took)
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -37,8 +37,10 @@
 	failurePause = 50 * time.Millisecond
 	// coldDivisor of the announced slots is what a cold target is believed to have.
 	coldDivisor = 5
-	// oldAfter is the age at which knowledge of a candidate counts half.
+	// oldAfter is the age at which knowledge of a remote candidate doubles its cost.
 	oldAfter = 10 * time.Second
+	// mostDoubt bounds the factor of that age.
+	mostDoubt = 4.0
 )
 
 // level is what is usual at a service.
@@ -84,15 +86,19 @@
 	}
 	x.inFlight = max(x.inFlight-1, 0)
 	x.progressed = now
-	if r.Outcome == retrier.OutcomeDone {
-		x.succeeded(now, l, r)
-		return
+	switch {
+	case r.Outcome == retrier.OutcomeDone:
+		x.failures = 0
+		x.sample(now, l, r)
+	case !r.Cancelled:
+		x.failed(now, r)
+	case float64(r.Latency) > x.latency:
+		// The target owed an answer for longer than usual. Less tells nothing of it.
+		x.sample(now, l, r)
 	}
-	x.failed(now, r)
 }
 
-func (x *target) succeeded(now time.Time, l *level, r Result) {
-	x.failures = 0
+func (x *target) sample(now time.Time, l *level, r Result) {
 	if r.Class == snapshotter.ClassBulk {
 		return
 	}
@@ -158,10 +164,16 @@
 		}
 	}
 	cost := (pending + 1) / slots * aversion(x.slowness(now, l))
-	if !c.Learned.IsZero() {
-		cost *= 1 + float64(max(now.Sub(c.Learned), 0))/float64(oldAfter)
+	return cost * doubt(now, c), pending+1 <= slots
+}
+
+// doubt returns the factor by which the age of what is known of a candidate in
+// another data centre raises its cost. Members of the own one are known afresh.
+func doubt(now time.Time, c *Candidate) float64 {
+	if c.Distance == 0 || c.Learned.IsZero() {
+		return 1
 	}
-	return cost, pending+1 <= slots
+	return min(1+float64(max(now.Sub(c.Learned), 0))/float64(oldAfter), mostDoubt)
 }
 
 // slowness returns how much slower the target is than its service, by its
