Read settings and tickets with one strict YAML decoder

Cause: the loader of settings and the parser of tickets each walked YAML nodes with the same rules, written twice. Ruled out: one calling the other, since neither is about the other's file. Change: internal/decoder holds the walk, the tags and the problems; loader and parser keep what is theirs. A missing setting now names the line of the group that lacks it, and the line about aliases speaks of a file. Conclusion: one place decides what strict means.

--- a/internal/commander/errors.go
+++ b/internal/commander/errors.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"gentianbarrow.example/internal/parser"
+	"gentianbarrow.example/internal/decoder"
 	"gentianbarrow.example/pkg/snapshotter"
 	"gentianbarrow.example/pkg/storer"
 	"gentianbarrow.example/pkg/ticketer"
@@ -50,7 +50,7 @@
 		return ExitDone
 	case is[*ticketer.UndecidedError](err), is[*storer.UnknownOutcomeError](err), is[*ticketer.ContendedError](err):
 		return ExitUnknown
-	case is[*UsageError](err), is[*parser.InvalidError](err), is[*ticketer.DraftError](err):
+	case is[*UsageError](err), is[*decoder.InvalidError](err), is[*ticketer.DraftError](err):
 		return ExitUsage
 	case is[*snapshotter.RefusedError](err), is[*ticketer.SelfApprovalError](err),
 		is[*ticketer.StateError](err), is[*ticketer.UnknownTicketError](err), is[*storer.TooLargeError](err):
--- /dev/null
+++ b/internal/decoder/decoder.go
@@ -0,0 +1,99 @@
+// Package decoder reads YAML files strictly into structs. It reports every
+// problem of a file at once, each with its line and key: unknown and doubled
+// keys, missing ones, wrong kinds, values out of bounds.
+//
+// The struct's tags say what is allowed: "yaml" names the key, with omitempty
+// for one that may be left out; "default" gives its value then; "min" and
+// "max" bound a number, and "oneof" lists the words that a text may be.
+//
+//	var s Settings
+//	err := decoder.Decode(data, &s, func(d *decoder.Decoder) {
+//		if s.From == s.To {
+//			d.Fail("to", "is the same as from")
+//		}
+//	})
+package decoder
+
+import (
+	"cmp"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Decoder fills a struct from YAML nodes.
+type Decoder struct {
+	problems []Problem
+	// lines holds the line of each key of the file.
+	lines map[string]int
+	// broken holds the keys that have a problem, so that none is reported twice.
+	broken map[string]bool
+}
+
+// Decode fills the struct that v points to, and lets check report what the
+// tags cannot say. It returns *InvalidError with all problems, in order of line.
+func Decode(data []byte, v any, check func(d *Decoder)) error {
+	var doc yaml.Node
+	if err := yaml.Unmarshal(data, &doc); err != nil {
+		return &InvalidError{Problems: []Problem{{Line: 1, Key: "file", Text: err.Error()}}}
+	}
+	root := &yaml.Node{Kind: yaml.MappingNode, Line: 1}
+	if len(doc.Content) > 0 {
+		root = doc.Content[0]
+	}
+	d := &Decoder{lines: map[string]int{}, broken: map[string]bool{}}
+	d.decode(root, field{value: reflect.ValueOf(v).Elem()}, "")
+	check(d)
+	if len(d.problems) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(d.problems, func(a, b Problem) int { return cmp.Compare(a.Line, b.Line) })
+	return &InvalidError{Problems: d.problems}
+}
+
+// Fail reports a problem of a key, unless the key or a parent of it has one already.
+func (d *Decoder) Fail(key, format string, args ...any) {
+	for parent := key; parent != ""; parent = parentOf(parent) {
+		if d.broken[parent] {
+			return
+		}
+	}
+	d.failAt(d.lineOf(key), key, format, args...)
+}
+
+func (d *Decoder) failAt(line int, key, format string, args ...any) {
+	if d.broken[key] {
+		return
+	}
+	d.broken[key] = true
+	d.problems = append(d.problems, Problem{Line: line, Key: key, Text: fmt.Sprintf(format, args...)})
+}
+
+// lineOf returns the line of a key, or of the nearest parent that the file has.
+func (d *Decoder) lineOf(key string) int {
+	for ; key != ""; key = parentOf(key) {
+		if line, ok := d.lines[key]; ok {
+			return line
+		}
+	}
+	return 1
+}
+
+// Join returns the path of a key below a parent; either may be empty.
+func Join(parent, key string) string {
+	if parent == "" || key == "" {
+		return parent + key
+	}
+	return parent + "." + key
+}
+
+func parentOf(key string) string {
+	i := strings.LastIndexAny(key, ".[")
+	if i < 0 {
+		return ""
+	}
+	return key[:i]
+}
--- /dev/null
+++ b/internal/decoder/value.go
@@ -0,0 +1,84 @@
+package decoder
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+func (d *Decoder) decode(n *yaml.Node, f field, key string) {
+	if n.Kind == yaml.AliasNode || n.Anchor != "" {
+		d.failAt(n.Line, key, "anchors and aliases are not allowed: a file is read as it stands")
+		return
+	}
+	switch f.value.Kind() {
+	case reflect.Struct:
+		d.decodeStruct(n, f.value, key)
+	case reflect.Slice:
+		d.decodeList(n, f.value, key)
+	case reflect.Int:
+		d.decodeInt(n, f, key)
+	case reflect.Bool:
+		d.decodeBool(n, f.value, key)
+	default:
+		d.decodeString(n, f, key)
+	}
+}
+
+func (d *Decoder) decodeList(n *yaml.Node, v reflect.Value, key string) {
+	if n.Kind != yaml.SequenceNode {
+		d.failAt(n.Line, key, "expected a list")
+		return
+	}
+	list := reflect.MakeSlice(v.Type(), len(n.Content), len(n.Content))
+	for i, item := range n.Content {
+		itemKey := fmt.Sprintf("%s[%d]", key, i)
+		d.lines[itemKey] = item.Line
+		d.decode(item, field{value: list.Index(i)}, itemKey)
+	}
+	v.Set(list)
+}
+
+func (d *Decoder) decodeInt(n *yaml.Node, f field, key string) {
+	i, err := strconv.ParseInt(n.Value, 10, 32)
+	if n.Kind != yaml.ScalarNode || n.ShortTag() != "!!int" || err != nil {
+		d.failAt(n.Line, key, "expected a whole number without a unit, not %q", n.Value)
+		return
+	}
+	if outside(i, f.tag) {
+		d.failAt(n.Line, key, "must be from %s to %s, not %d", f.tag.Get("min"), f.tag.Get("max"), i)
+		return
+	}
+	f.value.SetInt(i)
+}
+
+// outside tells whether a number is beyond the bounds of a tag, where it has any.
+func outside(i int64, tag reflect.StructTag) bool {
+	lowest, errMin := strconv.ParseInt(tag.Get("min"), 10, 64)
+	highest, errMax := strconv.ParseInt(tag.Get("max"), 10, 64)
+	return errMin == nil && i < lowest || errMax == nil && i > highest
+}
+
+func (d *Decoder) decodeBool(n *yaml.Node, v reflect.Value, key string) {
+	if n.Kind != yaml.ScalarNode || !slices.Contains([]string{"true", "false"}, n.Value) {
+		d.failAt(n.Line, key, "expected true or false, not %q", n.Value)
+		return
+	}
+	v.SetBool(n.Value == "true")
+}
+
+func (d *Decoder) decodeString(n *yaml.Node, f field, key string) {
+	if n.Kind != yaml.ScalarNode || n.ShortTag() == "!!null" {
+		d.failAt(n.Line, key, "expected a text")
+		return
+	}
+	if words := strings.Fields(f.tag.Get("oneof")); len(words) > 0 && !slices.Contains(words, n.Value) {
+		d.failAt(n.Line, key, "must be one of %s, not %q", strings.Join(words, ", "), n.Value)
+		return
+	}
+	f.value.SetString(n.Value)
+}
--- a/internal/loader/check.go
+++ b/internal/loader/check.go
@@ -4,43 +4,38 @@
 	"net/netip"
 	"net/url"
 	"regexp"
+
+	"gentianbarrow.example/internal/decoder"
 )
 
 var kebabCase = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
 
-// check finds missing and contradictory values.
-func (d *decoder) check(s *Settings) {
-	d.checkName("host", s.Host)
-	d.checkName("data-centre", s.DataCentre)
-	d.checkName("region", s.Region)
-	d.checkName("rack", s.Rack)
-	d.checkListen(s.Listen)
-	d.checkPlatform(s.Platform)
+// check finds malformed and contradictory values. Missing ones are reported already.
+func check(d *decoder.Decoder, s *Settings) {
+	checkName(d, "host", s.Host)
+	checkName(d, "data-centre", s.DataCentre)
+	checkName(d, "region", s.Region)
+	checkName(d, "rack", s.Rack)
+	checkListen(d, s.Listen)
+	checkPlatform(d, s.Platform)
 	for _, peer := range s.SeedPeers {
-		d.checkAddress("seed-peers", peer)
+		checkAddress(d, "seed-peers", peer)
 	}
 }
 
-func (d *decoder) checkName(key, name string) {
-	switch {
-	case name == "":
-		d.fail(key, d.lines[key], "is missing")
-	case !kebabCase.MatchString(name):
-		d.fail(key, d.lines[key], "%q is not in kebab case", name)
+func checkName(d *decoder.Decoder, key, name string) {
+	if !kebabCase.MatchString(name) {
+		d.Fail(key, "%q is not in kebab case", name)
 	}
 }
 
-func (d *decoder) checkAddress(key, address string) {
-	if address == "" {
-		d.fail(key, d.lines[key], "is missing")
-		return
-	}
+func checkAddress(d *decoder.Decoder, key, address string) {
 	if parsed, err := netip.ParseAddrPort(address); err != nil || parsed.Port() == 0 {
-		d.fail(key, d.lines[key], "%q is not an address as ip:port", address)
+		d.Fail(key, "%q is not an address as ip:port", address)
 	}
 }
 
-func (d *decoder) checkListen(l Listen) {
+func checkListen(d *decoder.Decoder, l Listen) {
 	taken := map[string]string{}
 	for _, entry := range []struct{ key, address string }{
 		{"listen.callers", l.Callers},
@@ -48,25 +43,21 @@
 		{"listen.targets", l.Targets},
 		{"listen.admin", l.Admin},
 	} {
-		d.checkAddress(entry.key, entry.address)
-		if other, twice := taken[entry.address]; twice && entry.address != "" {
-			d.fail(entry.key, d.lines[entry.key], "has the same address as %s", other)
+		checkAddress(d, entry.key, entry.address)
+		if other, twice := taken[entry.address]; twice {
+			d.Fail(entry.key, "has the same address as %s", other)
 		}
 		taken[entry.address] = entry.key
 	}
 }
 
-func (d *decoder) checkPlatform(platform string) {
-	if platform == "" {
-		d.fail("platform", d.lines["platform"], "is missing")
-		return
-	}
+func checkPlatform(d *decoder.Decoder, platform string) {
 	u, err := url.Parse(platform)
 	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
-		d.fail("platform", d.lines["platform"], "%q is not an http or https URL", platform)
+		d.Fail("platform", "%q is not an http or https URL", platform)
 		return
 	}
 	if _, err := netip.ParseAddrPort(u.Host); err != nil {
-		d.fail("platform", d.lines["platform"], "%q does not name its host as ip:port", platform)
+		d.Fail("platform", "%q does not name its host as ip:port", platform)
 	}
 }
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -1,15 +1,27 @@
 package loader
 
 import (
-	"cmp"
+	"fmt"
 	"os"
-	"slices"
 
-	"go.yaml.in/yaml/v3"
+	"gentianbarrow.example/internal/decoder"
 )
 
+// UnreadableError tells that the file could not be read. Source: the file system.
+type UnreadableError struct {
+	Path  string
+	Cause error
+}
+
+func (e *UnreadableError) Error() string {
+	return fmt.Sprintf("settings file %s: %v", e.Path, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnreadableError) Unwrap() error { return e.Cause }
+
 // Load reads and checks the settings file. It returns *UnreadableError or
-// *InvalidError.
+// *decoder.InvalidError.
 func Load(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -18,19 +30,11 @@
 	return Parse(data)
 }
 
-// Parse reads and checks settings. It returns *InvalidError with every problem, in order of line.
+// Parse reads and checks settings. It returns *decoder.InvalidError.
 func Parse(data []byte) (Settings, error) {
-	var doc yaml.Node
-	if err := yaml.Unmarshal(data, &doc); err != nil {
-		return Settings{}, &InvalidError{Problems: []Problem{{Key: "file", Text: err.Error()}}}
-	}
 	var s Settings
-	d := newDecoder()
-	d.decodeDocument(&doc, &s)
-	d.check(&s)
-	if len(d.problems) > 0 {
-		slices.SortStableFunc(d.problems, func(a, b Problem) int { return cmp.Compare(a.Line, b.Line) })
-		return Settings{}, &InvalidError{Problems: d.problems}
+	if err := decoder.Decode(data, &s, func(d *decoder.Decoder) { check(d, &s) }); err != nil {
+		return Settings{}, err
 	}
 	return s, nil
 }
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -7,6 +7,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
+
+	"gentianbarrow.example/internal/decoder"
 )
 
 func TestParse(t *testing.T) {
@@ -20,7 +22,7 @@
 	})
 	t.Run("every problem is reported at once with line and key", func(t *testing.T) {
 		_, err := Load("testdata/bad.yaml")
-		var invalid *InvalidError
+		var invalid *decoder.InvalidError
 		assert.Assert(t, errors.As(err, &invalid))
 		golden.Assert(t, err.Error(), "bad.golden")
 	})
@@ -30,7 +32,7 @@
 	})
 	t.Run("a file that is no YAML", func(t *testing.T) {
 		_, err := Parse([]byte("\t:"))
-		var invalid *InvalidError
+		var invalid *decoder.InvalidError
 		assert.Assert(t, errors.As(err, &invalid))
 	})
 	t.Run("a file that is not there", func(t *testing.T) {
--- a/internal/loader/reference.go
+++ b/internal/loader/reference.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"reflect"
 	"strings"
+
+	"gentianbarrow.example/internal/decoder"
 )
 
 // Reference returns docs/SETTINGS.md: every key with its meaning, default and bounds.
@@ -20,7 +22,8 @@
 func describe(b *strings.Builder, t reflect.Type, parent string) {
 	for i := range t.NumField() {
 		f := t.Field(i)
-		key := join(parent, f.Tag.Get("yaml"))
+		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		key := decoder.Join(parent, name)
 		if f.Type.Kind() == reflect.Struct {
 			describe(b, f.Type, key)
 			continue
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -31,7 +31,7 @@
 	// Platform is the base URL of the object API.
 	Platform string `yaml:"platform" doc:"Base URL of the platform's object API, with an IP address."`
 	// SeedPeers are node addresses to join by; empty means that peers are found through the platform.
-	SeedPeers []string `yaml:"seed-peers" doc:"Node addresses of other hosts of the data centre, to join by. Optional: without it, peers are found through the platform."`
+	SeedPeers []string `yaml:"seed-peers,omitempty" doc:"Node addresses of other hosts of the data centre, to join by. Optional: without it, peers are found through the platform."`
 	// Limits bound what the node takes.
 	Limits Limits `yaml:"limits" doc:"Bounds on what the node takes."`
 	// Log tells how events are written.
--- a/internal/parser/parser_test.go
+++ b/internal/parser/parser_test.go
@@ -7,6 +7,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
+
+	"gentianbarrow.example/internal/decoder"
 )
 
 func TestParse(t *testing.T) {
@@ -22,7 +24,7 @@
 	for _, name := range []string{"bad", "empty", "not-yaml", "alias"} {
 		t.Run(name, func(t *testing.T) {
 			_, err := Parse(golden.Get(t, name+".yaml"))
-			var invalid *InvalidError
+			var invalid *decoder.InvalidError
 			assert.Assert(t, errors.As(err, &invalid))
 			golden.Assert(t, invalid.Error()+"\n", name+".golden")
 		})
@@ -37,7 +39,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		d, err := Parse(data)
-		var invalid *InvalidError
+		var invalid *decoder.InvalidError
 		assert.Assert(t, err == nil || errors.As(err, &invalid))
 		assert.Assert(t, err != nil || len(d.Change.Services)+len(d.Change.Routes)+
 			len(d.Change.RemoveServices)+len(d.Change.RemoveRoutes) > 0)
