Give the deadline as the reason whichever host or target saw it pass first

The target ended the request at its own timer, which is cut to whole milliseconds, just before the node's fired.

Change: an exchange that fails within 50 ms of its deadline, or after it, has the reason 'deadline'. The outcome does not depend on it.

--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -90,7 +90,7 @@
 	resp, err := transport.RoundTrip(out) //nolint:bodyclose // the answer's body closes it
 	if err != nil {
 		proven := h.giveUp()
-		reason := failureReason(ctx, err)
+		reason := failureReason(ctx, r, err)
 		cancel()
 		if proven {
 			return exchanger.NotRun(reason, err)
@@ -130,11 +130,11 @@
 	return out
 }
 
-func failureReason(ctx context.Context, err error) exchanger.Reason {
+func failureReason(ctx context.Context, r *exchanger.Request, err error) exchanger.Reason {
 	var opErr *net.OpError
 	var timeout net.Error
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) || r.TimeUp(time.Now()):
 		return exchanger.ReasonDeadline
 	case ctx.Err() != nil:
 		return exchanger.ReasonCancelled
--- a/internal/dispatcher/http_test.go
+++ b/internal/dispatcher/http_test.go
@@ -99,6 +99,15 @@
 			assertAnswer(t, a, retrier.OutcomeUnknown, exchanger.ReasonConnectionLost)
 		})
 	})
+	t.Run("a target that sees the deadline first says the same as this node would", func(t *testing.T) {
+		inBubble(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+			_, _ = r.Peek(1)
+			time.Sleep(10*time.Second - time.Millisecond)
+		}, func(t *testing.T, _ *fakeTarget, client Client) {
+			a := client.Dispatch(t.Context(), "target:1", testRequest("r-1"))
+			assertAnswer(t, a, retrier.OutcomeUnknown, exchanger.ReasonDeadline)
+		})
+	})
 	t.Run("a deadline before the connection is not-run", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			client := NewHTTP(WithDial(func(context.Context, string, string) (net.Conn, error) {
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -108,6 +108,14 @@
 	Err error
 }
 
+// deadlineSlack is how far the timers of hosts and targets may be apart when
+// each ends a request at its deadline.
+const deadlineSlack = 50 * time.Millisecond
+
+// TimeUp tells that a request which ended now did so because of its deadline,
+// whichever host or target saw the deadline pass first.
+func (r *Request) TimeUp(now time.Time) bool { return !now.Before(r.Deadline.Add(-deadlineSlack)) }
+
 // Close ends the exchange.
 func (a *Answer) Close() {
 	if a.Body != nil {
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -20,7 +20,7 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	s, err := f.begin(ctx, address, r)
 	if err != nil {
-		a := openFailure(ctx, err)
+		a := openFailure(ctx, r, err)
 		cancel()
 		return a
 	}
@@ -95,7 +95,7 @@
 func (x *outgoing) answer() *exchanger.Answer {
 	a, reuse, err := x.read()
 	if err != nil {
-		reason := lossReason(x.ctx, err)
+		reason := lossReason(x.ctx, x.request, err)
 		x.end(false, 0)
 		return exchanger.Unknown(reason, err)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -94,19 +94,19 @@
 	return linker.TrafficShort
 }
 
-func openFailure(ctx context.Context, err error) *exchanger.Answer {
+func openFailure(ctx context.Context, r *exchanger.Request, err error) *exchanger.Answer {
 	var unreachable *linker.UnreachableError
 	if errors.As(err, &unreachable) {
 		return exchanger.NotRun(exchanger.ReasonUnreachable, err)
 	}
-	return exchanger.Unknown(lossReason(ctx, err), err)
+	return exchanger.Unknown(lossReason(ctx, r, err), err)
 }
 
-func lossReason(ctx context.Context, err error) exchanger.Reason {
+func lossReason(ctx context.Context, r *exchanger.Request, err error) exchanger.Reason {
 	var malformed *malformedAnswerError
 	var crossed *CrossedError
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) || r.TimeUp(time.Now()):
 		return exchanger.ReasonDeadline
 	case ctx.Err() != nil:
 		return exchanger.ReasonCancelled
