--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -182,6 +182,15 @@
 			assert.Equal(t, r.Epoch, uint64(1), obj.Key)
 		}
 	})
+	t.Run("a holder that is asked to stop gives its slot up before it would lapse", func(t *testing.T) {
+		c := newCentre(t, 20)
+		c.run(15 * time.Second)
+		holder := c.holders()[2][0]
+		c.handle(holder, blackboard.StopRequested{Now: c.now})
+		assert.Equal(t, holder.state.Lease.Slot, -1)
+		c.run(leaseTerm - time.Second)
+		c.assertHeld()
+	})
 	t.Run("a malformed lease counts as lapsed", func(t *testing.T) {
 		c := newCentre(t, 20)
 		for slot := range DefaultSlots {
@@ -227,6 +236,20 @@
 		c.know(hosts)
 		assertRates(t, c, 30)
 	})
+	t.Run("every node loses sight of all others", func(t *testing.T) {
+		c := newCentre(t, hosts)
+		c.run(15 * time.Second)
+		dead := map[string]blackboard.Member{}
+		for _, n := range c.nodes {
+			m := n.member()
+			m.Status = blackboard.MemberDead
+			dead[m.Host] = m
+		}
+		for _, n := range c.nodes {
+			n.state.Members.ByHost = dead
+		}
+		assertRates(t, c, 60)
+	})
 	t.Run("the platform comes back after an outage", func(t *testing.T) {
 		c := newCentre(t, hosts)
 		c.run(15 * time.Second)
--- a/internal/limiter/adapter.go
+++ b/internal/limiter/adapter.go
@@ -11,8 +11,10 @@
 	adaptEvery = 50 * time.Millisecond
 	// adaptRounds times the slots is how many requests must end between two changes.
 	adaptRounds = 2
-	// holdFor is how long all slots stay in use after a lower limit has cost throughput.
-	holdFor = time.Second
+	// holdFor is how long all slots stay in use after a lower limit has cost
+	// throughput. It doubles with each further time, mostHolds times.
+	holdFor   = 2 * time.Second
+	mostHolds = 4
 	// slowRatio of the recent service time to the usual one lowers the limit.
 	slowRatio = 2.5
 	// lowerBy is the factor by which a slow target's limit shrinks.
@@ -29,6 +31,8 @@
 	// that a slow spell does not become usual but a lasting change does.
 	usualUpWeight   = 0.001
 	usualDownWeight = 0.01
+	// usualSamples is how many samples the first usual service time is the mean of.
+	usualSamples = 50
 	// usualClip bounds a sample's effect on the usual service time, as a multiple of it.
 	usualClip = 2.0
 	// ratioClip bounds a sample's effect on the recent ratio.
@@ -45,14 +49,20 @@
 	limit float64
 	// usual service time of each class in nanoseconds; 0 before the first sample.
 	usual [classes]float64
+	// samples counts those of usual up to usualSamples.
+	samples [classes]int
 	// ratio of recent service times to the usual ones.
 	ratio float64
 	// round is what was seen since the latest change.
 	round round
 	// before is the throughput before the limit was lowered; 0 unless it has just been.
 	before float64
+	// wasSlow tells that the target was slow throughout the round before.
+	wasSlow bool
 	// holdUntil is when the limit may be lowered again.
 	holdUntil time.Time
+	// holds counts the times in a row that a lower limit cost throughput.
+	holds int
 }
 
 // round counts the requests that ended since it began.
@@ -120,6 +130,11 @@
 	if !answered {
 		return
 	}
+	if a.samples[c] < usualSamples {
+		a.samples[c]++
+		a.usual[c] = smooth(a.usual[c], ran, 1/float64(a.samples[c]))
+		return
+	}
 	weight := usualDownWeight
 	if ran > a.usual[c] {
 		weight = usualUpWeight
@@ -130,17 +145,19 @@
 // change ends a round in which so many requests ended a second.
 func (a *adapter) change(now time.Time, throughput float64) {
 	slots := float64(a.limits.Slots)
-	before := a.before
-	a.before = 0
+	before, wasSlow := a.before, a.wasSlow
+	a.before, a.wasSlow = 0, a.ratio > slowRatio
 	switch {
 	case !a.round.full:
 		return
 	case a.ratio <= slowRatio:
 		a.limit = min(a.limit+max(slots/raiseDivisor, 1), slots)
+		a.holds, a.holdUntil = 0, time.Time{}
 	case throughput < before*keptThroughput:
 		a.limit = slots
-		a.holdUntil = now.Add(holdFor)
-	case now.Before(a.holdUntil):
+		a.holdUntil = now.Add(holdFor << min(a.holds, mostHolds))
+		a.holds++
+	case !wasSlow || now.Before(a.holdUntil):
 		return
 	default:
 		a.limit = max(a.limit*lowerBy, a.floor())
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -36,7 +36,8 @@
 	Draining bool
 	// Incarnation of the target's node; 0 when not known.
 	Incarnation uint64
-	// Learned is when this node learned of the candidate; zero means just now.
+	// Learned is when this node last heard of a candidate in another data centre; zero means
+	// just now. It does not count in the own one.
 	Learned time.Time
 }
 
@@ -110,6 +111,9 @@
 	Latency time.Duration
 	// Load that came with the answer; nil when none came.
 	Load *limiter.Load
+	// Cancelled tells that this node ended the attempt: the caller went away, its
+	// time was over, or another attempt was quicker.
+	Cancelled bool
 	// RetryAfter is when a refusing target expects to have room; zero means unknown.
 	RetryAfter time.Time
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -111,6 +111,19 @@
 		table.target("near-0").incarnation = 1
 		assert.Assert(t, share(table, at(3000), roster(), renewed, isHost("near-0")) > 0, "a later incarnation starts afresh")
 	})
+	t.Run("a member that joined lately is not preferred", func(t *testing.T) {
+		all := near(5)
+		for i := range all {
+			all[i].Learned = at(-3_600_000)
+		}
+		all[0].Learned = at(-1000)
+		assert.Assert(t, share(New(), at(0), roster(), all, isHost("near-0")) < 400)
+	})
+	t.Run("a data centre heard of lately is preferred", func(t *testing.T) {
+		all := far(2)
+		all[0].Learned, all[1].Learned = at(-3_600_000), at(-100)
+		assert.Equal(t, share(New(), at(0), roster(), all, isHost("far-1")), 1000)
+	})
 	t.Run("no candidate is left", func(t *testing.T) {
 		r := roster()
 		r.Tried = []string{"near-0"}
@@ -184,6 +197,16 @@
 			assert.Assert(t, share(table, at(201), roster(), near(5), isHost(host)) > 0, host)
 		}
 	})
+	t.Run("a caller that goes away is not the target's fault", func(t *testing.T) {
+		table := usual()
+		visit(table, "near-0", at(200), Result{Outcome: retrier.OutcomeUnknown, Latency: time.Millisecond, Cancelled: true})
+		assert.Assert(t, share(table, at(201), roster(), near(5), isHost("near-0")) > 0)
+	})
+	t.Run("a target that lets callers wait until they go is avoided", func(t *testing.T) {
+		table := usual()
+		visit(table, "near-0", at(200), Result{Outcome: retrier.OutcomeUnknown, Latency: 200 * time.Millisecond, Cancelled: true})
+		assert.Equal(t, share(table, at(201), roster(), near(5), isHost("near-0")), 0)
+	})
 	t.Run("a target that fails is left alone for a while", func(t *testing.T) {
 		table := usual()
 		visit(table, "near-0", at(200), Result{Outcome: retrier.OutcomeUnknown})
--- a/internal/summarizer/follow.go
+++ b/internal/summarizer/follow.go
@@ -134,10 +134,17 @@
 	d.x.Follows = follows
 }
 
-// wanted returns the addresses to choose from, by key.
+// wanted returns the addresses to choose from, by key. The publisher alone
+// follows other data centres; its fellow relays follow it.
 func (d *draft) wanted() map[string][]string {
 	if d.isRelay() {
-		return d.x.Relays
+		if d.isPublisher() {
+			return d.x.Relays
+		}
+		if publisher := d.publisher(); publisher.Address != "" {
+			return map[string][]string{blackboard.FollowAll: {publisher.Address}}
+		}
+		return nil
 	}
 	if parent := d.state.Config.Parent; parent != "" {
 		return map[string][]string{blackboard.FollowAll: {parent}}
@@ -221,4 +228,17 @@
 	f.RetryAt = d.now.Add(d.jitter(backoff))
 	d.x.Follows = maps.Clone(d.x.Follows)
 	d.x.Follows[m.Key] = f
+	if f.Key != blackboard.FollowAll && f.Failures >= failuresBeforeSearch {
+		d.searchSoon(f.Failures - failuresBeforeSearch)
+	}
+}
+
+// searchSoon brings the next search for relays forward, since those known may
+// be gone. The more streams have failed, the later it comes.
+func (d *draft) searchSoon(failures int) {
+	wait := min(relaysPeriod, searchStart<<min(failures, 8))
+	soon := d.now.Add(d.jitter(wait))
+	if soon.Before(d.x.NextRelays) {
+		d.x.NextRelays = soon
+	}
 }
--- a/internal/summarizer/summarizer.go
+++ b/internal/summarizer/summarizer.go
@@ -43,6 +43,10 @@
 	maxRaises   = 8
 	// relaysPeriod is the time between two readings of the other data centres' relays.
 	relaysPeriod = 60 * time.Second
+	// searchStart follows the failure of every known relay of a data centre; it doubles up to relaysPeriod.
+	searchStart = 2 * time.Second
+	// findSpread is how far the first readings of relays that start together are apart.
+	findSpread = 5 * time.Second
 	// followPeriod is the time between two looks at which nodes to follow.
 	followPeriod = 500 * time.Millisecond
 	// choosePeriod is how long a randomly chosen peer is followed.
@@ -52,6 +56,8 @@
 	// retryStart follows a stream that ended; it doubles up to retryCap.
 	retryStart = 1 * time.Second
 	retryCap   = 5 * time.Second
+	// failuresBeforeSearch is how many streams to a data centre end before its relays are read again.
+	failuresBeforeSearch = 2
 	// sampleHosts is how many hosts of a service a summary names.
 	sampleHosts = 3
 	// countTolerance is the inverse of the share of slots whose change is not worth telling.
@@ -138,9 +144,8 @@
 		d.x.NextSummary = now.Add(summaryPeriod)
 		d.publish()
 	}
-	if d.isRelay() && !now.Before(d.x.NextRelays) {
-		d.x.NextRelays = now.Add(d.jitter(relaysPeriod))
-		d.effects = append(d.effects, FindRelays{})
+	if d.isRelay() {
+		d.findRelays()
 	}
 	if !now.Before(d.x.NextFlush) {
 		d.x.NextFlush = now.Add(flushPeriod)
@@ -152,6 +157,18 @@
 	}
 }
 
+// findRelays reads the relays of the other data centres now and then. The first
+// searches of relays that start together are spread.
+func (d *draft) findRelays() {
+	if d.x.NextRelays.IsZero() {
+		d.x.NextRelays = d.now.Add(time.Duration(d.rand().Int64N(int64(findSpread))))
+	}
+	if !d.now.Before(d.x.NextRelays) {
+		d.x.NextRelays = d.now.Add(d.jitter(relaysPeriod))
+		d.effects = append(d.effects, FindRelays{})
+	}
+}
+
 // rand returns random numbers that the state alone determines.
 func (d *draft) rand() *rand.Rand {
 	d.x.Draws++
