Let requests and health checks show whether a target works, and keep age from misleading the choice

Cause: nobody posted TargetObserved and no health check was wired, so a target that announced itself and failed every request stayed ready. Summaries are up to 30 s old while nothing is wrong, and the choice of target counted them as old after 10 s. Nodes did not pass on their incarnation with their load. Ruled out: counting an answer with status 503 against the target: a target that passes on another service's failure would be held out, and the failure would spread. Posting each success: thousands of messages a second for nothing. Change: the executor judges finished requests, the composer tells the board each failure and a success every 250 ms; the dispatcher checks /healthz; the age of a summary counts from the end of its usual age; members of the own data centre have no age; the forwarder gets the incarnation. Before: TestAgeOfCandidates 'the usual age of a summary' failed with a share under 0.4. After: both pass. Conclusion: the announcer's rules have their input.

--- a/internal/blackboard/message_membership.go
+++ b/internal/blackboard/message_membership.go
@@ -48,11 +48,10 @@
 }
 
 // TargetObserved is what a request showed of the target on this host. The
-// request path posts one for each request that reached the target or failed to.
+// request path posts each failure, and successes at a bounded rate.
 type TargetObserved struct {
-	// Success is false when the target gave no whole answer, or an answer that
-	// says it cannot serve. An answer that blames the request is a success, and
-	// so is a refusal by load shedding.
+	// Success is false when the target gave no whole answer. Any whole answer is
+	// a success, whatever its status, and so is a refusal by load shedding.
 	Success bool
 	Now     time.Time
 }
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -45,6 +45,7 @@
 // Node is one process of the system, ready to run.
 type Node struct {
 	settings  loader.Settings
+	self      blackboard.Self
 	log       *logger.Logger
 	listeners listeners
 	links     *linker.Linker
@@ -65,6 +66,7 @@
 	}
 	n := &Node{
 		settings:  settings,
+		self:      selfOf(settings),
 		log:       log,
 		listeners: opened,
 		tracker:   drainer.NewTracker(),
@@ -94,13 +96,15 @@
 	return linker.TrafficControl
 }
 
-func (n *Node) self() blackboard.Self {
+// selfOf identifies the node. A later process on the same host has a greater
+// incarnation, as long as the host's clock does not go back.
+func selfOf(settings loader.Settings) blackboard.Self {
 	return blackboard.Self{
-		Host:        n.settings.Host,
-		DataCentre:  n.settings.DataCentre,
-		Region:      n.settings.Region,
-		Rack:        n.settings.Rack,
-		Address:     n.settings.Listen.Nodes,
+		Host:        settings.Host,
+		DataCentre:  settings.DataCentre,
+		Region:      settings.Region,
+		Rack:        settings.Rack,
+		Address:     settings.Listen.Nodes,
 		Incarnation: uint64(time.Now().UnixMicro()),
 	}
 }
@@ -111,7 +115,7 @@
 func (n *Node) buildBoard(platform storer.Client) {
 	n.streams = follower.NewStreams(n.links)
 	state := blackboard.State{
-		Self:   n.self(),
+		Self:   n.self,
 		Life:   blackboard.Life{Phase: blackboard.LifeStarting},
 		Config: follower.NewConfig(),
 		Lease:  elector.NoLease(),
@@ -121,7 +125,7 @@
 		drainer.New(n.tracker, n.log, n.drainOptions()...),
 		elector.New(platform, n.settings.DataCentre, elector.WithLogger(n.log)),
 		follower.New(n.streams, follower.NewPlatform(platform), follower.WithLogger(n.log)),
-		announcer.New(announcer.Config{}),
+		announcer.New(announcer.Config{Check: dispatcher.CheckHealth}),
 		gossiper.New(gossiper.Config{
 			Seeds:     n.settings.SeedPeers,
 			Send:      n.listeners.packets.Send,
@@ -160,19 +164,23 @@
 // buildRequestPath makes what carries callers' requests. It reads the board, which is made after it.
 func (n *Node) buildRequestPath() {
 	m := meter.New(n.metrics, func() int { return n.tracker.Count().Total })
+	o := &observer{post: func(msg blackboard.Msg) { n.board.Post(msg) }, now: time.Now}
 	n.executor = executor.New(executor.Config{
 		Host:    n.settings.Host,
 		Target:  func() blackboard.Target { return n.board.Read().Target },
 		Service: n.service,
 		Client:  dispatcher.NewHTTP(),
 		Observe: m.Served,
+		Judge:   o.observe,
 	})
 	f := forwarder.New(forwarder.Config{
 		Open:    n.links.OpenWith,
 		Execute: n.executor.Execute,
 		Refuse:  n.executor.Refuse,
 		Tracker: n.tracker,
-		Log:     n.log,
+		// Peers tell by it that a node has restarted since they learned of its load.
+		Incarnation: n.self.Incarnation,
+		Log:         n.log,
 	})
 	n.links.Handle(forwarder.Kind, f.Handle)
 	n.receiver = receiver.New(receiver.Config{
--- /dev/null
+++ b/internal/dispatcher/health_test.go
@@ -0,0 +1,30 @@
+package dispatcher
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestCheckHealth(t *testing.T) {
+	status := http.StatusOK
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+	address := strings.TrimPrefix(server.URL, "http://")
+	t.Run("a healthy target", func(t *testing.T) {
+		assert.NilError(t, CheckHealth(t.Context(), address))
+	})
+	t.Run("a target that says it is not", func(t *testing.T) {
+		status = http.StatusServiceUnavailable
+		var unhealthy *UnhealthyError
+		assert.Assert(t, errors.As(CheckHealth(t.Context(), address), &unhealthy))
+		assert.Equal(t, unhealthy.Status, status)
+	})
+	t.Run("a target that is gone", func(t *testing.T) {
+		server.Close()
+		assert.Assert(t, CheckHealth(t.Context(), address) != nil)
+	})
+}
--- a/internal/executor/exchange.go
+++ b/internal/executor/exchange.go
@@ -21,6 +21,8 @@
 	entry   *deduplicator.Entry
 	arrived time.Time
 	started time.Time
+	// gone tells that the caller no longer waits.
+	gone func() bool
 }
 
 // track makes the end of the answer end the exchange.
@@ -33,7 +35,7 @@
 }
 
 func (x *exchange) failed(a *exchanger.Answer) {
-	x.end(a)
+	x.end(a, judge(a, time.Since(x.started)))
 	if x.entry == nil {
 		return
 	}
@@ -44,8 +46,11 @@
 	x.entry.Unknown(time.Now())
 }
 
-func (x *exchange) end(a *exchanger.Answer) {
+func (x *exchange) end(a *exchanger.Answer, v verdict) {
 	x.release(resultOf(a))
+	if x.executor.cfg.Judge != nil && v != verdictNone {
+		x.executor.cfg.Judge(v == verdictGood)
+	}
 	if x.executor.cfg.Observe != nil {
 		x.executor.cfg.Observe(x.request, x.started.Sub(x.arrived), time.Since(x.started))
 	}
@@ -60,6 +65,8 @@
 	// copied is the start of the body, at most one byte over the recorded size.
 	copied bytes.Buffer
 	whole  bool
+	// broken is true when the answer ended before it was whole.
+	broken bool
 	once   sync.Once
 }
 
@@ -74,6 +81,7 @@
 		b.whole = true
 		b.finish()
 	}
+	b.broken = err != nil && !b.whole
 	return n, err
 }
 
@@ -86,13 +94,25 @@
 
 func (b *trackedBody) finish() {
 	b.once.Do(func() {
-		b.exchange.end(&b.answer)
+		b.exchange.end(&b.answer, b.verdict())
 		if b.exchange.entry != nil {
 			b.exchange.entry.Done(time.Now(), b.recorded())
 		}
 	})
 }
 
+// verdict blames the target for a broken answer, unless the caller went away.
+func (b *trackedBody) verdict() verdict {
+	switch {
+	case b.whole:
+		return verdictGood
+	case b.broken && !b.exchange.gone():
+		return verdictBad
+	default:
+		return verdictNone
+	}
+}
+
 func (b *trackedBody) recorded() deduplicator.Recorded {
 	out := deduplicator.Recorded{Status: b.answer.Status, Header: b.answer.Header}
 	if !b.whole {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -38,6 +38,8 @@
 	Client  dispatcher.Client
 	// Observe is told of each request that held a slot; nil means nobody.
 	Observe func(r *exchanger.Request, queued, served time.Duration)
+	// Judge is told what a finished request showed of the target; nil means nobody.
+	Judge func(good bool)
 }
 
 // Executor runs requests on one target.
@@ -158,7 +160,10 @@
 	}
 	started := time.Now()
 	a := e.cfg.Client.Dispatch(ctx, t.Address, r)
-	x := &exchange{executor: e, request: r, release: release, entry: entry, arrived: arrived, started: started}
+	x := &exchange{
+		executor: e, request: r, release: release, entry: entry, arrived: arrived, started: started,
+		gone: func() bool { return ctx.Err() != nil },
+	}
 	x.track(a)
 	return a
 }
--- a/internal/receiver/candidates.go
+++ b/internal/receiver/candidates.go
@@ -10,6 +10,7 @@
 
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/router"
+	"gentianbarrow.example/internal/summarizer"
 )
 
 // Distances of candidates.
@@ -144,10 +145,12 @@
 	found.candidates = append(found.candidates, router.Candidate{
 		Host: m.Host, Address: m.Address, DataCentre: m.DataCentre, Distance: distanceDataCentre,
 		Slots: max(m.Target.Slots, 1), Cold: m.Target.Phase == blackboard.TargetCold,
-		Incarnation: m.Incarnation, Learned: m.Changed,
+		Incarnation: m.Incarnation,
 	})
 }
 
+// addSummary adds the hosts of another data centre. While nothing is wrong a
+// summary is up to summarizer.MaxSteadyAge old; only what is older counts as old.
 func (b *builder) addSummary(d blackboard.DataCentreSummary) {
 	if d.DataCentre == b.self.DataCentre {
 		return
@@ -164,7 +167,7 @@
 			found.addresses[h.Host] = h.Address
 			found.candidates = append(found.candidates, router.Candidate{
 				Host: h.Host, Address: h.Address, DataCentre: d.DataCentre, Distance: distance,
-				Slots: slots, Learned: d.Received,
+				Slots: slots, Learned: d.Received.Add(summarizer.MaxSteadyAge),
 			})
 		}
 	}
--- /dev/null
+++ b/internal/receiver/candidates_test.go
@@ -0,0 +1,57 @@
+package receiver
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/router"
+	"gentianbarrow.example/internal/summarizer"
+)
+
+// shareOf returns how many of many requests go to a host, by what the state says.
+func shareOf(s *blackboard.State, now time.Time, host string) float64 {
+	const requests = 2000
+	found := build(s, nil, now)["booking"]
+	rnd := rand.New(rand.NewPCG(1, 1))
+	table := router.New()
+	chosen := 0
+	for range requests {
+		choice, _ := table.Choose(now, router.Request{Service: "booking"}, found.candidates, rnd)
+		if choice.Host == host {
+			chosen++
+		}
+	}
+	return float64(chosen) / requests
+}
+
+func TestAgeOfCandidates(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	ready := blackboard.TargetRecord{Service: "booking", Phase: blackboard.TargetReady, Slots: 10}
+	self := blackboard.Self{Host: "reyk-a-1", DataCentre: "reyk-a", Region: "is-south"}
+	t.Run("a member that joined long ago gets its part", func(t *testing.T) {
+		s := &blackboard.State{Self: self, Members: blackboard.Members{ByHost: map[string]blackboard.Member{
+			"old": {Host: "old", Status: blackboard.MemberAlive, Target: ready, Changed: now.Add(-time.Hour)},
+			"new": {Host: "new", Status: blackboard.MemberAlive, Target: ready, Changed: now},
+		}}}
+		assert.Assert(t, shareOf(s, now, "old") > 0.4)
+	})
+	t.Run("the usual age of a summary does not count against a data centre", func(t *testing.T) {
+		summary := func(dataCentre string, age time.Duration) blackboard.DataCentreSummary {
+			return blackboard.DataCentreSummary{
+				DataCentre: dataCentre, Region: "is-south", Received: now.Add(-age),
+				Services: []blackboard.ServiceSummary{{
+					Service: "booking", Targets: 1, Slots: 10, Hosts: []blackboard.RemoteHost{{Host: dataCentre}},
+				}},
+			}
+		}
+		s := &blackboard.State{Self: self, Members: blackboard.Members{Remote: map[string]blackboard.DataCentreSummary{
+			"reyk-b": summary("reyk-b", summarizer.MaxSteadyAge),
+			"hafn-c": summary("hafn-c", 0),
+		}}}
+		assert.Assert(t, shareOf(s, now, "reyk-b") > 0.4)
+	})
+}
