--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -46,7 +46,6 @@
 	ReasonKeyHomeLost      Reason = "key-home-lost"
 	ReasonKeyAnswerDropped Reason = "key-answer-dropped"
 	ReasonKeyTableFull     Reason = "key-table-full"
-	ReasonRequestTruncated Reason = "request-truncated"
 )
 
 // Request is one request on its way to a target.
