Do not send a request again when the failure is of a deeper call

Ruled out: a field in the forwarding protocol; a reason of its own travels there already. Change: refusals of a node carry Gentian-Retried; a target that sheds because of one passes it on, and its node says target-shed-below, which is not retried and does not count as load shedding. Before: with the marker ignored, TestFailureBelow 'shed-below' answers done after a second attempt. After: not-run after one.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -10,7 +10,9 @@
 //   - Every answer carries the Gentian-Request-Id of its request. An answer
 //     with another one is discarded.
 //   - An answer with Gentian-Shed: not-run says that the target did not start
-//     the request. No other answer says so, whatever its status.
+//     the request. No other answer says so, whatever its status. It carries
+//     Gentian-Retried when that is since a call of the target's own ended with
+//     an answer that carried it.
 //   - Closing the connection cancels the request.
 package dispatcher
 
--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -158,7 +158,7 @@
 	}
 	if resp.Header.Get(HeaderShed) == ShedNotRun {
 		_ = body.Close()
-		a := exchanger.NotRun(exchanger.ReasonTargetShed, nil)
+		a := exchanger.NotRun(shedReason(resp.Header), nil)
 		a.RetryAt = retryAt(resp.Header)
 		return a
 	}
@@ -168,6 +168,14 @@
 	}
 }
 
+// shedReason tells a target without room from one whose own call failed and was not worth another try.
+func shedReason(h http.Header) exchanger.Reason {
+	if h.Get(exchanger.HeaderRetried) == "true" {
+		return exchanger.ReasonShedBelow
+	}
+	return exchanger.ReasonTargetShed
+}
+
 func retryAt(h http.Header) time.Time {
 	seconds, err := strconv.Atoi(h.Get("Retry-After"))
 	if err != nil || seconds < 0 {
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -31,6 +31,7 @@
 	ReasonTargetFailed     Reason = "target-failed"
 	ReasonWrongTarget      Reason = "wrong-target"
 	ReasonTargetShed       Reason = "target-shed"
+	ReasonShedBelow        Reason = "target-shed-below"
 	ReasonUnreachable      Reason = "unreachable"
 	ReasonDeadline         Reason = "deadline"
 	ReasonCancelled        Reason = "cancelled"
--- a/internal/exchanger/header.go
+++ b/internal/exchanger/header.go
@@ -19,6 +19,10 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderAttempt is greater than 1 on a request that was sent before. A target passes it on with its own calls.
 	HeaderAttempt = "Gentian-Attempt"
+	// HeaderRetried is "true" on an answer that a node gave in a target's place:
+	// the node has decided on retries. A target that sheds a request because a
+	// call of its own ended so passes it on, and the request is not sent again.
+	HeaderRetried = "Gentian-Retried"
 	// HeaderReplayed is "true" on an answer that was recorded for an idempotency key.
 	HeaderReplayed = "Gentian-Replayed"
 )
--- a/internal/executor/judge.go
+++ b/internal/executor/judge.go
@@ -28,7 +28,7 @@
 		return verdictGood
 	}
 	switch a.Reason {
-	case exchanger.ReasonTargetShed:
+	case exchanger.ReasonTargetShed, exchanger.ReasonShedBelow:
 		return verdictGood
 	case exchanger.ReasonUnreachable, exchanger.ReasonConnectionLost, exchanger.ReasonSilent,
 		exchanger.ReasonCrossedAnswer, exchanger.ReasonMalformedAnswer:
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -213,7 +213,7 @@
 	now := time.Now()
 	rc := r.receiver()
 	rc.mu.Lock()
-	action := rc.budget(now, r.call.service).Next(now, r.state(a.Outcome))
+	action := rc.budget(now, r.call.service).Next(now, r.state(a.Outcome, a.Reason))
 	rc.mu.Unlock()
 	if action.Verb != retrier.VerbRetry {
 		r.call.record.GaveUp = action.Reason
@@ -236,7 +236,7 @@
 	}
 }
 
-func (r *run) state(o retrier.Outcome) retrier.State {
+func (r *run) state(o retrier.Outcome, reason exchanger.Reason) retrier.State {
 	c := r.call
 	known := r.receiver().index.find(r.receiver().cfg.State(), c.service.Name)
 	left := 0
@@ -249,7 +249,8 @@
 		Outcome: o, Idempotent: c.request.Idempotent, MayHaveRun: r.mayHaveRun,
 		Replayable: c.body.replayable(), Bulk: c.request.Class == snapshotter.ClassBulk,
 		Attempts: max(len(r.tried)-r.moves, 1), TargetsLeft: left,
-		RetriedAbove: c.request.RetriedAbove, Deadline: c.request.Deadline,
+		RetriedAbove: c.request.RetriedAbove, RetriedBelow: reason == exchanger.ReasonShedBelow,
+		Deadline: c.request.Deadline,
 	}
 }
 
@@ -259,7 +260,7 @@
 	now := time.Now()
 	rc := r.receiver()
 	rc.mu.Lock()
-	plan := rc.budget(now, r.call.service).Hedge(now, r.state(retrier.OutcomeUnknown))
+	plan := rc.budget(now, r.call.service).Hedge(now, r.state(retrier.OutcomeUnknown, exchanger.ReasonNone))
 	rc.mu.Unlock()
 	if plan.Verb != retrier.VerbHedge || r.keyed() {
 		body := r.reader()
--- a/internal/receiver/fault_test.go
+++ b/internal/receiver/fault_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -113,6 +114,31 @@
 	}
 }
 
+// TestFailureBelow has the first target that is asked shed. A target without
+// room is worth another try elsewhere; one whose own call failed is not, since
+// the node of that call has already decided on retries.
+func TestFailureBelow(t *testing.T) {
+	for fault, want := range map[targeter.Fault]retrier.Outcome{
+		targeter.FaultShed:      retrier.OutcomeDone,
+		targeter.FaultShedBelow: retrier.OutcomeNotRun,
+	} {
+		t.Run(string(fault), func(t *testing.T) {
+			var asked atomic.Int32
+			first := func(string) targeter.Fault {
+				if asked.Add(1) == 1 {
+					return fault
+				}
+				return targeter.FaultNone
+			}
+			inMesh(t, 3, targeter.Config{Choose: first}, func(t *testing.T, m *mesh) {
+				r := m.ask(t.Context(), 0, "GET", "/read?bytes=9", nil, withID("r-1"))
+				assert.Equal(t, r.outcome(), want)
+				assert.Equal(t, r.header.Get(exchanger.HeaderRetried) == "true", want == retrier.OutcomeNotRun)
+			})
+		})
+	}
+}
+
 func TestNodeKilled(t *testing.T) {
 	inMesh(t, 2, targeter.Config{ServiceTime: 3 * time.Second}, func(t *testing.T, m *mesh) {
 		viaPeer(m)
--- a/internal/receiver/reply.go
+++ b/internal/receiver/reply.go
@@ -122,6 +122,7 @@
 func (c *call) refuse(a *exchanger.Answer) {
 	h := c.w.Header()
 	h.Set("Retry-After", strconv.Itoa(retryAfter(a)))
+	h.Set(exchanger.HeaderRetried, "true")
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(statusOf(a))
 	if c.httpRequest.Method != http.MethodHead {
--- a/internal/targeter/targeter.go
+++ b/internal/targeter/targeter.go
@@ -39,6 +39,8 @@
 	FaultCrossed Fault = "crossed"
 	// FaultShed turns the request away without executing it.
 	FaultShed Fault = "shed"
+	// FaultShedBelow sheds the request since a call of the target's own failed.
+	FaultShedBelow Fault = "shed-below"
 	// FaultSlow takes SlowMs longer.
 	FaultSlow Fault = "slow"
 )
@@ -188,7 +190,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	fault := t.nextFault(requestID)
-	if t.draining || t.running >= t.cfg.Slots || fault == FaultShed {
+	if t.draining || t.running >= t.cfg.Slots || fault == FaultShed || fault == FaultShedBelow {
 		return fault, false
 	}
 	t.setRunning(t.running + 1)
@@ -247,6 +249,9 @@
 	fault, ok := t.begin(id)
 	if !ok {
 		w.Header().Set(dispatcher.HeaderShed, dispatcher.ShedNotRun)
+		if fault == FaultShedBelow {
+			w.Header().Set(exchanger.HeaderRetried, "true")
+		}
 		w.Header().Set("Retry-After", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
