--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -16,6 +16,10 @@
 	// silentAfter is how long a session in use may leave pings unanswered
 	// before new streams go to a fresh connection.
 	silentAfter = 1500 * time.Millisecond
+	// Control sessions are many, and their protocols have deadlines of their
+	// own, so they are pinged more rarely.
+	controlPingEvery   = 2 * time.Second
+	controlSilentAfter = 6 * time.Second
 	// verifyTimeout bounds the check of a session that was not in use.
 	verifyTimeout = 300 * time.Millisecond
 	// restAfter is how long after its last stream a session is still pinged.
@@ -55,6 +59,7 @@
 // link is one session that this node opened.
 type link struct {
 	session *yamux.Session
+	traffic Traffic
 	// answered is when the peer last answered a ping, in Unix nanoseconds.
 	answered atomic.Int64
 	// used is when a stream was last opened, in Unix nanoseconds.
@@ -67,6 +72,23 @@
 	return time.Since(time.Unix(0, at.Load()))
 }
 
+// pingEvery returns the time between two pings while the session is in use.
+func (l *link) pingEvery() time.Duration {
+	if l.traffic == TrafficControl {
+		return controlPingEvery
+	}
+	return pingEvery
+}
+
+// silent tells that the session has left pings unanswered for too long.
+func (l *link) silent() bool {
+	limit := silentAfter
+	if l.traffic == TrafficControl {
+		limit = controlSilentAfter
+	}
+	return l.since(&l.answered) > limit
+}
+
 // inUse tells that the session is pinged regularly.
 func (l *link) inUse() bool {
 	return l.session.NumStreams() > 0 || l.since(&l.used) < restAfter
@@ -75,7 +97,7 @@
 // usable tells that the session is neither closed nor known to be silent, and
 // marks it as used.
 func (l *link) usable() bool {
-	if l.session.IsClosed() || l.since(&l.answered) > silentAfter {
+	if l.session.IsClosed() || l.silent() {
 		return false
 	}
 	l.touch(&l.used)
@@ -181,7 +203,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	fresh := &link{session: session}
+	fresh := &link{session: session, traffic: key.traffic}
 	fresh.touch(&fresh.answered)
 	fresh.touch(&fresh.used)
 	l.mu.Lock()
@@ -194,7 +216,7 @@
 // watch pings a session while it is in use and closes it when it is dead,
 // retired and empty, or idle for long.
 func (l *Linker) watch(s *slot, watched *link) {
-	ticker := time.NewTicker(pingEvery)
+	ticker := time.NewTicker(watched.pingEvery())
 	defer ticker.Stop()
 	defer l.forget(s, watched)
 	for {
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -172,6 +172,16 @@
 			assert.Equal(t, e.dials, 2)
 		})
 	})
+	t.Run("new streams leave a silent control session while a change still has time to be in force", func(t *testing.T) {
+		inBubble(t, func(t *testing.T, l *Linker, e *echo) {
+			const inForce = 17 * time.Second
+			say(t, open(t, l, TrafficControl), "before")
+			e.silent.Store(true)
+			time.Sleep(inForce / 2)
+			say(t, open(t, l, TrafficControl), "after")
+			assert.Equal(t, e.dials, 2)
+		})
+	})
 	t.Run("streams of a silent session end in a bounded time", func(t *testing.T) {
 		inBubble(t, func(t *testing.T, l *Linker, e *echo) {
 			s := open(t, l, TrafficShort)
