Give property tests a fixed seed

Ruled out: -rapid.seed on the command line of go test, which packages without rapid refuse. Change: internal/seeder sets the flag's default; its test finds packages with property tests that do not import it.

--- a/internal/deduplicator/deduplicator_test.go
+++ b/internal/deduplicator/deduplicator_test.go
@@ -8,6 +8,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "gentianbarrow.example/internal/seeder"
 )
 
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
--- a/internal/gossiper/property_test.go
+++ b/internal/gossiper/property_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"gentianbarrow.example/internal/blackboard"
+	_ "gentianbarrow.example/internal/seeder"
 )
 
 // assertViews checks what must hold at every step: no view's incarnation of a
--- a/internal/limiter/property_test.go
+++ b/internal/limiter/property_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"gentianbarrow.example/internal/retrier"
+	_ "gentianbarrow.example/internal/seeder"
 	"gentianbarrow.example/pkg/snapshotter"
 )
 
--- a/internal/receiver/property_test.go
+++ b/internal/receiver/property_test.go
@@ -15,6 +15,7 @@
 
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/retrier"
+	_ "gentianbarrow.example/internal/seeder"
 	"gentianbarrow.example/internal/targeter"
 )
 
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "gentianbarrow.example/internal/seeder"
 )
 
 var start = time.Unix(1_800_000_000, 0)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -12,6 +12,7 @@
 
 	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/retrier"
+	_ "gentianbarrow.example/internal/seeder"
 	"gentianbarrow.example/pkg/snapshotter"
 )
 
--- a/internal/summarizer/summarizer_test.go
+++ b/internal/summarizer/summarizer_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"gentianbarrow.example/internal/blackboard"
+	_ "gentianbarrow.example/internal/seeder"
 	"gentianbarrow.example/internal/wirepb"
 )
 
--- a/pkg/snapshotter/apply_test.go
+++ b/pkg/snapshotter/apply_test.go
@@ -8,6 +8,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "gentianbarrow.example/internal/seeder"
 )
 
 func service(name string) Service {
--- a/pkg/ticketer/interleaving_test.go
+++ b/pkg/ticketer/interleaving_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	_ "gentianbarrow.example/internal/seeder"
 	"gentianbarrow.example/pkg/snapshotter"
 	"gentianbarrow.example/pkg/storer"
 )
