Note the end of a lease call in one place

Cause: leasesRead and leaseWritten began with the same eight lines: stop, free the call, back off or forget failures. Ruled out: folding the twin HTTP loops of the two stand-ins and the composer, which close differently. Change: both call answered. Behaviour stays as it is. Before and after: go test -race ./internal/elector ./internal/follower passes.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -185,17 +185,26 @@
 	}
 }
 
-func (e *Elector) leasesRead(s blackboard.State, m LeasesRead) (blackboard.State, []blackboard.Effect) {
-	l := &s.Lease
+// answered notes the end of a call to the platform. It returns false when
+// nothing follows from the answer: the call failed, or the node is stopping.
+func (e *Elector) answered(self blackboard.Self, l *blackboard.Lease, now time.Time, err error) bool {
 	if l.Stopping {
-		return s, nil
+		return false
 	}
 	l.BusyUntil = time.Time{}
-	if m.Err != nil {
-		e.backOff(s.Self, l, m.Now)
-		return s, nil
+	if err != nil {
+		e.backOff(self, l, now)
+		return false
 	}
 	l.Failures = 0
+	return true
+}
+
+func (e *Elector) leasesRead(s blackboard.State, m LeasesRead) (blackboard.State, []blackboard.Effect) {
+	l := &s.Lease
+	if !e.answered(s.Self, l, m.Now, m.Err) {
+		return s, nil
+	}
 	wait := readEvery + ranker.Jitter(s.Self.Host, m.Now, 1, readSpread)
 	l.ReadAt = m.Now.Add(wait * ranker.Spread(s.Members.ByHost))
 	l.Relays = nil
@@ -248,15 +257,9 @@
 
 func (e *Elector) leaseWritten(s blackboard.State, m LeaseWritten) (blackboard.State, []blackboard.Effect) {
 	l := &s.Lease
-	if l.Stopping {
+	if !e.answered(s.Self, l, m.Now, m.Err) {
 		return s, nil
 	}
-	l.BusyUntil = time.Time{}
-	if m.Err != nil {
-		e.backOff(s.Self, l, m.Now)
-		return s, nil
-	}
-	l.Failures = 0
 	if !m.Now.Before(m.Record.Expires) {
 		return s, nil
 	}
