--- a/cmd/gentian-node/main.go
+++ b/cmd/gentian-node/main.go
@@ -49,7 +49,7 @@
 		fmt.Println("settings are valid")
 		return
 	}
-	log := logger.New(os.Stderr, settings.Log.Format, settings.Log.Level, settings.Host, settings.DataCentre)
+	log := logger.New(os.Stdout, settings.Log.Format, settings.Log.Level, settings.Host, settings.DataCentre)
 	if err := run(settings, log); err != nil {
 		log.Write(logger.NodeFailed, logger.Fields{Err: err})
 		os.Exit(exitFailed)
--- a/examples/tickets/main.go
+++ b/examples/tickets/main.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return err
 	}
-	route, service, found := snapshotter.Match(snapshot, "GET", "/roster/school-12")
+	route, service, found := snapshotter.Match(snapshot, "", "GET", "/roster/school-12")
 	fmt.Fprintf(w, "version %d: route %s, service %s, found %t\n", head.Version, route.Name, service.Name, found)
 	return nil
 }
--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/logger"
 )
 
 // Times of the rules.
@@ -41,6 +42,9 @@
 	stableAfter = 30 * time.Second
 )
 
+// unknownSlots is what a target is taken to have before it announces itself.
+const unknownSlots = 8
+
 // How many failures in a row count.
 const (
 	requestFailures = 5
@@ -50,8 +54,12 @@
 
 // Config is what an announcer is made of.
 type Config struct {
-	// Check probes the health of the target; nil means that there are no checks.
-	Check func(ctx context.Context, address string) error
+	// Check probes the health of the target and returns the id of the process that
+	// answered, if it told; nil means that there are no checks.
+	Check func(ctx context.Context, address, path string) (id string, err error)
+	// LapseAfter is how long an announcement lasts; 0 means the time of this package.
+	LapseAfter time.Duration
+	Log        *logger.Logger
 	// Now is the clock of the effects; Reduce takes its time from messages.
 	Now func() time.Time
 }
@@ -59,6 +67,8 @@
 // CheckTarget is the effect of one health check.
 type CheckTarget struct {
 	Address string
+	// Path is where the target tells its health; empty means the path of its contract.
+	Path string
 	// Ends is when the check counts as failed.
 	Ends time.Time
 }
@@ -72,41 +82,101 @@
 	return blackboard.Controller{
 		Name: "announcer",
 		Reduce: func(s blackboard.State, msg blackboard.Msg) (blackboard.State, []blackboard.Effect) {
-			return Reduce(s, msg, cfg.Check != nil)
+			before := s.Target.Record
+			next, effects := Reduce(s, msg, cfg.rules())
+			if next.Target.Record.Phase != before.Phase {
+				effects = append(effects, phaseChanged{before: before.Phase, target: next.Target})
+			}
+			return next, effects
 		},
 		Run: cfg.run,
 	}
 }
 
 func (cfg Config) run(ctx context.Context, e blackboard.Effect, post blackboard.Post) {
-	check, ok := e.(CheckTarget)
-	if !ok {
-		return
+	switch e := e.(type) {
+	case CheckTarget:
+		cfg.check(ctx, e, post)
+	case confirm:
+		e.applied()
+	case phaseChanged:
+		cfg.Log.Write(logger.TargetChanged, logger.Fields{
+			Service: e.target.Record.Service, Peer: e.target.Address, Target: e.target.ID,
+			Reason: string(e.before) + " to " + string(e.target.Record.Phase), Count: e.target.Evidence.Failures,
+		})
 	}
+}
+
+func (cfg Config) check(ctx context.Context, check CheckTarget, post blackboard.Post) {
 	ctx, cancel := context.WithDeadline(ctx, check.Ends)
 	defer cancel()
-	err := cfg.Check(ctx, check.Address)
-	post(blackboard.TargetChecked{Address: check.Address, Success: err == nil, Now: cfg.Now()})
+	id, err := cfg.Check(ctx, check.Address, check.Path)
+	post(blackboard.TargetChecked{Address: check.Address, ID: id, Success: err == nil, Now: cfg.Now()})
+}
+
+// Effects of this controller besides CheckTarget.
+type (
+	// confirm tells the target that its message has taken effect.
+	confirm      struct{ applied func() }
+	phaseChanged struct {
+		before blackboard.TargetPhase
+		target blackboard.Target
+	}
+)
+
+// rules are what Reduce is told of a Config.
+type rules struct {
+	checks     bool
+	lapseAfter time.Duration
+}
+
+func (cfg Config) rules() rules {
+	r := rules{checks: cfg.Check != nil, lapseAfter: cfg.LapseAfter}
+	if r.lapseAfter == 0 {
+		r.lapseAfter = LapseAfter
+	}
+	return r
 }
 
 // Reduce answers one message. It is pure.
-func Reduce(s blackboard.State, msg blackboard.Msg, checks bool) (blackboard.State, []blackboard.Effect) {
+func Reduce(s blackboard.State, msg blackboard.Msg, r rules) (blackboard.State, []blackboard.Effect) {
 	var effects []blackboard.Effect
 	t := s.Target
 	switch m := msg.(type) {
 	case blackboard.Tick:
-		if checks {
-			t, effects = startCheck(t, m.Now)
+		if r.checks {
+			t, effects = startCheck(t, healthPath(&s), m.Now)
 		}
 		s.Target = settle(t, s.Life.Phase, m.Now)
 	case blackboard.TargetAnnounced:
-		s.Target = settle(announce(t, m), s.Life.Phase, m.Now)
+		s.Target = settle(announce(t, m, r.lapseAfter), s.Life.Phase, m.Now)
+		effects = confirmed(m.Applied)
+	case blackboard.TargetLeft:
+		s.Target = settle(leave(t, m), s.Life.Phase, m.Now)
+		effects = confirmed(m.Applied)
+	case blackboard.TargetMistaken:
+		s.Target = settle(mistaken(t, m), s.Life.Phase, m.Now)
 	case blackboard.TargetObserved:
 		s.Target = settle(observe(t, m), s.Life.Phase, m.Now)
 	case blackboard.TargetChecked:
-		s.Target = settle(checked(t, m), s.Life.Phase, m.Now)
+		s.Target = settle(checked(t, m, r.lapseAfter), s.Life.Phase, m.Now)
 	case blackboard.StopRequested:
 		s.Target = settle(t, blackboard.LifeDraining, m.Now)
 	}
 	return s, effects
 }
+
+func confirmed(applied func()) []blackboard.Effect {
+	if applied == nil {
+		return nil
+	}
+	return []blackboard.Effect{confirm{applied: applied}}
+}
+
+// healthPath returns where the running configuration has the target tell its health.
+func healthPath(s *blackboard.State) string {
+	if s.Config.Running == nil {
+		return ""
+	}
+	return s.Config.Running.Services[s.Target.Record.Service].HealthPath
+}
--- a/internal/announcer/announcer_test.go
+++ b/internal/announcer/announcer_test.go
@@ -30,7 +30,7 @@
 
 func (b *bench) post(msg blackboard.Msg) {
 	var effects []blackboard.Effect
-	b.state, effects = Reduce(b.state, msg, b.checks != nil)
+	b.state, effects = Reduce(b.state, msg, rules{checks: b.checks != nil, lapseAfter: LapseAfter})
 	for _, e := range effects {
 		b.probes++
 		b.post(blackboard.TargetChecked{Address: e.(CheckTarget).Address, Success: b.checks(), Now: b.now})
@@ -176,11 +176,11 @@
 	t.Run("a check without an answer has failed, and its late answer is void", func(t *testing.T) {
 		target := blackboard.Target{Address: "10.0.0.1:80", Lapses: time.Unix(100, 0)}
 		target.Evidence.Announced = blackboard.TargetReady
-		target, effects := startCheck(target, time.Unix(1, 0))
+		target, effects := startCheck(target, "", time.Unix(1, 0))
 		assert.Equal(t, len(effects), 1)
-		target, _ = startCheck(target, time.Unix(3, 0).Add(-checkTimeout))
+		target, _ = startCheck(target, "", time.Unix(3, 0).Add(-checkTimeout))
 		assert.Equal(t, target.Evidence.CheckFailures, 1)
-		late := checked(target, blackboard.TargetChecked{Address: target.Address, Success: true, Now: time.Unix(2, 0)})
+		late := checked(target, blackboard.TargetChecked{Address: target.Address, Success: true, Now: time.Unix(2, 0)}, LapseAfter)
 		assert.Equal(t, late, target)
 	})
 }
@@ -204,9 +204,9 @@
 func TestCheckEndsInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var got blackboard.Msg
-		c := New(Config{Check: func(ctx context.Context, _ string) error {
+		c := New(Config{Check: func(ctx context.Context, _, _ string) (string, error) {
 			<-ctx.Done()
-			return ctx.Err()
+			return "", ctx.Err()
 		}})
 		c.Run(t.Context(), CheckTarget{Address: "10.0.0.1:80", Ends: time.Now().Add(checkTimeout)}, func(m blackboard.Msg) { got = m })
 		assert.Equal(t, got.(blackboard.TargetChecked).Success, false)
--- a/internal/announcer/rules.go
+++ b/internal/announcer/rules.go
@@ -8,11 +8,15 @@
 
 // announce takes in what the target says of itself. A target at another
 // address is another process: what was seen of the former does not count.
-func announce(t blackboard.Target, m blackboard.TargetAnnounced) blackboard.Target {
-	if t.Address != m.Address {
+func announce(t blackboard.Target, m blackboard.TargetAnnounced, lapseAfter time.Duration) blackboard.Target {
+	if outdated(t, m) {
+		return t
+	}
+	if t.Address != m.Address || t.ID != m.ID {
 		t.Evidence = blackboard.TargetEvidence{Held: t.Evidence.Held, Falls: t.Evidence.Falls}
 	}
 	t.Address = m.Address
+	t.ID, t.Started, t.Sequence = m.ID, m.Started, m.Sequence
 	t.Connections = m.Connections
 	if t.Record.Service != m.Service || t.Record.Slots != m.Slots {
 		t.Record.Service = m.Service
@@ -20,11 +24,49 @@
 		t.Record.Revision++
 	}
 	t.Renewed = m.Now
-	t.Lapses = m.Now.Add(LapseAfter)
+	t.Lapses = m.Now.Add(lapseAfter)
 	t.Evidence.Announced = m.Phase
 	return t
 }
 
+// outdated tells that an announcement is of an earlier process, or was
+// overtaken by a later one of the same process, or comes after the word that
+// the process leaves.
+func outdated(t blackboard.Target, m blackboard.TargetAnnounced) bool {
+	switch {
+	case m.ID == "":
+		return false
+	case m.Started != t.Started && t.Started != 0:
+		return m.Started < t.Started
+	case m.ID != t.ID || t.Started == 0:
+		return false
+	default:
+		return m.Sequence <= t.Sequence || t.Evidence.Left
+	}
+}
+
+// leave takes in that the target's process is about to end.
+func leave(t blackboard.Target, m blackboard.TargetLeft) blackboard.Target {
+	if t.ID != "" && t.ID != m.ID {
+		return t
+	}
+	t.ID = m.ID
+	t.Evidence.Announced = blackboard.TargetDraining
+	t.Evidence.Left = true
+	return t
+}
+
+// mistaken takes in that another process answers at the target's address. What
+// it is shows with its own announcement.
+func mistaken(t blackboard.Target, m blackboard.TargetMistaken) blackboard.Target {
+	if m.ID == t.ID || t.ID == "" {
+		return t
+	}
+	t.ID = ""
+	t.Evidence = blackboard.TargetEvidence{Announced: blackboard.TargetNone}
+	return t
+}
+
 // observe takes in what a request showed.
 func observe(t blackboard.Target, m blackboard.TargetObserved) blackboard.Target {
 	if m.Success {
@@ -37,11 +79,18 @@
 }
 
 // checked takes in what a health check showed.
-func checked(t blackboard.Target, m blackboard.TargetChecked) blackboard.Target {
+func checked(t blackboard.Target, m blackboard.TargetChecked, lapseAfter time.Duration) blackboard.Target {
 	if m.Address != t.Address || t.Evidence.CheckEnds.IsZero() {
 		return t // the answer is for another target, or late and counted as failed already
 	}
 	t.Evidence.CheckEnds = time.Time{}
+	if m.Success && t.Evidence.Announced == "" {
+		// A node that has just started learns of its target before this announces itself.
+		t.ID = m.ID
+		t.Record.Slots = unknownSlots
+		t.Evidence.Announced = blackboard.TargetReady
+		t.Renewed, t.Lapses = m.Now, m.Now.Add(lapseAfter)
+	}
 	if m.Success {
 		t.Evidence.CheckPassed = m.Now
 		t.Evidence.CheckFailures = 0
@@ -52,21 +101,22 @@
 }
 
 // startCheck begins a check when one is due and no request has answered the question already.
-func startCheck(t blackboard.Target, now time.Time) (blackboard.Target, []blackboard.Effect) {
+func startCheck(t blackboard.Target, path string, now time.Time) (blackboard.Target, []blackboard.Effect) {
 	e := &t.Evidence
 	if !e.CheckEnds.IsZero() && !now.Before(e.CheckEnds) {
 		e.CheckEnds = time.Time{}
 		e.CheckFailures++
 	}
-	if e.Announced == "" || now.Before(e.NextCheck) || !now.Before(t.Lapses) {
+	unheard := e.Announced == "" && t.Address != ""
+	if !unheard && (e.Announced == "" || e.Announced == blackboard.TargetNone || !now.Before(t.Lapses)) || now.Before(e.NextCheck) {
 		return t, nil
 	}
 	e.NextCheck = now.Add(checkPeriod)
-	if now.Sub(e.Succeeded) < requestEvidence && e.CheckFailures == 0 {
+	if !unheard && now.Sub(e.Succeeded) < requestEvidence && e.CheckFailures == 0 {
 		return t, nil
 	}
 	e.CheckEnds = now.Add(checkTimeout)
-	return t, []blackboard.Effect{CheckTarget{Address: t.Address, Ends: e.CheckEnds}}
+	return t, []blackboard.Effect{CheckTarget{Address: t.Address, Path: path, Ends: e.CheckEnds}}
 }
 
 // failing tells whether evidence stands against a target that claims to be ready.
@@ -101,22 +151,29 @@
 	e := t.Evidence
 	stopping := life == blackboard.LifeDraining || life == blackboard.LifeStopped
 	switch {
-	case e.Announced == "":
+	case e.Announced == "", e.Announced == blackboard.TargetNone:
 		return blackboard.TargetNone
 	case stopping || e.Announced == blackboard.TargetDraining:
 		return blackboard.TargetDraining
-	case !now.Before(t.Lapses), now.Before(e.Held), failing(e, now):
+	case !now.Before(t.Lapses), now.Before(e.Held), failing(e, now), unproven(t):
 		return blackboard.TargetFailed
 	default:
 		return e.Announced
 	}
 }
 
+// unproven tells that a target which fell has shown no sign of life since.
+func unproven(t blackboard.Target) bool {
+	fell := t.Evidence.Fell
+	return !fell.IsZero() && !t.Renewed.After(fell) && !t.Evidence.CheckPassed.After(fell) && !t.Evidence.Succeeded.After(fell)
+}
+
 // fall holds a target out that was ready and no longer is. Failed requests are
 // forgotten, since only new ones can show whether it works again.
 func fall(e blackboard.TargetEvidence, now time.Time) blackboard.TargetEvidence {
 	e.Held = now.Add(min(holdCap, holdStart<<e.Falls))
 	e.Falls = min(e.Falls+1, maxFalls)
 	e.Failures = 0
+	e.Fell = now
 	return e
 }
--- a/internal/blackboard/config.go
+++ b/internal/blackboard/config.go
@@ -32,6 +32,8 @@
 	Source Source
 	// Heard is the greatest version that a peer is known to have.
 	Heard Heard
+	// Following tells that the platform is being followed directly; it stays false where a tree of relays does so.
+	Following bool
 }
 
 // Stage is a whole, validated version that waits for its witnesses.
--- a/internal/blackboard/evidence.go
+++ b/internal/blackboard/evidence.go
@@ -6,6 +6,8 @@
 type TargetEvidence struct {
 	// Announced is the phase that the target itself claims.
 	Announced TargetPhase
+	// Left tells that the target's process has said that it is about to end.
+	Left bool
 	// Succeeded is when a request last showed that the target works.
 	Succeeded time.Time
 	// Failures counts the failed requests since the last success.
@@ -19,6 +21,8 @@
 	CheckEnds time.Time
 	// Held is until when a target that failed is not believed to be ready.
 	Held time.Time
+	// Fell is when the target last became failed; it comes back on a later announcement or check.
+	Fell time.Time
 	// Falls counts the failures in quick succession; Held grows with it.
 	Falls int
 }
--- a/internal/blackboard/message_membership.go
+++ b/internal/blackboard/message_membership.go
@@ -44,7 +44,28 @@
 	Connections int
 	// Phase is cold, ready or draining.
 	Phase TargetPhase
-	Now   time.Time
+	// ID names the target's process, Started is when it began and Sequence grows with
+	// its announcements. All are empty where targets do not tell them.
+	ID       string
+	Started  int64
+	Sequence uint64
+	// Applied, when not nil, is called once the announcement has taken effect.
+	Applied func()
+	Now     time.Time
+}
+
+// TargetLeft tells that the target's process is about to end.
+type TargetLeft struct {
+	ID string
+	// Applied, when not nil, is called once the message has taken effect.
+	Applied func()
+	Now     time.Time
+}
+
+// TargetMistaken tells that another process than the expected one answers at the target's address.
+type TargetMistaken struct {
+	ID  string
+	Now time.Time
 }
 
 // TargetObserved is what a request showed of the target on this host. The
@@ -60,6 +81,8 @@
 type TargetChecked struct {
 	// Address that was checked. The result is void when the target has moved since.
 	Address string
+	// ID names the process that answered; empty when it did not say.
+	ID      string
 	Success bool
 	Now     time.Time
 }
--- a/internal/blackboard/state.go
+++ b/internal/blackboard/state.go
@@ -12,8 +12,10 @@
 	Config Config
 	// Lease is written by the elector.
 	Lease Lease
-	// Members is written by the gossiper.
+	// Members is written by the gossiper, or by the subscriber where nodes know each other through the platform.
 	Members Members
+	// Enrolment is written by the enroller.
+	Enrolment Enrolment
 	// Target is written by the announcer.
 	Target Target
 }
@@ -32,6 +34,12 @@
 	Incarnation uint64
 }
 
+// Enrolment is the entry of the enroller.
+type Enrolment struct {
+	// Started tells that this node makes itself known and looks for others.
+	Started bool
+}
+
 // LifePhase is where a node stands between start and stop.
 type LifePhase string
 
@@ -54,6 +62,8 @@
 	StopRequests int
 	// EndAt is when a draining node ends unless a request is still in flight.
 	EndAt time.Time
+	// LingerUntil is until when a draining node takes callers' requests; zero when it takes none.
+	LingerUntil time.Time
 	// CutAt is when the node ends also with requests in flight; zero means never.
 	CutAt time.Time
 	// InFlight is the latest count while draining.
@@ -77,7 +87,9 @@
 	Host       string
 	Address    string
 	DataCentre string
-	Rack       string
+	// Region is empty when all members are in one data centre.
+	Region string
+	Rack   string
 	// Incarnation is raised only by the member itself.
 	Incarnation uint64
 	Status      MemberStatus
@@ -116,10 +128,16 @@
 	Revision uint64
 }
 
-// Members is the entry of the gossiper. Remote and Summary are the summarizer's part of it.
+// Members is the entry of the gossiper or the subscriber. Remote and Summary are the summarizer's part of it.
 type Members struct {
 	// ByHost holds the nodes of this data centre, this node included. Read only; replaced on change.
 	ByHost map[string]Member
+	// Told is what the subscriber has told the others of this node.
+	Told NodeState
+	// Tellings counts the changes of Told.
+	Tellings uint64
+	// Known names the members of ByHost in order of host. The subscriber keeps it. Read only; replaced on change.
+	Known []NodeRecord
 	// Remote holds a summary of each other data centre. Read only; replaced on change.
 	Remote map[string]DataCentreSummary
 	// Gossip is the state of the membership protocol; nil before the first message. Read only; replaced on change.
@@ -128,6 +146,16 @@
 	Summary *SummaryExchange
 }
 
+// NodeState is what a node tells others of itself.
+type NodeState struct {
+	Draining bool
+	// Version of the configuration in force; 0 when none.
+	Version uint64
+	Target  TargetRecord
+	// Known counts the nodes that it knows.
+	Known int
+}
+
 // DataCentreSummary is what a data centre tells the others.
 type DataCentreSummary struct {
 	DataCentre string
@@ -164,6 +192,8 @@
 // Target is the entry of the announcer: the target on this host.
 type Target struct {
 	Record TargetRecord
+	// ID names the target's process; empty when targets have no ids.
+	ID string
 	// Address of the target, as ip:port.
 	Address string
 	// Renewed is when the target last announced itself.
@@ -174,6 +204,10 @@
 	ReadySince time.Time
 	// Connections is how many connections the target accepts.
 	Connections int
+	// Started is when the target's process began by its own word, in milliseconds since the Unix epoch; 0 when not told.
+	Started int64
+	// Sequence of the announcement heard last; an earlier one of the same process is late.
+	Sequence uint64
 	// Evidence is what decides whether an announced target is believed.
 	Evidence TargetEvidence
 }
--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -29,8 +29,11 @@
 var kebabCase = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
 
 // notAgentNouns are the package names that are allowed besides agent nouns:
-// the layout that the house style names, generated code, and programs.
-var notAgentNouns = []string{"blackboard", "wirepb", "main", "pin"}
+// the layout and the folder that the users name, generated code, and programs.
+var notAgentNouns = []string{"blackboard", "wirepb", "main", "pin", platformPackage}
+
+// platformPackage translates between this system and the users' platform.
+const platformPackage = "platform"
 
 // Check runs every rule over the Go files below root, except generated ones.
 func Check(root string) ([]Finding, error) {
@@ -63,6 +66,8 @@
 		found = append(found, Finding{Position: fset.Position(n.Pos()), Rule: rule})
 	}
 	checkPackageName(file, report)
+	// The platform's formats have names of their own.
+	ownFormats := file.Name.Name != platformPackage
 	ast.Inspect(file, func(n ast.Node) bool {
 		switch n := n.(type) {
 		case *ast.GoStmt:
@@ -70,7 +75,9 @@
 		case *ast.TypeSpec:
 			checkType(n, report)
 		case *ast.Field:
-			checkTag(n, report)
+			if ownFormats {
+				checkTag(n, report)
+			}
 		}
 		return true
 	})
--- a/internal/composer/bounded.go
+++ b/internal/composer/bounded.go
@@ -47,6 +47,15 @@
 	release func()
 }
 
+// CloseWrite sends the end of the stream and leaves the other direction open.
+func (c *boundedConn) CloseWrite() error {
+	half, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return net.ErrClosed
+	}
+	return half.CloseWrite()
+}
+
 // Close closes the connection.
 func (c *boundedConn) Close() error {
 	err := c.Conn.Close()
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -11,12 +11,14 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
 
+	"gentianbarrow.example/internal/acceptor"
 	"gentianbarrow.example/internal/announcer"
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/dispatcher"
@@ -55,12 +57,19 @@
 	explainer *explainer.Ring
 	executor  *executor.Executor
 	receiver  *receiver.Receiver
-	metrics   *prometheus.Registry
+	callers   *acceptor.Server
+	// announcements takes what the target on this host says of itself.
+	announcements http.Handler
+	metrics       *prometheus.Registry
 }
 
 // Listen opens the addresses of the settings and builds the node. Nothing is served before Run.
 func Listen(ctx context.Context, settings loader.Settings, log *logger.Logger) (*Node, error) {
-	opened, err := openListeners(ctx, settings.Listen)
+	adapter, err := newAdapter(settings)
+	if err != nil {
+		return nil, err
+	}
+	opened, err := openListeners(ctx, settings.Listen, settings.PlatformAPI)
 	if err != nil {
 		return nil, err
 	}
@@ -73,10 +82,13 @@
 		explainer: explainer.New(),
 		metrics:   prometheus.NewRegistry(),
 	}
-	n.listeners.packets.Log = log
 	n.countTraffic()
-	n.buildRequestPath()
-	n.buildBoard(storer.NewHTTPClient(settings.Platform))
+	n.buildRequestPath(adapter)
+	if settings.PlatformAPI == loader.PlatformObjects {
+		n.buildDirectBoard(adapter)
+	} else {
+		n.buildBoard(storer.NewHTTPClient(settings.Platform))
+	}
 	n.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return n, nil
 }
@@ -85,7 +97,10 @@
 func (n *Node) countTraffic() {
 	t := meter.NewTraffic(n.metrics)
 	n.links = linker.New(linker.WithCount(t.Link, trafficOf))
-	n.listeners.packets.Count = t.Packet
+	if n.listeners.packets != nil {
+		n.listeners.packets.Log = n.log
+		n.listeners.packets.Count = t.Packet
+	}
 }
 
 // trafficOf tells requests from control by the kind of stream.
@@ -125,7 +140,7 @@
 		drainer.New(n.tracker, n.log, n.drainOptions()...),
 		elector.New(platform, n.settings.DataCentre, elector.WithLogger(n.log)),
 		follower.New(n.streams, follower.NewPlatform(platform), follower.WithLogger(n.log)),
-		announcer.New(announcer.Config{Check: dispatcher.CheckHealth}),
+		announcer.New(announcer.Config{Check: dispatcher.CheckHealth(""), Log: n.log}),
 		gossiper.New(gossiper.Config{
 			Seeds:     n.settings.SeedPeers,
 			Send:      n.listeners.packets.Send,
@@ -140,6 +155,7 @@
 		}),
 		n.executor.Controller(),
 	})
+	n.announcements = announcer.Handler(n.board.Post, time.Now, n.log)
 	n.streams.Post = n.board.Post
 	n.links.Handle(follower.StreamKind, n.streams.Serve)
 	n.links.Handle(gossiper.StreamKind, gossiper.Handler(n.board.Read, n.board.Post, time.Now))
@@ -162,16 +178,20 @@
 }
 
 // buildRequestPath makes what carries callers' requests. It reads the board, which is made after it.
-func (n *Node) buildRequestPath() {
+func (n *Node) buildRequestPath(a adapter) {
 	m := meter.New(n.metrics, func() int { return n.tracker.Count().Total })
 	o := &observer{post: func(msg blackboard.Msg) { n.board.Post(msg) }, now: time.Now}
 	n.executor = executor.New(executor.Config{
 		Host:    n.settings.Host,
 		Target:  func() blackboard.Target { return n.board.Read().Target },
 		Service: n.service,
-		Client:  dispatcher.NewHTTP(),
+		Client:  dispatcher.NewHTTP(dispatcher.WithDialect(a.dialect)),
 		Observe: m.Served,
 		Judge:   o.observe,
+		Mistaken: func(id string) {
+			n.board.Post(blackboard.TargetMistaken{ID: id, Now: time.Now()})
+		},
+		FixedSlots: a.direct, NoRamp: a.direct, Blame: a.blame,
 	})
 	f := forwarder.New(forwarder.Config{
 		Open:    n.links.OpenWith,
@@ -192,7 +212,10 @@
 		Explanations: n.explainer,
 		Meter:        m,
 		Log:          n.log,
+
+		Dialect: a.dialect, CallerService: n.settings.Target.Service, RetryBurst: a.bounds.RetryBurst,
 	})
+	n.callers = &acceptor.Server{Handler: n.receiver, MaxHeaderBytes: n.settings.Limits.HeaderBytes}
 }
 
 func (n *Node) service(name string) (snapshotter.Service, bool) {
@@ -216,7 +239,9 @@
 		return nil
 	})
 	group.Go(func() error { return n.links.Serve(ctx, n.listeners.nodes) })
-	group.Go(func() error { return n.listeners.packets.Receive(ctx, n.settings.DataCentre, n.board.Post) })
+	if n.listeners.packets != nil {
+		group.Go(func() error { return n.listeners.packets.Receive(ctx, n.settings.DataCentre, n.board.Post) })
+	}
 	n.serveHTTP(ctx, group)
 	group.Go(func() error {
 		n.tick(ctx, stops)
@@ -227,7 +252,9 @@
 	n.log.Write(logger.NodeStarted, logger.Fields{Peer: n.settings.Listen.Nodes})
 	err := group.Wait()
 	n.links.Close()
-	n.streams.Wait()
+	if n.streams != nil {
+		n.streams.Wait()
+	}
 	if err == nil {
 		n.log.Write(logger.NodeStopped, logger.Fields{})
 	}
@@ -255,7 +282,7 @@
 	n.board.Post(blackboard.LeaveRequested{Now: time.Now()})
 	ticker := time.NewTicker(blackboard.TickEvery)
 	defer ticker.Stop()
-	farewell := time.After(farewellTime)
+	farewell := time.After(n.farewellTime())
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/composer/listeners.go
+++ b/internal/composer/listeners.go
@@ -9,9 +9,9 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"gentianbarrow.example/internal/announcer"
 	"gentianbarrow.example/internal/gossiper"
 	"gentianbarrow.example/internal/loader"
+	"gentianbarrow.example/platform"
 )
 
 const (
@@ -25,11 +25,14 @@
 // listeners are the open addresses of a node.
 type listeners struct {
 	callers, nodes, targets, admin net.Listener
-	packets                        *gossiper.UDP
+	// readiness is nil where the platform does not ask.
+	readiness net.Listener
+	// packets is nil where nodes know each other through the platform.
+	packets *gossiper.UDP
 }
 
 // openListeners opens every address, or none.
-func openListeners(ctx context.Context, l loader.Listen) (listeners, error) {
+func openListeners(ctx context.Context, l loader.Listen, api loader.PlatformAPI) (listeners, error) {
 	var out listeners
 	var lc net.ListenConfig
 	var opened []net.Listener
@@ -41,7 +44,11 @@
 		{l.Nodes, &out.nodes},
 		{l.Targets, &out.targets},
 		{l.Admin, &out.admin},
+		{l.Readiness, &out.readiness},
 	} {
+		if entry.address == "" {
+			continue
+		}
 		ln, err := lc.Listen(ctx, "tcp", entry.address)
 		if err != nil {
 			closeAll(opened)
@@ -50,6 +57,9 @@
 		opened = append(opened, ln)
 		*entry.to = ln
 	}
+	if api == loader.PlatformObjects {
+		return out, nil
+	}
 	packets, err := gossiper.ListenUDP(ctx, l.Nodes)
 	if err != nil {
 		closeAll(opened)
@@ -67,10 +77,13 @@
 
 // serveHTTP starts the servers for callers, targets and operators.
 func (n *Node) serveHTTP(ctx context.Context, group *errgroup.Group) {
-	callers := newServer(n.receiver)
-	callers.MaxHeaderBytes = n.settings.Limits.HeaderBytes
-	serve(ctx, group, callers, newBoundedListener(n.listeners.callers, n.settings.Limits.CallerConnections))
-	serve(ctx, group, newServer(announcer.Handler(n.board.Post, time.Now, n.log)), n.listeners.targets)
+	group.Go(func() error {
+		return n.callers.Serve(ctx, newBoundedListener(n.listeners.callers, n.settings.Limits.CallerConnections))
+	})
+	serve(ctx, group, newServer(n.announcements), n.listeners.targets)
+	if n.listeners.readiness != nil {
+		serve(ctx, group, newServer(platform.Readiness(n.inspect().Ready)), n.listeners.readiness)
+	}
 	serve(ctx, group, newServer(n.inspect().Handler()), n.listeners.admin)
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -8,7 +8,7 @@
 //     Idempotency-Key. A target passes deadline, depth and attempt on with the
 //     calls that it makes.
 //   - Every answer carries the Gentian-Request-Id of its request. An answer
-//     with another one is discarded.
+//     with another one is passed over.
 //   - An answer with Gentian-Shed: not-run says that the target did not start
 //     the request. No other answer says so, whatever its status. It carries
 //     Gentian-Retried when that is since a call of the target's own ended with
@@ -23,12 +23,6 @@
 	"gentianbarrow.example/internal/exchanger"
 )
 
-// HeaderShed marks an answer by which a target says that it did not start the request.
-const (
-	HeaderShed = "Gentian-Shed"
-	ShedNotRun = "not-run"
-)
-
 // Client reaches the target of this host.
 type Client struct {
 	// Dispatch sends one request to the target at the address and returns when
@@ -39,10 +33,12 @@
 	Close func()
 }
 
-// SealedError tells that a connection was closed for writing before the request began on it.
-type SealedError struct{}
+// UnsignedError tells that an answer does not carry the signature of a target.
+type UnsignedError struct{ Status int }
 
-func (*SealedError) Error() string { return "connection was given up before the request began" }
+func (e *UnsignedError) Error() string {
+	return fmt.Sprintf("answer with status %d is not signed by a target", e.Status)
+}
 
 // CrossedError tells that an answer belongs to another request.
 type CrossedError struct{ Want, Got string }
--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -1,14 +1,16 @@
 package dispatcher
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"net/url"
+	"net/http/httputil"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"gentianbarrow.example/internal/exchanger"
@@ -17,14 +19,10 @@
 
 const (
 	dialTimeout = 1 * time.Second
-	// idleTimeout of connections that only carry idempotent requests.
-	idleTimeout = 30 * time.Second
-	// freshTimeout bounds how long a connection may have been idle that
-	// carries a request which must not be repeated.
-	freshTimeout       = 1 * time.Second
-	maxIdleConnections = 128
-	maxHeaderBytes     = 64 << 10
-	bufferBytes        = 16 << 10
+	// maxStray is how many answers to earlier requests are passed over on one connection.
+	maxStray = 2
+	// maxStrayBytes bounds the body of an answer that is passed over.
+	maxStrayBytes = 1 << 20
 )
 
 // Dial connects to a target.
@@ -34,105 +32,236 @@
 type Option func(*httpClient)
 
 // WithDial replaces TCP.
-func WithDial(d Dial) Option { return func(c *httpClient) { c.dial = d } }
+func WithDial(d Dial) Option { return func(c *httpClient) { c.pool.dial = d } }
+
+// WithDialect replaces the contract of this package by another one with the same rules.
+func WithDialect(d exchanger.Dialect) Option { return func(c *httpClient) { c.dialect = d } }
 
 type httpClient struct {
-	dial Dial
-	// repeatable carries idempotent requests and once carries all others.
-	repeatable *http.Transport
-	once       *http.Transport
+	pool    *pool
+	dialect exchanger.Dialect
 }
 
 // NewHTTP returns a client for targets that speak HTTP/1.1 by the contract of this package.
 func NewHTTP(options ...Option) Client {
-	c := &httpClient{dial: dialTCP}
+	c := &httpClient{pool: newPool(dialTCP), dialect: exchanger.OwnDialect()}
 	for _, o := range options {
 		o(c)
 	}
-	c.repeatable = c.transport(idleTimeout)
-	c.once = c.transport(freshTimeout)
-	return Client{Dispatch: c.dispatch, Close: c.close}
-}
-
-func (c *httpClient) transport(idle time.Duration) *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			nc, err := c.dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &conn{Conn: nc}, nil
-		},
-		DisableCompression:     true,
-		MaxIdleConns:           maxIdleConnections,
-		MaxIdleConnsPerHost:    maxIdleConnections,
-		IdleConnTimeout:        idle,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-		ReadBufferSize:         bufferBytes,
-		WriteBufferSize:        bufferBytes,
-	}
+	return Client{Dispatch: c.dispatch, Close: c.pool.close}
 }
 
-func (c *httpClient) close() {
-	c.repeatable.CloseIdleConnections()
-	c.once.CloseIdleConnections()
+// exchange is one request on its connection.
+type exchange struct {
+	client  *httpClient
+	address string
+	ctx     context.Context
+	cancel  context.CancelFunc
+	conn    *conn
+	request *exchanger.Request
+	// start is the connection's count of written bytes before this exchange.
+	start int64
+	// stop ends the watch over ctx; it returns false when ctx has ended.
+	stop func() bool
+	send sync.WaitGroup
+	// sent tells that the whole request has been written.
+	sent atomic.Bool
+	// broken tells that the caller's body ended early.
+	broken atomic.Bool
+	once   sync.Once
 }
 
 func (c *httpClient) dispatch(ctx context.Context, address string, r *exchanger.Request) *exchanger.Answer {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	h := handover{cancel: cancel}
-	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { h.take(i.Conn) }}
-	out := newRequest(httptrace.WithClientTrace(ctx, trace), address, r)
-	transport := c.once
-	if r.Idempotent {
-		transport = c.repeatable
-	}
-	resp, err := transport.RoundTrip(out) //nolint:bodyclose // the answer's body closes it
+	nc, err := c.pool.get(ctx, address, r.Idempotent)
 	if err != nil {
-		proven := h.giveUp()
 		reason := failureReason(ctx, r, err)
 		cancel()
-		if proven {
-			return exchanger.NotRun(reason, err)
-		}
-		return exchanger.Unknown(reason, err)
+		return exchanger.NotRun(reason, err)
+	}
+	x := &exchange{client: c, address: address, ctx: ctx, cancel: cancel, conn: nc, request: r, start: nc.written.Load()}
+	// Closing the connection tells the target to stop.
+	x.stop = context.AfterFunc(ctx, func() { _ = nc.Close() })
+	if r.Body == nil || r.ContentLength == 0 {
+		x.write()
+	} else {
+		x.send.Go(x.write)
+	}
+	return x.answer()
+}
+
+// write sends the request. A failure shows when the answer is read.
+func (x *exchange) write() {
+	w := bufio.NewWriterSize(x.conn, bufferBytes)
+	x.writeHeader(w)
+	if err := x.writeBody(w); err != nil {
+		return
 	}
-	return answer(resp, cancel, r)
+	x.sent.Store(w.Flush() == nil)
 }
 
-func newRequest(ctx context.Context, address string, r *exchanger.Request) *http.Request {
-	target := &url.URL{Scheme: "http", Host: address}
-	if u, err := url.ParseRequestURI(r.Path); err == nil {
-		target.Path, target.RawPath, target.RawQuery = u.Path, u.RawPath, u.RawQuery
+func (x *exchange) writeHeader(w *bufio.Writer) {
+	r, d := x.request, &x.client.dialect
+	_, _ = w.WriteString(r.Method + " " + r.Path + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	header := d.EndToEnd(r.Header)
+	set := func(name, value string) {
+		if name != "" && value != "" {
+			header.Set(name, value)
+		}
 	}
-	header := exchanger.EndToEnd(r.Header)
-	header.Set(exchanger.HeaderRequestID, r.ID)
-	header.Set(exchanger.HeaderDepth, strconv.Itoa(r.Depth))
-	left := max(time.Until(r.Deadline).Milliseconds(), 0)
-	header.Set(exchanger.HeaderDeadline, strconv.FormatInt(left, 10))
+	set(d.RequestID, r.ID)
+	set(d.Deadline, strconv.FormatInt(max(time.Until(r.Deadline).Milliseconds(), 0), 10))
+	set(d.Depth, strconv.Itoa(r.Depth))
 	if r.Attempt > 1 || r.RetriedAbove {
-		header.Set(exchanger.HeaderAttempt, strconv.Itoa(max(r.Attempt, 2)))
+		set(d.Attempt, strconv.Itoa(max(r.Attempt, 2)))
+	}
+	set(d.IdempotencyKey, r.IdempotencyKey)
+	set(d.CallerService, r.CallerService)
+	set(d.ExpectTarget, r.TargetID)
+	header.Del("Content-Length")
+	switch {
+	case r.Body == nil || r.ContentLength == 0:
+		if r.Method != http.MethodGet && r.Method != http.MethodHead {
+			header.Set("Content-Length", "0")
+		}
+	case r.ContentLength > 0:
+		header.Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
+	default:
+		header.Set("Transfer-Encoding", "chunked")
+	}
+	_ = header.Write(w)
+	_, _ = w.WriteString("\r\n")
+}
+
+func (x *exchange) writeBody(w *bufio.Writer) error {
+	r := x.request
+	if r.Body == nil || r.ContentLength == 0 {
+		return nil
+	}
+	if r.ContentLength > 0 {
+		n, err := io.Copy(w, io.LimitReader(r.Body, r.ContentLength))
+		if err == nil && n < r.ContentLength {
+			err = io.ErrUnexpectedEOF
+		}
+		return x.bodyEnded(err)
+	}
+	chunks := httputil.NewChunkedWriter(w)
+	if _, err := io.Copy(chunks, r.Body); err != nil {
+		return x.bodyEnded(err)
+	}
+	_ = chunks.Close()
+	_, err := w.WriteString("\r\n")
+	return err
+}
+
+// bodyEnded gives up an exchange whose body was cut on the caller's side. A
+// target that stops reading may still answer.
+func (x *exchange) bodyEnded(err error) error {
+	var op *net.OpError
+	if err != nil && !(errors.As(err, &op) && op.Op == "write") {
+		x.broken.Store(true)
+		_ = x.conn.Close()
+	}
+	return err
+}
+
+// answer reads the answer to the request and passes over answers to earlier ones.
+func (x *exchange) answer() *exchanger.Answer {
+	method := &http.Request{Method: x.request.Method}
+	var crossed error
+	for range maxStray + 1 {
+		resp, err := http.ReadResponse(x.conn.r, method) //nolint:bodyclose // the answer's body closes it
+		if err != nil {
+			return x.failed(err, crossed)
+		}
+		if resp.StatusCode/100 == 1 {
+			continue
+		}
+		got := resp.Header.Get(x.client.dialect.RequestID)
+		if got == x.request.ID {
+			return x.accept(resp)
+		}
+		crossed = &CrossedError{Want: x.request.ID, Got: got}
+		if !passOver(resp) {
+			break
+		}
 	}
-	if r.IdempotencyKey != "" {
-		header.Set(exchanger.HeaderIdempotencyKey, r.IdempotencyKey)
+	return x.failed(crossed, crossed)
+}
+
+// passOver reads a stray answer to its end, and tells whether another answer may follow.
+func passOver(resp *http.Response) bool {
+	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return false
+	}
+	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes))
+	return err == nil
+}
+
+// failed ends an exchange that has no answer.
+func (x *exchange) failed(err, crossed error) *exchanger.Answer {
+	reason := failureReason(x.ctx, x.request, err)
+	if crossed != nil && x.ctx.Err() == nil {
+		reason, err = exchanger.ReasonCrossedAnswer, crossed
+	}
+	x.end(false)
+	// The connection is closed: bytes that are not counted yet will not be written.
+	if x.conn.written.Load() == x.start {
+		return exchanger.NotRun(reason, err)
+	}
+	return exchanger.Unknown(reason, err)
+}
+
+// accept takes the answer that belongs to the request.
+func (x *exchange) accept(resp *http.Response) *exchanger.Answer {
+	d := &x.client.dialect
+	x.conn.learn(resp.Header)
+	if d.SaysNotRun(resp.StatusCode, resp.Header) {
+		return x.notRun(resp)
+	}
+	if d.Signature != "" && resp.Header.Get(d.Signature) == "" {
+		return x.failed(&UnsignedError{Status: resp.StatusCode}, nil)
 	}
-	if _, ok := header["User-Agent"]; !ok {
-		header["User-Agent"] = nil
+	header := exchanger.EndToEnd(resp.Header)
+	return &exchanger.Answer{
+		Outcome: retrier.OutcomeDone, Status: resp.StatusCode, Header: header,
+		ContentLength: resp.ContentLength, Body: &answerBody{ReadCloser: resp.Body, exchange: x, last: resp.Close},
 	}
-	out := (&http.Request{
-		Method: r.Method, URL: target, Host: r.Host, Header: header,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: r.ContentLength,
-	}).WithContext(ctx)
-	if r.Body != nil && r.ContentLength != 0 {
-		out.Body = io.NopCloser(r.Body)
+}
+
+// notRun ends an exchange whose target says that it did not start the request.
+func (x *exchange) notRun(resp *http.Response) *exchanger.Answer {
+	d := &x.client.dialect
+	a := exchanger.NotRun(exchanger.ReasonTargetShed, nil)
+	switch {
+	case d.WrongTargetStatus != 0 && resp.StatusCode == d.WrongTargetStatus:
+		a.Reason = exchanger.ReasonWrongTarget
+		a.TargetID = resp.Header.Get(d.TargetID)
+	case d.Retried(resp.Header):
+		a.Reason = exchanger.ReasonShedBelow
 	}
-	return out
+	a.RetryAt = d.RetryAt(resp.Header, time.Now())
+	x.end(passOver(resp))
+	return a
+}
+
+// end gives the connection back when nothing of the exchange is left on it.
+func (x *exchange) end(clean bool) {
+	x.once.Do(func() {
+		defer x.cancel()
+		clean = x.stop() && clean && x.sent.Load() && x.conn.r.Buffered() == 0
+		if !clean {
+			_ = x.conn.Close()
+			return
+		}
+		x.client.pool.put(x.address, x.conn)
+	})
 }
 
 func failureReason(ctx context.Context, r *exchanger.Request, err error) exchanger.Reason {
 	var opErr *net.OpError
 	var timeout net.Error
+	var unsigned *UnsignedError
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || r.TimeUp(time.Now()):
 		return exchanger.ReasonDeadline
@@ -142,71 +271,32 @@
 		return exchanger.ReasonTargetFailed
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return exchanger.ReasonSilent
+	case errors.As(err, &unsigned):
+		return exchanger.ReasonMalformedAnswer
 	default:
 		return exchanger.ReasonConnectionLost
 	}
 }
 
-// answer makes sure that the response belongs to the request.
-func answer(resp *http.Response, cancel context.CancelFunc, r *exchanger.Request) *exchanger.Answer {
-	body := &answerBody{ReadCloser: resp.Body, cancel: cancel}
-	if got := resp.Header.Get(exchanger.HeaderRequestID); got != r.ID {
-		// Cancelling first keeps the connection out of the pool.
-		cancel()
-		_ = body.Close()
-		return exchanger.Unknown(exchanger.ReasonCrossedAnswer, &CrossedError{Want: r.ID, Got: got})
-	}
-	if resp.Header.Get(HeaderShed) == ShedNotRun {
-		_ = body.Close()
-		a := exchanger.NotRun(shedReason(resp.Header), nil)
-		a.RetryAt = retryAt(resp.Header)
-		return a
-	}
-	return &exchanger.Answer{
-		Outcome: retrier.OutcomeDone, Status: resp.StatusCode, Header: exchanger.EndToEnd(resp.Header),
-		ContentLength: resp.ContentLength, Body: body,
-	}
-}
-
-// shedReason tells a target without room from one whose own call failed and was not worth another try.
-func shedReason(h http.Header) exchanger.Reason {
-	if h.Get(exchanger.HeaderRetried) == "true" {
-		return exchanger.ReasonShedBelow
-	}
-	return exchanger.ReasonTargetShed
-}
-
-func retryAt(h http.Header) time.Time {
-	seconds, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return time.Time{}
-	}
-	return time.Now().Add(time.Duration(seconds) * time.Second)
-}
-
-// answerBody cancels the exchange when it is closed before its end, so that
-// the connection is not used again.
+// answerBody ends the exchange when the answer has been read or is closed.
 type answerBody struct {
 	io.ReadCloser
-	cancel context.CancelFunc
-	whole  bool
+	exchange *exchange
+	// last tells that the connection ends with this answer.
+	last bool
 }
 
 // Read returns io.EOF only when the body is whole.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF { //nolint:errorlint // readers return io.EOF itself
-		b.whole = true
+		b.exchange.end(!b.last)
 	}
 	return n, err
 }
 
 // Close ends the exchange.
 func (b *answerBody) Close() error {
-	if !b.whole {
-		b.cancel()
-	}
-	err := b.ReadCloser.Close()
-	b.cancel()
-	return err
+	b.exchange.end(false)
+	return nil
 }
--- a/internal/dispatcher/http_test.go
+++ b/internal/dispatcher/http_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -189,44 +188,61 @@
 	})
 }
 
-func TestHandover(t *testing.T) {
-	begin := func() (*handover, *conn) {
+func TestProofOfNotRun(t *testing.T) {
+	t.Run("a connection that fails before a byte is written proves it", func(t *testing.T) {
 		near, far := net.Pipe()
-		t.Cleanup(func() { _, _ = near.Close(), far.Close() })
-		h := &handover{cancel: func() {}}
-		c := &conn{Conn: near}
-		h.take(c)
-		return h, c
-	}
-	t.Run("a connection that was given up sends nothing more", func(t *testing.T) {
-		h, c := begin()
-		assert.Assert(t, h.giveUp())
-		_, err := c.Write([]byte("POST"))
-		var sealed *SealedError
-		assert.ErrorType(t, err, sealed)
+		_ = far.Close()
+		x := &exchange{conn: &conn{Conn: near}, ctx: t.Context(), request: testRequest("r-1"), cancel: func() {}}
+		x.stop = func() bool { return true }
+		assertAnswer(t, x.failed(net.ErrClosed, nil), retrier.OutcomeNotRun, exchanger.ReasonConnectionLost)
 	})
-	t.Run("bytes sent can't be taken back", func(t *testing.T) {
-		h, c := begin()
-		_ = c.Close()
-		_, _ = c.Write([]byte("POST"))
-		assert.Assert(t, !h.giveUp())
+	t.Run("bytes handed over can't be taken back", func(t *testing.T) {
+		near, far := net.Pipe()
+		_ = far.Close()
+		x := &exchange{conn: &conn{Conn: near}, ctx: t.Context(), request: testRequest("r-1"), cancel: func() {}}
+		x.stop = func() bool { return true }
+		_, _ = x.conn.Write([]byte("POST"))
+		assertAnswer(t, x.failed(net.ErrClosed, nil), retrier.OutcomeUnknown, exchanger.ReasonConnectionLost)
 	})
-	t.Run("a second connection is refused once the first has sent", func(t *testing.T) {
-		h, c := begin()
-		_ = c.Close()
-		_, _ = c.Write([]byte("POST"))
-		second := &conn{Conn: c.Conn}
-		h.take(second)
-		_, err := second.Write([]byte("POST"))
-		assert.Assert(t, strings.Contains(err.Error(), "given up"))
-		assert.Assert(t, !h.giveUp())
+	t.Run("a request is never written on a second connection", func(t *testing.T) {
+		inBubble(t, func(_ int, _ net.Conn, r *bufio.Reader) { _, _ = r.Peek(1) }, func(t *testing.T, target *fakeTarget, client Client) {
+			a := client.Dispatch(t.Context(), "target:1", testRequest("r-1"))
+			assertAnswer(t, a, retrier.OutcomeUnknown, exchanger.ReasonConnectionLost)
+			assert.Equal(t, target.count(), 1)
+		})
+	})
+	t.Run("a connection that comes after the deadline is closed unused", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			near, far := net.Pipe()
+			client := NewHTTP(WithDial(func(context.Context, string, string) (net.Conn, error) {
+				time.Sleep(time.Minute)
+				return near, nil
+			}))
+			a := client.Dispatch(t.Context(), "target:1", testRequest("r-1"))
+			assertAnswer(t, a, retrier.OutcomeNotRun, exchanger.ReasonDeadline)
+			_, err := far.Read(make([]byte, 1))
+			assert.ErrorIs(t, err, io.EOF)
+		})
 	})
-	t.Run("a connection that comes late is refused", func(t *testing.T) {
-		h, _ := begin()
-		assert.Assert(t, h.giveUp())
-		late := &conn{}
-		h.take(late)
-		_, err := late.Write([]byte("POST"))
-		assert.Assert(t, err != nil)
+	t.Run("a late answer to an earlier request does not cost the next one its answer", func(t *testing.T) {
+		serve := func(n int, c net.Conn, r *bufio.Reader) {
+			for range 2 {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				if id := req.Header.Get(exchanger.HeaderRequestID); id == "r-2" {
+					respond(c, "r-1", "xx")
+					respond(c, id, "ok")
+				} else {
+					respond(c, id, "ok")
+				}
+			}
+		}
+		inBubble(t, serve, func(t *testing.T, target *fakeTarget, client Client) {
+			assertBody(t, client.Dispatch(t.Context(), "target:1", testRequest("r-1")), "ok")
+			assertBody(t, client.Dispatch(t.Context(), "target:1", testRequest("r-2")), "ok")
+			assert.Equal(t, target.count(), 1)
+		})
 	})
 }
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -32,7 +32,7 @@
 
 // Effects of this controller.
 type (
-	closeTracker  struct{}
+	closeTracker  struct{ peersOnly bool }
 	countRequests struct{ now time.Time }
 	reportCut     struct{ final bool }
 )
@@ -44,11 +44,23 @@
 // request, also with requests in flight. Without it only a third request does.
 func WithCutAfter(d time.Duration) Option { return func(c *drainer) { c.cutAfter = d } }
 
+// WithLinger goes on taking callers' requests for a while after the first stop
+// request, so that none is refused before callers have learned of the stop.
+// Work of other nodes is refused at once.
+func WithLinger(d time.Duration) Option { return func(c *drainer) { c.linger = d } }
+
+// WithClosing is told of the first stop request.
+func WithClosing(f func()) Option { return func(c *drainer) { c.closing = f } }
+
 type drainer struct {
 	tracker *Tracker
 	log     *logger.Logger
 	// cutAfter is added to the time of the first stop request; 0 means never.
 	cutAfter time.Duration
+	// linger is added to the time of the first stop request; 0 means that callers are refused at once.
+	linger time.Duration
+	// closing is nil when nobody is told.
+	closing func()
 }
 
 // New returns the controller.
@@ -80,11 +92,12 @@
 	switch {
 	case s.Life.StopRequests == 1:
 		s.Life.Phase = blackboard.LifeDraining
-		s.Life.EndAt = now.Add(settleTime)
+		s.Life.EndAt = now.Add(max(settleTime, d.linger))
+		s.Life.LingerUntil = now.Add(d.linger)
 		if d.cutAfter > 0 {
 			s.Life.CutAt = now.Add(d.cutAfter)
 		}
-		return s, []blackboard.Effect{closeTracker{}}
+		return s, []blackboard.Effect{closeTracker{peersOnly: d.linger > 0}}
 	case s.Life.StopRequests < stopsThatCut:
 		return s, []blackboard.Effect{reportCut{}}
 	default:
@@ -103,6 +116,9 @@
 	case !s.Life.CutAt.IsZero() && !now.Before(s.Life.CutAt):
 		s.Life.Phase = blackboard.LifeStopped
 		return s, []blackboard.Effect{reportCut{final: true}}
+	case d.linger > 0 && !s.Life.LingerUntil.IsZero() && !now.Before(s.Life.LingerUntil):
+		s.Life.LingerUntil = time.Time{}
+		return s, []blackboard.Effect{closeTracker{}, countRequests{now: now}}
 	default:
 		return s, []blackboard.Effect{countRequests{now: now}}
 	}
@@ -114,7 +130,9 @@
 	}
 	s.Life.InFlight = msg.Total
 	if msg.Total > 0 {
-		s.Life.EndAt = msg.Now.Add(settleTime)
+		if end := msg.Now.Add(settleTime); end.After(s.Life.EndAt) {
+			s.Life.EndAt = end
+		}
 		return s, nil
 	}
 	if !msg.Now.Before(s.Life.EndAt) {
@@ -126,7 +144,13 @@
 func (d *drainer) run(_ context.Context, e blackboard.Effect, post blackboard.Post) {
 	switch e := e.(type) {
 	case closeTracker:
-		d.tracker.Close()
+		if !e.peersOnly {
+			d.tracker.Close()
+		}
+		d.tracker.ClosePeers()
+		if d.closing != nil {
+			d.closing()
+		}
 		d.log.Write(logger.DrainStarted, logger.Fields{Count: d.tracker.Count().Total})
 	case countRequests:
 		post(Counted{Now: e.now, Total: d.tracker.Count().Total})
--- a/internal/drainer/tracker.go
+++ b/internal/drainer/tracker.go
@@ -13,6 +13,8 @@
 	mu sync.Mutex
 	// closed refuses new requests. Guarded by mu.
 	closed bool
+	// peersClosed refuses new requests of other nodes. Guarded by mu.
+	peersClosed bool
 	// running holds the requests in flight. Guarded by mu.
 	running map[*flight]struct{}
 }
@@ -41,6 +43,31 @@
 	}, true
 }
 
+// BeginPeer counts a request of another node until done is called. It returns false once peers are refused.
+func (t *Tracker) BeginPeer(class snapshotter.Class) (done func(), ok bool) {
+	t.mu.Lock()
+	closed := t.peersClosed
+	t.mu.Unlock()
+	if closed {
+		return nil, false
+	}
+	return t.Begin(class)
+}
+
+// ClosePeers refuses new requests of other nodes from now on.
+func (t *Tracker) ClosePeers() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peersClosed = true
+}
+
+// PeersClosed tells that new requests of other nodes are refused.
+func (t *Tracker) PeersClosed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.peersClosed || t.closed
+}
+
 // Close refuses new requests from now on.
 func (t *Tracker) Close() {
 	t.mu.Lock()
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -24,6 +24,7 @@
 	ReasonNoRoute          Reason = "no-route"
 	ReasonNoConfig         Reason = "no-config"
 	ReasonBadRequest       Reason = "bad-request"
+	ReasonTooLarge         Reason = "too-large"
 	ReasonTooDeep          Reason = "too-deep"
 	ReasonNoTarget         Reason = "no-target"
 	ReasonNodeDraining     Reason = "node-draining"
@@ -63,10 +64,20 @@
 	Route   string
 	Firm    string
 	Class   snapshotter.Class
+	// Priority orders waiting requests of a class; 0 goes first.
+	Priority int
 	// Idempotent tells that running the request twice is harmless.
 	Idempotent bool
 	// Deadline is after the request's arrival.
 	Deadline time.Time
+	// Aim is until when the answer has its full worth; zero when nothing is known of it.
+	Aim time.Time
+	// CallerService is the service on whose host the request began; empty when there is none.
+	CallerService string
+	// TargetID names the process that must run the request; empty means any at the address.
+	TargetID string
+	// MaxAttempts bounds the targets that the request is sent to; 0 means the node's own bound.
+	MaxAttempts int
 	// Depth is 1 for a request that no other request caused; at most MaxDepth.
 	Depth int
 	// Attempt counts from 1 at the node that took the request.
@@ -98,6 +109,8 @@
 	// Body is never nil when Outcome is "done". Its Read returns io.EOF only
 	// when the answer is whole. Close ends the exchange; it is safe to call twice.
 	Body io.ReadCloser
+	// TargetID names the process that answered in place of the expected one; empty otherwise.
+	TargetID string
 	// Target is the host whose target the request was sent to, when known.
 	Target string
 	// Load of that target as its own node counts it; nil when none came.
--- a/internal/exchanger/header.go
+++ b/internal/exchanger/header.go
@@ -23,6 +23,9 @@
 	// the node has decided on retries. A target that sheds a request because a
 	// call of its own ended so passes it on, and the request is not sent again.
 	HeaderRetried = "Gentian-Retried"
+	// HeaderShed marks an answer by which a target says that it did not start the request.
+	HeaderShed = "Gentian-Shed"
+	ShedNotRun = "not-run"
 	// HeaderReplayed is "true" on an answer that was recorded for an idempotency key.
 	HeaderReplayed = "Gentian-Replayed"
 )
--- a/internal/executor/exchange.go
+++ b/internal/executor/exchange.go
@@ -35,7 +35,7 @@
 }
 
 func (x *exchange) failed(a *exchanger.Answer) {
-	x.end(a, judge(a, time.Since(x.started)))
+	x.end(a, judge(a, time.Since(x.started), x.executor.cfg.Blame))
 	if x.entry == nil {
 		return
 	}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -38,6 +38,13 @@
 	Client  dispatcher.Client
 	// Observe is told of each request that held a slot; nil means nobody.
 	Observe func(r *exchanger.Request, queued, served time.Duration)
+	// Blame is how long a target must have held a request that ran into its
+	// deadline to be blamed for it; 0 means the time of this package.
+	Blame time.Duration
+	// FixedSlots and NoRamp are passed on to the limits of the target.
+	FixedSlots, NoRamp bool
+	// Mistaken is told the id of the process that answered in place of the expected one; nil means nobody.
+	Mistaken func(targetID string)
 	// Judge is told what a finished request showed of the target; nil means nobody.
 	Judge func(good bool)
 }
@@ -58,7 +65,12 @@
 }
 
 // New returns an executor.
-func New(cfg Config) *Executor { return &Executor{cfg: cfg, keys: deduplicator.New()} }
+func New(cfg Config) *Executor {
+	if cfg.Blame == 0 {
+		cfg.Blame = heldLong
+	}
+	return &Executor{cfg: cfg, keys: deduplicator.New()}
+}
 
 // Execute runs the request on the target. The answer must be closed.
 func (e *Executor) Execute(ctx context.Context, r *exchanger.Request) *exchanger.Answer {
@@ -153,13 +165,19 @@
 		forget(entry)
 		return exchanger.NotRun(exchanger.ReasonNoConfig, nil)
 	}
-	release, err := waiter.Acquire(ctx, limiter.Request{Class: r.Class, Firm: r.Firm, Deadline: r.Deadline})
+	release, err := waiter.Acquire(ctx, limiter.Request{
+		Class: r.Class, Firm: r.Firm, Deadline: r.Deadline, Priority: r.Priority, Aim: r.Aim,
+	})
 	if err != nil {
 		forget(entry)
 		return refused(err)
 	}
 	started := time.Now()
+	r.TargetID = t.ID
 	a := e.cfg.Client.Dispatch(ctx, t.Address, r)
+	if a.Reason == exchanger.ReasonWrongTarget && e.cfg.Mistaken != nil {
+		e.cfg.Mistaken(a.TargetID)
+	}
 	x := &exchange{
 		executor: e, request: r, release: release, entry: entry, arrived: arrived, started: started,
 		gone: func() bool { return ctx.Err() != nil },
@@ -225,6 +243,7 @@
 		return nil
 	}
 	limits := limiter.LimitsOf(s)
+	limits.FixedSlots, limits.NoRamp = e.cfg.FixedSlots, e.cfg.NoRamp
 	if t.Record.Slots > 0 {
 		limits.Slots = min(limits.Slots, t.Record.Slots)
 	}
--- a/internal/executor/judge.go
+++ b/internal/executor/judge.go
@@ -23,7 +23,7 @@
 // judge tells what an answer without a body, or with a whole one, shows. Any
 // whole answer is good, whatever its status: a target that answers 503 since
 // another service is down works, and holding it out would spread the failure.
-func judge(a *exchanger.Answer, held time.Duration) verdict {
+func judge(a *exchanger.Answer, held, blame time.Duration) verdict {
 	if a.Outcome == retrier.OutcomeDone {
 		return verdictGood
 	}
@@ -34,7 +34,7 @@
 		exchanger.ReasonCrossedAnswer, exchanger.ReasonMalformedAnswer:
 		return verdictBad
 	case exchanger.ReasonDeadline:
-		if held >= heldLong {
+		if held >= blame {
 			return verdictBad
 		}
 	}
--- a/internal/executor/judge_test.go
+++ b/internal/executor/judge_test.go
@@ -28,7 +28,7 @@
 		"a refusal by this node itself": {*exchanger.NotRun(exchanger.ReasonTargetDraining, nil), 0, verdictNone},
 	} {
 		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, judge(&c.answer, c.held), c.want)
+			assert.Equal(t, judge(&c.answer, c.held, heldLong), c.want)
 		})
 	}
 }
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -30,14 +30,23 @@
 		Depth:          uint32(r.Depth), Attempt: uint32(r.Attempt), RetriedAbove: r.RetriedAbove,
 		IdempotencyKey: r.IdempotencyKey, Recall: r.Recall,
 		ContentLength: r.ContentLength, ConfigVersion: r.ConfigVersion,
+		CallerService: r.CallerService, Priority: uint32(r.Priority), AimMicro: aimLeft(r),
 	}
 }
 
+// aimLeft is at least 1 when the answer has a time by which it loses worth.
+func aimLeft(r *exchanger.Request) int64 {
+	if r.Aim.IsZero() {
+		return 0
+	}
+	return max(remaining(r.Aim), 1)
+}
+
 func decodeRequest(m *wirepb.ForwardRequest, now time.Time) (*exchanger.Request, error) {
 	if field := invalidField(m); field != "" {
 		return nil, &InvalidError{Field: field}
 	}
-	return &exchanger.Request{
+	r := &exchanger.Request{
 		ID: m.GetRequestId(), Method: m.GetMethod(), Path: m.GetPath(), Host: m.GetHost(),
 		Header:  decodeHeaders(m.GetHeaders()),
 		Service: m.GetService(), Route: m.GetRoute(), Firm: m.GetFirm(), Class: snapshotter.Class(m.GetClass()),
@@ -46,7 +55,12 @@
 		Depth:      int(m.GetDepth()), Attempt: int(m.GetAttempt()), RetriedAbove: m.GetRetriedAbove(),
 		IdempotencyKey: m.GetIdempotencyKey(), Recall: m.GetRecall(),
 		ContentLength: m.GetContentLength(), ConfigVersion: m.GetConfigVersion(),
-	}, nil
+		CallerService: m.GetCallerService(), Priority: int(m.GetPriority()),
+	}
+	if left := m.GetAimMicro(); left > 0 {
+		r.Aim = now.Add(time.Duration(min(left, maxRemaining.Microseconds())) * time.Microsecond)
+	}
+	return r, nil
 }
 
 // invalidField names the first field that no node of this system sends.
@@ -71,6 +85,8 @@
 		return "attempt"
 	case m.GetContentLength() < -1:
 		return "content_length"
+	case m.GetPriority() > math.MaxInt16:
+		return "priority"
 	default:
 		return ""
 	}
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -81,7 +81,7 @@
 
 // handle runs the exchange and tells whether another one may follow.
 func (x *incoming) handle(ctx context.Context) bool {
-	done, ok := x.forwarder.cfg.Tracker.Begin(x.request.Class)
+	done, ok := x.forwarder.cfg.Tracker.BeginPeer(x.request.Class)
 	if !ok {
 		a := x.forwarder.cfg.Refuse(x.request, exchanger.ReasonNodeDraining)
 		x.send(a)
@@ -140,7 +140,7 @@
 // mayReuse is asked before the end of the answer is sent. From then on only the
 // peer ends the stream, so that it is not used for another exchange in vain.
 func (x *incoming) mayReuse() bool {
-	x.reuse = x.received.Load() && !x.forwarder.cfg.Tracker.Closed() && x.stop()
+	x.reuse = x.received.Load() && !x.forwarder.cfg.Tracker.PeersClosed() && x.stop()
 	x.ending.Store(x.reuse)
 	if x.reuse {
 		_ = x.stream.SetWriteDeadline(time.Now().Add(endTimeout))
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -48,6 +48,9 @@
 	return status
 }
 
+// Ready tells that the node takes callers' requests.
+func (i *Inspector) Ready() bool { return i.status().Ready }
+
 // health answers 200 while the process works, whether or not it may serve.
 func (i *Inspector) health(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, i.status())
--- a/internal/limiter/gate.go
+++ b/internal/limiter/gate.go
@@ -165,7 +165,11 @@
 
 // slots returns how many requests may run now.
 func (g *Gate) slots(now time.Time) int {
-	return min(g.adapter.slots(), g.ramp.slots(now, g.limits), g.limits.Connections)
+	ramped := g.limits.Slots
+	if !g.limits.NoRamp {
+		ramped = g.ramp.slots(now, g.limits)
+	}
+	return min(g.adapter.slots(), ramped, g.limits.Connections)
 }
 
 func (g *Gate) room(now time.Time) room { return newRoom(g.limits, g.slots(now)) }
@@ -182,31 +186,33 @@
 
 func (g *Gate) enqueue(now time.Time, r Request, c class) Decision {
 	startBy := g.startBy(now, r, c)
-	if g.queue.order != OrderNewest && g.expectedStart(now, c, r.Firm).After(startBy) {
+	if g.queue.order != OrderNewest && g.expectedStart(now, c, r.Firm, r.Priority).After(startBy) {
 		return g.refuse(now, r, g.dueReason(c, startBy, r.Deadline))
 	}
 	if !g.queue.hasPlace(c) {
-		victim, ok := g.queue.victim(c, r.Firm)
+		victim, ok := g.queue.victim(c, r.Firm, r.Priority)
 		if !ok {
 			return g.refuse(now, r, ReasonQueueFull)
 		}
 		g.queue.remove(victim.id)
 		g.drop(now, victim, ReasonQueueFull)
 	}
-	g.queue.push(waiting{id: r.ID, class: c, firm: r.Firm, deadline: r.Deadline, startBy: startBy})
+	g.queue.push(waiting{
+		id: r.ID, class: c, firm: r.Firm, priority: r.Priority, deadline: r.Deadline, startBy: startBy,
+	})
 	return Decision{Verdict: VerdictQueued, StartBy: startBy, Changes: g.changes}
 }
 
 // expectedStart returns when a further request of the firm would start: behind
 // the firm's own that wait, at the pace of its fair share of the slots.
-func (g *Gate) expectedStart(now time.Time, c class, firm string) time.Time {
+func (g *Gate) expectedStart(now time.Time, c class, firm string, priority int) time.Time {
 	room := g.room(now)
 	slots := room.ordinarySlots
 	if c == bulk {
 		slots = room.bulkSlots
 	}
 	service := g.pace.current(now, c, g.tally.classes[c])
-	ahead := g.queue.tally.firms[shareKey{c, firm}] * g.queue.firms(c, firm)
+	ahead := g.queue.ahead(c, firm, priority) * g.queue.firms(c, firm)
 	return now.Add(g.pace.wait(now, ahead, slots, service))
 }
 
@@ -217,6 +223,9 @@
 	if by.Before(now) {
 		by = r.Deadline
 	}
+	if !r.Aim.IsZero() {
+		return earlier(by, later(r.Aim.Add(-g.pace.expected(c)), now.Add(leastPatience)))
+	}
 	if c == bulk {
 		return by
 	}
@@ -227,6 +236,20 @@
 	return by
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // settle drops the waiting requests that are due and starts those that have room.
 func (g *Gate) settle(now time.Time) {
 	for {
@@ -271,11 +294,11 @@
 }
 
 func (g *Gate) refuse(now time.Time, r Request, why Reason) Decision {
-	after := g.expectedStart(now, classOf(r.Class), r.Firm)
+	after := g.expectedStart(now, classOf(r.Class), r.Firm, r.Priority)
 	return Decision{Verdict: VerdictRefused, Reason: why, RetryAfter: after, Changes: g.changes}
 }
 
 func (g *Gate) drop(now time.Time, w waiting, why Reason) {
-	after := g.expectedStart(now, w.class, w.firm)
+	after := g.expectedStart(now, w.class, w.firm, w.priority)
 	g.changes.Dropped = append(g.changes.Dropped, Drop{ID: w.id, Reason: why, RetryAfter: after})
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -39,6 +39,8 @@
 	Order Order
 	// FixedSlots keeps all slots in use while the target is slow.
 	FixedSlots bool
+	// NoRamp puts all slots in use as soon as the target is ready.
+	NoRamp bool
 }
 
 // Order says which of the waiting requests of one firm and class starts first.
@@ -69,6 +71,10 @@
 	Class snapshotter.Class
 	// Firm that sent the request.
 	Firm string
+	// Priority orders the waiting requests of a class; 0 goes first.
+	Priority int
+	// Aim is until when the answer has its full worth; zero when nothing is known of it.
+	Aim time.Time
 	// Deadline by which the caller needs the answer.
 	Deadline time.Time
 }
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -10,6 +10,7 @@
 	id       uint64
 	class    class
 	firm     string
+	priority int
 	deadline time.Time
 	// startBy is when the request is dropped; not after deadline.
 	startBy time.Time
@@ -155,23 +156,47 @@
 // neediest returns the firm that runs the fewest requests of the class, of
 // equals the one that has waited longest.
 func (q *queue) neediest(c class, running *tally) string {
-	list := q.byClass[c]
-	firm, fewest := list[0].firm, running.firms[shareKey{c, list[0].firm}]
-	for _, w := range list[1:] {
-		if n := running.firms[shareKey{c, w.firm}]; n < fewest {
+	lead := q.lead(c)
+	firm, fewest := "", -1
+	for _, w := range q.byClass[c] {
+		if w.priority != lead {
+			continue
+		}
+		if n := running.firms[shareKey{c, w.firm}]; fewest < 0 || n < fewest {
 			firm, fewest = w.firm, n
 		}
 	}
 	return firm
 }
 
+// lead returns the most urgent priority that waits in a class with waiting requests.
+func (q *queue) lead(c class) int {
+	least := q.byClass[c][0].priority
+	for _, w := range q.byClass[c][1:] {
+		least = min(least, w.priority)
+	}
+	return least
+}
+
+// ahead counts the firm's waiting requests of the class that start before a further one.
+func (q *queue) ahead(c class, firm string, priority int) int {
+	n := 0
+	for _, w := range q.byClass[c] {
+		if w.firm == firm && w.priority <= priority {
+			n++
+		}
+	}
+	return n
+}
+
 // pick returns the request of the firm that comes first in the queue's order.
 func (q *queue) pick(c class, firm string) waiting {
 	newest := q.order == OrderNewest
+	lead := q.lead(c)
 	var best waiting
 	found := false
 	for _, w := range q.byClass[c] {
-		if w.firm != firm {
+		if w.firm != firm || w.priority != lead {
 			continue
 		}
 		if !found || newest || q.order == OrderDeadline && w.deadline.Before(best.deadline) {
@@ -182,15 +207,18 @@
 }
 
 // victim returns the waiting request that gives up its place to a new one: one
-// of a less urgent class, or of a firm with more waiting requests, or, when
+// of a less urgent class or priority, or of a firm with more waiting requests, or, when
 // the newest starts first, the firm's own oldest.
-func (q *queue) victim(c class, firm string) (waiting, bool) {
+func (q *queue) victim(c class, firm string, priority int) (waiting, bool) {
 	if c == urgent && len(q.byClass[short]) > 0 {
 		return q.crowded(short), true
 	}
 	if len(q.byClass[c]) == 0 {
 		return waiting{}, false
 	}
+	if w := q.leastUrgent(c); w.priority > priority {
+		return w, true
+	}
 	own := q.tally.firms[shareKey{c, firm}]
 	crowded := q.crowded(c)
 	if crowded.firm != firm && q.tally.firms[shareKey{c, crowded.firm}] > own+1 {
@@ -202,6 +230,17 @@
 	return waiting{}, false
 }
 
+// leastUrgent returns the newest of the requests with the least urgent priority.
+func (q *queue) leastUrgent(c class) waiting {
+	worst := q.byClass[c][0]
+	for _, w := range q.byClass[c][1:] {
+		if w.priority >= worst.priority {
+			worst = w
+		}
+	}
+	return worst
+}
+
 // crowded returns a request of the firm with the most waiting requests of the
 // class: the one that would start last.
 func (q *queue) crowded(c class) waiting {
--- a/internal/loader/check.go
+++ b/internal/loader/check.go
@@ -18,6 +18,7 @@
 	checkName(d, "rack", s.Rack)
 	checkListen(d, s.Listen)
 	checkPlatform(d, s.Platform)
+	checkObjects(d, s)
 	for _, peer := range s.SeedPeers {
 		checkAddress(d, "seed-peers", peer)
 	}
@@ -51,6 +52,19 @@
 	}
 }
 
+// checkObjects checks what only the platform API objects needs.
+func checkObjects(d *decoder.Decoder, s *Settings) {
+	if s.PlatformAPI != PlatformObjects {
+		return
+	}
+	checkAddress(d, "listen.readiness", s.Listen.Readiness)
+	checkAddress(d, "target.address", s.Target.Address)
+	checkName(d, "target.service", s.Target.Service)
+	if len(s.PlatformBounds) == 0 {
+		d.Fail("platform-bounds", "is missing")
+	}
+}
+
 func checkPlatform(d *decoder.Decoder, platform string) {
 	u, err := url.Parse(platform)
 	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -30,6 +30,12 @@
 	Listen Listen `yaml:"listen" doc:"Addresses that the node listens on."`
 	// Platform is the base URL of the object API.
 	Platform string `yaml:"platform" doc:"Base URL of the platform's object API, with an IP address."`
+	// PlatformAPI tells how the platform is spoken to.
+	PlatformAPI PlatformAPI `yaml:"platform-api" doc:"How the platform is spoken to: gentian is this system's own object API, with tickets in it; objects is the API of the users' platform, which holds the configuration as one object." default:"gentian" oneof:"gentian objects"`
+	// PlatformBounds are passed on to the platform's adapter.
+	PlatformBounds []string `yaml:"platform-bounds,omitempty" doc:"Figures of the platform as name=value, in its own names. Required with the platform API objects."`
+	// Target is the target of this host where it is known beforehand.
+	Target Target `yaml:"target" doc:"The target of this host, where it is known beforehand."`
 	// SeedPeers are node addresses to join by; empty means that peers are found through the platform.
 	SeedPeers []string `yaml:"seed-peers,omitempty" doc:"Node addresses of other hosts of the data centre, to join by. Optional: without it, peers are found through the platform."`
 	// Limits bound what the node takes.
@@ -43,7 +49,26 @@
 	Callers string `yaml:"callers" doc:"Address for callers' HTTP requests."`
 	Nodes   string `yaml:"nodes" doc:"Address for other nodes, TCP and UDP."`
 	Targets string `yaml:"targets" doc:"Address for announcements of this host's target."`
-	Admin   string `yaml:"admin" doc:"Address for metrics, health and debugging, apart from callers' traffic."`
+	// Readiness is empty where the platform does not ask.
+	Readiness string `yaml:"readiness,omitempty" doc:"Address for the platform's question whether the node takes requests. Required with the platform API objects."`
+	Admin     string `yaml:"admin" doc:"Address for metrics, health and debugging, apart from callers' traffic."`
+}
+
+// PlatformAPI tells how the platform is spoken to.
+type PlatformAPI string
+
+// The platform APIs.
+const (
+	// PlatformGentian is the object API of pkg/storer, with tickets and relays.
+	PlatformGentian PlatformAPI = "gentian"
+	// PlatformObjects is the API of the users' platform, met by the package platform.
+	PlatformObjects PlatformAPI = "objects"
+)
+
+// Target is the target of a host. Both fields are empty, or neither is.
+type Target struct {
+	Address string `yaml:"address,omitempty" doc:"Address of the target, as ip:port. Required with the platform API objects."`
+	Service string `yaml:"service,omitempty" doc:"Service that the target belongs to. Required with the platform API objects."`
 }
 
 // Limits bound what the node takes.
--- a/internal/logger/events_distribution.go
+++ b/internal/logger/events_distribution.go
@@ -47,6 +47,21 @@
 		Meaning: "A relay could not reach the platform and tries again later.",
 		Action:  "Follow the page on a platform outage.",
 	}
+	PlatformLost = Event{
+		Number: 223, Name: "platform-lost", Level: LevelWarn,
+		Meaning: "The node can no longer follow the objects of the kind in the reason field; it goes on with what it knows.",
+		Action:  "Follow the page on a platform outage.",
+	}
+	PlatformRegained = Event{
+		Number: 224, Name: "platform-regained", Level: LevelInfo,
+		Meaning: "The node follows the objects of the kind in the reason field again.",
+		Action:  "None.",
+	}
+	ConfigAskFailed = Event{
+		Number: 225, Name: "config-ask-failed", Level: LevelWarn,
+		Meaning: "The node could not take a greater version of the configuration from the node in the peer field.",
+		Action:  "None, unless it repeats; then look at the link between the two hosts.",
+	}
 	RecoveryEnded = Event{
 		Number: 230, Name: "recovery-ended", Level: LevelInfo,
 		Meaning: "The restarted node has evidence for a safe first version.",
@@ -61,5 +76,5 @@
 
 var distributionEvents = []Event{
 	ConfigApplied, ConfigRefused, ConfigFetchedWhole, ConfigUnwitnessed, ParentChanged, ParentSilent,
-	LeaseTaken, LeaseLost, PlatformSilent, RecoveryEnded, RecoveryBlocked,
+	LeaseTaken, LeaseLost, PlatformSilent, PlatformLost, PlatformRegained, ConfigAskFailed, RecoveryEnded, RecoveryBlocked,
 }
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -46,8 +46,10 @@
 
 // Fields are the details of one event. Empty fields are left out.
 type Fields struct {
-	Ticket     uint64
-	Version    uint64
+	Ticket  uint64
+	Version uint64
+	// Before is the version that Version replaces.
+	Before     uint64
 	RequestID  string
 	DataCentre string
 	Host       string
@@ -57,8 +59,10 @@
 	Firm       string
 	Class      string
 	Reason     string
-	Count      int
-	Err        error
+	// Target names the target's process.
+	Target string
+	Count  int
+	Err    error
 }
 
 // Logger writes events. The zero value writes nothing.
@@ -99,6 +103,7 @@
 		{"firm", f.Firm},
 		{"class", f.Class},
 		{"reason", f.Reason},
+		{"target", f.Target},
 	}
 	for _, t := range texts {
 		if t.value != "" {
@@ -111,6 +116,9 @@
 	if f.Version != 0 {
 		out["version"] = f.Version
 	}
+	if f.Before != 0 {
+		out["before"] = f.Before
+	}
 	if f.Count != 0 {
 		out["count"] = f.Count
 	}
--- /dev/null
+++ b/internal/poller/poller.go
@@ -0,0 +1,118 @@
+// Package poller follows something in the platform for as long as a process
+// runs: it asks again after each answer, waits ever longer after failures, and
+// tells when the platform is lost and when it is back.
+package poller
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"gentianbarrow.example/pkg/storer"
+)
+
+const (
+	// firstPause follows the first failure; it doubles up to longestPause.
+	firstPause = 100 * time.Millisecond
+	// longestPause bounds how late a change is read after the platform is back. Half
+	// of two seconds, within which entries are back after an outage.
+	longestPause = 1 * time.Second
+	// gatherFor is how long further changes are gathered after one has come, so
+	// that changes in quick succession cost few calls.
+	gatherFor = 200 * time.Millisecond
+)
+
+// Poller follows one kind of objects.
+type Poller struct {
+	Kind string
+	// Client must offer Scan and Follow.
+	Client storer.Client
+	// Changed is told of the objects of a scan, with whole set, and of what changed after it.
+	Changed func(c storer.Changes, whole bool)
+	// Lost is told of the first failure after a success, and Regained of the first
+	// success after a failure. Both may be nil.
+	Lost     func(err error)
+	Regained func()
+	// Sleep waits; it returns false when ctx has ended. Tests replace it.
+	Sleep func(ctx context.Context, d time.Duration) bool
+}
+
+// Run follows until ctx ends.
+func (p *Poller) Run(ctx context.Context) {
+	if p.Sleep == nil {
+		p.Sleep = Sleep
+	}
+	f := follower{poller: p}
+	for ctx.Err() == nil {
+		f.step(ctx)
+	}
+}
+
+// Sleep waits for the time, or returns false when ctx ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Pause returns how long to wait after so many failures in a row, at least 1.
+func Pause(failures int) time.Duration {
+	pause := min(firstPause<<min(failures-1, 10), longestPause)
+	return pause/2 + rand.N(pause/2)
+}
+
+// follower is the place that a Poller has reached.
+type follower struct {
+	poller   *Poller
+	revision uint64
+	// scanned tells that revision is one to follow from.
+	scanned  bool
+	failures int
+}
+
+func (f *follower) step(ctx context.Context) {
+	changes, err := f.ask(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	var compacted *storer.CompactedError
+	switch {
+	case errors.As(err, &compacted):
+		f.scanned = false
+		return
+	case err != nil:
+		f.failed(ctx, err)
+		return
+	}
+	if f.failures > 0 && f.poller.Regained != nil {
+		f.poller.Regained()
+	}
+	f.failures = 0
+	whole := !f.scanned
+	f.scanned, f.revision = true, changes.Revision
+	if whole || len(changes.Objects)+len(changes.Removed) > 0 {
+		f.poller.Changed(changes, whole)
+		f.poller.Sleep(ctx, gatherFor)
+	}
+}
+
+func (f *follower) ask(ctx context.Context) (storer.Changes, error) {
+	if !f.scanned {
+		return f.poller.Client.Scan(ctx, f.poller.Kind)
+	}
+	return f.poller.Client.Follow(ctx, f.poller.Kind, f.revision)
+}
+
+func (f *follower) failed(ctx context.Context, err error) {
+	f.failures++
+	if f.failures == 1 && f.poller.Lost != nil {
+		f.poller.Lost(err)
+	}
+	f.poller.Sleep(ctx, Pause(f.failures))
+}
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/explainer"
+	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/retrier"
 	"gentianbarrow.example/internal/router"
 	"gentianbarrow.example/pkg/snapshotter"
@@ -108,6 +110,7 @@
 	rc := r.receiver()
 	request := router.Request{
 		Service: r.call.service.Name, Class: r.call.request.Class, Tried: r.tried, Explain: rc.cfg.Explanations != nil,
+		Bytes: rc.expectedBytes(r.call.request.Route, r.call.request.ContentLength),
 	}
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
@@ -171,6 +174,7 @@
 	rc.table.Finished(time.Now(), r.Service, host, router.Result{
 		Outcome: a.Outcome, Class: r.Class, Latency: took, Load: a.Load, RetryAfter: a.RetryAt,
 		Cancelled: a.Reason == exchanger.ReasonCancelled || a.Reason == exchanger.ReasonDeadline,
+		Failed:    a.Status >= http.StatusInternalServerError || a.Reason == exchanger.ReasonTargetShed,
 	})
 	if b := rc.budgets[r.Service]; b != nil && a.Outcome == retrier.OutcomeDone {
 		b.Observed(took)
@@ -185,10 +189,12 @@
 	}
 }
 
-// moved tells that the node refused because its target takes no work at all,
-// so that going to another one adds no load to any target.
+// moved tells that a node refused the request before its target saw it, so that
+// going to another one adds no load to any target.
 func moved(reason exchanger.Reason) bool {
 	switch reason {
+	case exchanger.Reason(limiter.ReasonQueueFull), exchanger.Reason(limiter.ReasonWaited), exchanger.Reason(limiter.ReasonLate):
+		return true
 	case exchanger.ReasonTargetDraining, exchanger.ReasonNodeDraining, exchanger.ReasonTargetFailed,
 		exchanger.ReasonWrongTarget, exchanger.ReasonNoTarget, exchanger.ReasonUnreachable:
 		return true
@@ -249,6 +255,6 @@
 		Replayable: c.body.replayable(), Bulk: c.request.Class == snapshotter.ClassBulk,
 		Attempts: max(len(r.tried)-r.moves, 1), TargetsLeft: left,
 		RetriedAbove: c.request.RetriedAbove, RetriedBelow: reason == exchanger.ReasonShedBelow,
-		Deadline: c.request.Deadline,
+		Deadline: c.request.Deadline, MaxAttempts: c.request.MaxAttempts,
 	}
 }
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -3,8 +3,10 @@
 import (
 	"crypto/rand"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -41,7 +43,11 @@
 
 // run returns the answer to the caller.
 func (c *call) run() *exchanger.Answer {
-	c.record.RequestID = c.requestID()
+	id, named := c.requestID()
+	c.record.RequestID = id
+	if !named && c.receiver.cfg.Dialect.CallersName {
+		return exchanger.NotRun(exchanger.ReasonBadRequest, nil)
+	}
 	if refusal := c.route(); refusal != nil {
 		return refusal
 	}
@@ -53,18 +59,35 @@
 	return c.attempts(c.httpRequest.Context())
 }
 
-// requestID returns the caller's own id when it is a plain word.
-func (c *call) requestID() string {
-	id := c.httpRequest.Header.Get(exchanger.HeaderRequestID)
+// requestID returns the caller's own id when it is a plain word, else one of this node's.
+func (c *call) requestID() (id string, named bool) {
+	id = c.httpRequest.Header.Get(c.receiver.cfg.Dialect.RequestID)
 	if id == "" || len(id) > maxIDBytes {
-		return rand.Text()
+		return rand.Text(), false
 	}
 	for _, b := range []byte(id) {
 		if b <= ' ' || b > '~' {
-			return rand.Text()
+			return rand.Text(), false
 		}
 	}
-	return id
+	return id, true
+}
+
+// requestTarget returns the path with its query as the caller sent it.
+func requestTarget(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// hostOf returns the host that a request names, without a port.
+func hostOf(r *http.Request) string {
+	host := r.Host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
 }
 
 // route fills in the request, or returns why it cannot be served.
@@ -78,14 +101,22 @@
 	}
 	c.record.ConfigVersion = running.Version
 	r := c.httpRequest
-	route, service, ok := c.receiver.cfg.Match(running, r.Method, r.URL.Path)
+	target := requestTarget(r)
+	path, _, _ := strings.Cut(target, "?")
+	route, service, ok := c.receiver.cfg.Match(running, hostOf(r), r.Method, path)
 	if !ok {
 		return exchanger.NotRun(exchanger.ReasonNoRoute, nil)
 	}
+	if name := c.receiver.serviceOf(&route); name != service.Name {
+		service = running.Services[name]
+	}
+	if most := running.Callers.BodyBytes; most > 0 && r.ContentLength > int64(most) {
+		return exchanger.NotRun(exchanger.ReasonTooLarge, nil)
+	}
 	c.service = service
 	c.record.Route, c.record.Service = route.Name, service.Name
-	depth, ok := nextDepth(r.Header.Get(exchanger.HeaderDepth))
-	if !ok || len(r.Header.Get(exchanger.HeaderIdempotencyKey)) > deduplicator.MaxKeyBytes {
+	depth, ok := nextDepth(c.header(c.receiver.cfg.Dialect.Depth))
+	if !ok || len(c.header(c.receiver.cfg.Dialect.IdempotencyKey)) > deduplicator.MaxKeyBytes {
 		return exchanger.NotRun(exchanger.ReasonBadRequest, nil)
 	}
 	if depth > exchanger.MaxDepth {
@@ -96,20 +127,26 @@
 		return exchanger.NotRun(exchanger.ReasonBadRequest, nil)
 	}
 	c.request = c.newRequest(route, service, depth, deadline, running.Version)
+	c.request.Path = target
 	c.record.Deadline = deadline
 	return nil
 }
 
 func (c *call) newRequest(route snapshotter.Route, service snapshotter.Service, depth int, deadline time.Time, version uint64) *exchanger.Request {
 	r := c.httpRequest
+	d := &c.receiver.cfg.Dialect
 	out := &exchanger.Request{
-		ID: c.record.RequestID, Method: r.Method, Path: r.URL.RequestURI(), Host: r.Host,
-		Header:  exchanger.EndToEnd(r.Header),
+		ID: c.record.RequestID, Method: r.Method, Host: r.Host,
+		Header:  d.EndToEnd(r.Header),
 		Service: service.Name, Route: route.Name, Firm: service.Firm, Class: route.Class,
 		Idempotent: route.Idempotent, Deadline: deadline, Depth: depth,
-		RetriedAbove:   retriedAbove(r.Header.Get(exchanger.HeaderAttempt)),
-		IdempotencyKey: r.Header.Get(exchanger.HeaderIdempotencyKey),
+		RetriedAbove:   retriedAbove(c.header(d.Attempt)),
+		IdempotencyKey: c.header(d.IdempotencyKey),
 		ContentLength:  r.ContentLength, ConfigVersion: version,
+		Priority: route.Priority, CallerService: c.receiver.cfg.CallerService, MaxAttempts: route.MaxAttempts,
+	}
+	if route.TargetLatencyMs > 0 {
+		out.Aim = c.record.Arrived.Add(time.Duration(route.TargetLatencyMs) * time.Millisecond)
 	}
 	if r.ContentLength != 0 && r.Body != nil && r.Body != http.NoBody {
 		c.source = &callerBody{control: c.control, src: r.Body}
@@ -120,6 +157,14 @@
 	return out
 }
 
+// header returns a header of the caller's dialect; empty when it is not spoken.
+func (c *call) header(name string) string {
+	if name == "" {
+		return ""
+	}
+	return c.httpRequest.Header.Get(name)
+}
+
 // nextDepth returns the depth of a call whose cause had the given depth.
 func nextDepth(header string) (int, bool) {
 	if header == "" {
@@ -140,18 +185,14 @@
 // deadline is the earlier one of the route's and the caller's.
 func (c *call) deadline(route snapshotter.Route) (time.Time, bool) {
 	deadline := c.record.Arrived.Add(time.Duration(route.TimeoutMs) * time.Millisecond)
-	header := c.httpRequest.Header.Get(exchanger.HeaderDeadline)
-	if header == "" {
-		return deadline, true
-	}
-	left, err := strconv.ParseInt(header, 10, 64)
-	if err != nil || left < 0 {
+	left, stated, ok := c.receiver.cfg.Dialect.TimeLeft(c.httpRequest.Header)
+	if !ok {
 		return time.Time{}, false
 	}
-	if left >= int64(route.TimeoutMs) {
-		return deadline, true
+	if own := c.record.Arrived.Add(left); stated && own.Before(deadline) {
+		return own, true
 	}
-	return c.record.Arrived.Add(time.Duration(left) * time.Millisecond), true
+	return deadline, true
 }
 
 // callerBody reads the caller's body and gives up on a caller that stands still.
--- a/internal/receiver/candidates.go
+++ b/internal/receiver/candidates.go
@@ -119,7 +119,7 @@
 
 func (b *builder) addSelf(s *blackboard.State) {
 	b.addMember(blackboard.Member{
-		Host: s.Self.Host, Address: s.Self.Address, DataCentre: s.Self.DataCentre,
+		Host: s.Self.Host, Address: s.Self.Address, DataCentre: s.Self.DataCentre, Region: s.Self.Region,
 		Incarnation: s.Self.Incarnation, Status: blackboard.MemberAlive, Target: s.Target.Record,
 	})
 }
@@ -143,22 +143,30 @@
 		return
 	}
 	found.candidates = append(found.candidates, router.Candidate{
-		Host: m.Host, Address: m.Address, DataCentre: m.DataCentre, Distance: distanceDataCentre,
+		Host: m.Host, Address: m.Address, DataCentre: m.DataCentre, Distance: b.distance(m.DataCentre, m.Region),
 		Slots: max(m.Target.Slots, 1), Cold: m.Target.Phase == blackboard.TargetCold,
 		Incarnation: m.Incarnation,
 	})
 }
 
+func (b *builder) distance(dataCentre, region string) int {
+	switch {
+	case dataCentre == b.self.DataCentre:
+		return distanceDataCentre
+	case region == b.self.Region:
+		return distanceRegion
+	default:
+		return distanceFar
+	}
+}
+
 // addSummary adds the hosts of another data centre. While nothing is wrong a
 // summary is up to summarizer.MaxSteadyAge old; only what is older counts as old.
 func (b *builder) addSummary(d blackboard.DataCentreSummary) {
 	if d.DataCentre == b.self.DataCentre {
 		return
 	}
-	distance := distanceFar
-	if d.Region == b.self.Region {
-		distance = distanceRegion
-	}
+	distance := b.distance(d.DataCentre, d.Region)
 	for _, s := range d.Services {
 		found := b.service(s.Service)
 		slots := max(s.Slots/max(s.Targets, 1), 1)
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -34,7 +34,13 @@
 	// State returns the state of the board.
 	State func() *blackboard.State
 	// Match finds the route of a request.
-	Match func(s *snapshotter.Snapshot, method, path string) (snapshotter.Route, snapshotter.Service, bool)
+	Match func(s *snapshotter.Snapshot, host, method, path string) (snapshotter.Route, snapshotter.Service, bool)
+	// Dialect of callers and targets; the zero value is this system's own.
+	Dialect exchanger.Dialect
+	// CallerService is the service of this host's target; empty when requests do not name it.
+	CallerService string
+	// RetryBurst is how many retries of a service all nodes together may save up; 0 leaves it to the budget.
+	RetryBurst int
 	// Execute runs a request on this host's target.
 	Execute func(ctx context.Context, r *exchanger.Request) *exchanger.Answer
 	// Forward sends a request to the node at the address.
@@ -60,6 +66,10 @@
 	rnd   *rand.Rand
 	// budgets by service. Guarded by mu.
 	budgets map[string]*retrier.Budget
+	// splits by route. Guarded by mu.
+	splits map[string]*split
+	// sizes by route. Guarded by mu.
+	sizes map[string]*sizes
 	// forgetAt is when the table is next cleared of old entries. Guarded by mu.
 	forgetAt time.Time
 }
@@ -73,9 +83,12 @@
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
+	if cfg.Dialect.Status == nil {
+		cfg.Dialect = exchanger.OwnDialect()
+	}
 	return &Receiver{
 		cfg: cfg, table: router.New(), rnd: rand.New(rand.NewPCG(seed, seed)),
-		budgets: map[string]*retrier.Budget{},
+		budgets: map[string]*retrier.Budget{}, splits: map[string]*split{}, sizes: map[string]*sizes{},
 	}
 }
 
@@ -98,9 +111,16 @@
 		rc.budgets[s.Name] = b
 	}
 	b.SetPercent(s.RetryPercent)
+	if rc.cfg.RetryBurst > 0 {
+		nodes := len(rc.cfg.State().Members.ByHost) + 1
+		b.SetBurst(float64(rc.cfg.RetryBurst) / float64(nodes) * burstShare)
+	}
 	return b
 }
 
+// burstShare of its part of the common burst is what a node uses, since it may not know every node yet.
+const burstShare = 0.8
+
 // forget drops old entries of the table. The caller holds mu.
 func (rc *Receiver) forget(now time.Time) {
 	if now.Before(rc.forgetAt) {
--- a/internal/receiver/reply.go
+++ b/internal/receiver/reply.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -70,7 +69,11 @@
 	}
 	_ = c.control.EnableFullDuplex()
 	c.w.WriteHeader(a.Status)
-	if err := c.copyBody(a); err != nil {
+	sent, err := c.copyBody(a)
+	if err == nil {
+		c.receiver.sized(c.record.Route, max(c.httpRequest.ContentLength, 0), sent)
+	}
+	if err != nil {
 		c.receiver.cfg.Log.Write(logger.AnswerTruncated, logger.Fields{
 			RequestID: c.record.RequestID, Service: c.record.Service, Host: a.Target, Err: err,
 		})
@@ -99,8 +102,21 @@
 	for name, values := range a.Header {
 		h[name] = values
 	}
+	h.Set(c.receiver.cfg.Dialect.RequestID, c.record.RequestID)
+	if c.receiver.cfg.Dialect.Told {
+		c.tell(h, a)
+	}
+	if a.ContentLength >= 0 && a.Outcome == retrier.OutcomeDone {
+		h.Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
+	}
+	if c.receiver.cfg.Tracker.Closed() || !c.body.whole() {
+		h.Set("Connection", "close")
+	}
+}
+
+// tell adds what this node knows of the outcome.
+func (c *call) tell(h http.Header, a *exchanger.Answer) {
 	h.Set(exchanger.HeaderOutcome, string(a.Outcome))
-	h.Set(exchanger.HeaderRequestID, c.record.RequestID)
 	if a.Reason != exchanger.ReasonNone {
 		h.Set(exchanger.HeaderReason, string(a.Reason))
 	}
@@ -110,67 +126,45 @@
 	if c.record.ConfigVersion != 0 {
 		h.Set(exchanger.HeaderConfigVersion, strconv.FormatUint(c.record.ConfigVersion, 10))
 	}
-	if a.ContentLength >= 0 && a.Outcome == retrier.OutcomeDone {
-		h.Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
-	}
-	if c.receiver.cfg.Tracker.Closed() || !c.body.whole() {
-		h.Set("Connection", "close")
+	if a.Outcome != retrier.OutcomeDone {
+		h.Set(exchanger.HeaderRetried, "true")
 	}
 }
 
 // refuse answers a request that has no answer from a target.
 func (c *call) refuse(a *exchanger.Answer) {
 	h := c.w.Header()
-	h.Set("Retry-After", strconv.Itoa(retryAfter(a)))
-	h.Set(exchanger.HeaderRetried, "true")
+	d := &c.receiver.cfg.Dialect
+	if value := d.RetryAfter(a, time.Now()); value != "" {
+		h.Set("Retry-After", value)
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	c.w.WriteHeader(statusOf(a))
+	c.w.WriteHeader(d.Status(a))
 	if c.httpRequest.Method != http.MethodHead {
 		_, _ = io.WriteString(c.w, string(a.Outcome)+": "+string(a.Reason)+"\n")
 	}
 }
 
-// retryAfter returns whole seconds, at least one.
-func retryAfter(a *exchanger.Answer) int {
-	if a.RetryAt.IsZero() {
-		return 1
-	}
-	return max(int(math.Ceil(time.Until(a.RetryAt).Seconds())), 1)
-}
-
-func statusOf(a *exchanger.Answer) int {
-	switch {
-	case a.Outcome == retrier.OutcomeUnknown:
-		return http.StatusGatewayTimeout
-	case a.Reason == exchanger.ReasonNoRoute:
-		return http.StatusNotFound
-	case a.Reason == exchanger.ReasonBadRequest:
-		return http.StatusBadRequest
-	case a.Reason == exchanger.ReasonKeyReused:
-		return http.StatusUnprocessableEntity
-	default:
-		return http.StatusServiceUnavailable
-	}
-}
-
-// copyBody passes the answer on as it comes. It returns nil only when all of it was written.
-func (c *call) copyBody(a *exchanger.Answer) error {
+// copyBody passes the answer on as it comes and counts its bytes. The error is nil only when all of it was written.
+func (c *call) copyBody(a *exchanger.Answer) (int64, error) {
 	buffers := buffersFor(a.ContentLength)
 	held := buffers.Get().(*[]byte)
 	defer buffers.Put(held)
 	streamed := a.ContentLength < 0
+	sent := int64(0)
 	for {
 		n, err := a.Body.Read(*held)
 		if n > 0 {
 			if writeErr := c.write((*held)[:n], streamed); writeErr != nil {
-				return writeErr
+				return sent, writeErr
 			}
 		}
+		sent += int64(n)
 		if err == io.EOF { //nolint:errorlint // readers return io.EOF itself
-			return nil
+			return sent, nil
 		}
 		if err != nil {
-			return err
+			return sent, err
 		}
 	}
 }
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -20,7 +20,9 @@
 type Budget struct {
 	// percent of requests that may be sent again, 0 to 100.
 	percent int
-	// tokens left; each retry or hedge takes one. 0 to burstTokens.
+	// burst is the most that a budget saves up.
+	burst float64
+	// tokens left; each retry or hedge takes one. 0 to burst.
 	tokens float64
 	// floorAt is when the next token comes that depends on no request.
 	floorAt time.Time
@@ -30,7 +32,7 @@
 
 // NewBudget returns a budget of percent retries for each hundred requests.
 func NewBudget(now time.Time, percent int) *Budget {
-	b := &Budget{tokens: 1, floorAt: now.Add(floorEvery), latency: quantile{target: hedgeQuantile}}
+	b := &Budget{tokens: 1, burst: burstTokens, floorAt: now.Add(floorEvery), latency: quantile{target: hedgeQuantile}}
 	b.SetPercent(percent)
 	return b
 }
@@ -43,6 +45,12 @@
 	}
 }
 
+// SetBurst changes the most that the budget saves up.
+func (b *Budget) SetBurst(tokens float64) {
+	b.burst = max(tokens, 1)
+	b.tokens = min(b.tokens, b.burst)
+}
+
 // Offered counts a request that arrived, before its first attempt. One that
 // belongs to a retry of a node nearer the caller earns no retries, so that
 // the budgets of a chain of calls add up and do not multiply.
@@ -64,7 +72,7 @@
 	b.deposit(1)
 }
 
-func (b *Budget) deposit(tokens float64) { b.tokens = min(b.tokens+tokens, burstTokens) }
+func (b *Budget) deposit(tokens float64) { b.tokens = min(b.tokens+tokens, b.burst) }
 
 // spend takes a token and tells whether there was one beside the reserve.
 func (b *Budget) spend(now time.Time, reserve float64) bool {
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -16,6 +16,8 @@
 	Bulk bool
 	// Attempts is how often the request was sent; at least 1.
 	Attempts int
+	// MaxAttempts bounds Attempts; 0 means maxAttempts.
+	MaxAttempts int
 	// TargetsLeft is how many targets were not tried yet.
 	TargetsLeft int
 	// RetriedAbove tells that the request belongs to a retry of a node nearer the caller.
@@ -88,7 +90,7 @@
 		return ReasonRetriedAbove
 	case !s.Replayable:
 		return ReasonBodySent
-	case s.Attempts >= maxAttempts:
+	case s.Attempts >= s.attemptLimit():
 		return ReasonAttempts
 	case s.TargetsLeft < 1:
 		return ReasonNoTarget
@@ -96,6 +98,13 @@
 	return ReasonNone
 }
 
+func (s State) attemptLimit() int {
+	if s.MaxAttempts == 0 {
+		return maxAttempts
+	}
+	return s.MaxAttempts
+}
+
 func giveUp(now time.Time, r Reason) Action {
 	return Action{Verb: VerbGiveUp, At: now, Reason: r}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -45,6 +45,8 @@
 type Request struct {
 	Service string
 	Class   snapshotter.Class
+	// Bytes of the request and its answer, as far as they can be told beforehand.
+	Bytes int
 	// Tried names the hosts that this request was sent to before; none is chosen again.
 	Tried []string
 	// Explain asks for a full Explanation; without it nothing is allocated.
@@ -111,6 +113,8 @@
 	Latency time.Duration
 	// Load that came with the answer; nil when none came.
 	Load *limiter.Load
+	// Failed tells that the target's answer was a failure of its own.
+	Failed bool
 	// Cancelled tells that this node ended the attempt: the caller went away, its
 	// time was over, or another attempt was quicker.
 	Cancelled bool
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -16,8 +16,6 @@
 	// clearlyLess is the part of the best cost that a later sample must be
 	// below. Targets of about the same cost share the requests.
 	clearlyLess = 0.95
-	// spillFactor is how much cheaper a farther target must be than a nearer one without room.
-	spillFactor = 1.5
 )
 
 // Table is what a node has seen of targets. It is not safe for concurrent use.
@@ -39,7 +37,7 @@
 	for low := 0; low < len(candidates); {
 		high := endOfDistance(candidates, low)
 		s.sample(low, high, rnd)
-		if s.best >= 0 && s.bestRoom {
+		if s.best >= 0 && s.bestRoom && s.bestSlowness < avoidFrom {
 			break
 		}
 		low = high
@@ -114,6 +112,8 @@
 	bestCost float64
 	// bestRoom tells that the best candidate is believed to have a free slot.
 	bestRoom bool
+	// bestSlowness of the best candidate.
+	bestSlowness float64
 	// sampled holds the indices that were compared, of every distance.
 	sampled [3 * sampleSize]int
 	count   int
@@ -149,12 +149,9 @@
 	}
 	s.sampled[s.count] = i
 	s.count++
-	cost, room := x.cost(s.now, c, s.level)
-	if s.best >= 0 && c.Distance > s.candidates[s.best].Distance {
-		cost *= spillFactor
-	}
+	cost, room := x.cost(s.now, c, s.level, s.request.Bytes)
 	if s.best < 0 || cost < s.bestCost*clearlyLess {
-		s.best, s.bestCost, s.bestRoom = i, cost, room
+		s.best, s.bestCost, s.bestRoom, s.bestSlowness = i, cost, room, x.slowness(s.now, s.level)
 	}
 	return true
 }
@@ -210,7 +207,7 @@
 		d.Rejection = s.passedOver(i)
 	}
 	if slices.Contains(s.sampled[:s.count], i) {
-		d.Cost, _ = x.cost(s.now, c, s.level)
+		d.Cost, _ = x.cost(s.now, c, s.level, s.request.Bytes)
 	}
 	return d
 }
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -37,6 +37,24 @@
 	failurePause = 50 * time.Millisecond
 	// coldDivisor of the announced slots is what a cold target is believed to have.
 	coldDivisor = 5
+	// unknownService stands for the service time of a service of which nothing was seen.
+	unknownService = 50 * time.Millisecond
+	// crowding is the part of the service time that a target with all slots in use adds.
+	crowding = 0.5
+	// crossingCost is what a request costs that goes to another data centre, and
+	// crossingPerKB what each 1,000 bytes of it and its answer add.
+	crossingCost  = 2 * time.Millisecond
+	crossingPerKB = 10 * time.Millisecond
+	// farFactor multiplies them for another region.
+	farFactor = 4
+	// leastSlowness bounds how much cheaper a fast target is.
+	leastSlowness = 0.5
+	// failWeight of one attempt in the share of failed ones, failFades the time
+	// in which that share falls to a third, and failCost the factor by which a
+	// target that fails everything costs more.
+	failWeight = 0.1
+	failFades  = 3 * time.Second
+	failCost   = 20.0
 	// oldAfter is the age at which knowledge of a remote candidate doubles its cost.
 	oldAfter = 10 * time.Second
 	// mostDoubt bounds the factor of that age.
@@ -69,6 +87,9 @@
 	refusals [classCount]time.Time
 	// failures in a row.
 	failures int
+	// failing is the smoothed share of attempts that the target failed, as of judged.
+	failing float64
+	judged  time.Time
 }
 
 func (x *target) started(now time.Time) {
@@ -86,6 +107,7 @@
 	}
 	x.inFlight = max(x.inFlight-1, 0)
 	x.progressed = now
+	x.judge(now, r)
 	switch {
 	case r.Outcome == retrier.OutcomeDone:
 		x.failures = 0
@@ -98,6 +120,28 @@
 	}
 }
 
+// judge follows how often the target fails what it is given. A refusal by its node does not count.
+func (x *target) judge(now time.Time, r Result) {
+	if r.Cancelled || r.Outcome == retrier.OutcomeNotRun && !r.Failed {
+		return
+	}
+	sample := 0.0
+	if r.Failed || r.Outcome != retrier.OutcomeDone {
+		sample = 1
+	}
+	x.failing = x.failShare(now)
+	x.failing += failWeight * (sample - x.failing)
+	x.judged = now
+}
+
+// failShare returns the share of failed attempts; what was seen long ago counts less.
+func (x *target) failShare(now time.Time) float64 {
+	if x == nil {
+		return 0
+	}
+	return x.failing * fade(now.Sub(x.judged), failFades)
+}
+
 func (x *target) sample(now time.Time, l *level, r Result) {
 	if r.Class == snapshotter.ClassBulk {
 		return
@@ -147,10 +191,10 @@
 	return x != nil && x.load.Draining && now.Before(x.reported.Add(drainTrusted))
 }
 
-// cost is lower for better candidates: the share of the slots in use with this
-// request added, times the target's slowness. The second result tells whether
-// a slot is believed to be free.
-func (x *target) cost(now time.Time, c *Candidate, l *level) (float64, bool) {
+// cost is the time, in nanoseconds, that an answer is likely to take, with what
+// crossing data centres and failures are worth added. The second result tells
+// whether a slot is believed to be free.
+func (x *target) cost(now time.Time, c *Candidate, l *level, bytes int) (float64, bool) {
 	slots := float64(max(c.Slots, 1))
 	if c.Cold {
 		slots = max(slots/coldDivisor, 1)
@@ -163,8 +207,34 @@
 			slots += weight * (float64(x.load.Slots) - slots)
 		}
 	}
-	cost := (pending + 1) / slots * aversion(x.slowness(now, l))
-	return cost * doubt(now, c), pending+1 <= slots
+	service := usualService(l) * aversion(x.slowness(now, l))
+	cost := service * (1 + crowding*min((pending+1)/slots, 1) + max(pending+1-slots, 0)/slots)
+	cost *= 1 + failCost*x.failShare(now)
+	return cost*doubt(now, c) + crossing(c, bytes), pending+1 <= slots
+}
+
+// usualService returns the service time that is usual at a service, in nanoseconds.
+func usualService(l *level) float64 {
+	switch {
+	case l == nil || l.latency == 0:
+		return float64(unknownService)
+	case l.service > 0:
+		return l.service
+	default:
+		return l.latency
+	}
+}
+
+// crossing returns what leaving this node's data centre costs, in nanoseconds.
+func crossing(c *Candidate, bytes int) float64 {
+	if c.Distance == 0 {
+		return 0
+	}
+	cost := float64(crossingCost) + float64(crossingPerKB)*float64(bytes)/1000
+	if c.Distance > 1 {
+		return cost * farFactor
+	}
+	return cost
 }
 
 // doubt returns the factor by which the age of what is known of a candidate in
@@ -190,7 +260,7 @@
 	if x.inFlight > 0 {
 		slow = max(slow, float64(now.Sub(x.progressed))/l.latency)
 	}
-	return min(max(slow, 1), slownessClip)
+	return min(max(slow, leastSlowness), slownessClip)
 }
 
 // aversion returns the factor by which slowness raises the cost: itself up to
--- /dev/null
+++ b/internal/subscriber/stream.go
@@ -0,0 +1,194 @@
+package subscriber
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/encoder"
+	"gentianbarrow.example/internal/linker"
+	"gentianbarrow.example/internal/logger"
+	"gentianbarrow.example/internal/poller"
+	"gentianbarrow.example/internal/wirepb"
+)
+
+// openTimeout bounds the opening of a stream.
+const openTimeout = 1 * time.Second
+
+// MistakenError tells that another node answers at an address.
+type MistakenError struct{ Want, Got string }
+
+func (e *MistakenError) Error() string {
+	return fmt.Sprintf("node at the address is %q, not %q", e.Got, e.Want)
+}
+
+// phases of targets on the wire.
+var phases = map[blackboard.TargetPhase]wirepb.TargetState{
+	blackboard.TargetNone:     wirepb.TargetState_TARGET_STATE_NONE,
+	blackboard.TargetCold:     wirepb.TargetState_TARGET_STATE_COLD,
+	blackboard.TargetReady:    wirepb.TargetState_TARGET_STATE_READY,
+	blackboard.TargetDraining: wirepb.TargetState_TARGET_STATE_DRAINING,
+	blackboard.TargetFailed:   wirepb.TargetState_TARGET_STATE_FAILED,
+}
+
+func phaseOf(state wirepb.TargetState) blackboard.TargetPhase {
+	for phase, s := range phases {
+		if s == state {
+			return phase
+		}
+	}
+	return blackboard.TargetNone
+}
+
+// follow keeps a stream to a node until another effect replaces or ends it.
+func (b *Subscriber) follow(ctx context.Context, e subscribe, post blackboard.Post) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	b.replace(e.host, stream{address: e.address, cancel: cancel})
+	for failures := 0; ctx.Err() == nil; {
+		received, err := b.receive(ctx, e, post)
+		if ctx.Err() != nil {
+			return
+		}
+		if received {
+			failures = 0
+		}
+		failures++
+		var mistaken *MistakenError
+		var timeout net.Error
+		post(blackboard.NodeLost{
+			Host: e.host, Address: e.address, Now: b.cfg.Now(),
+			Silent: errors.As(err, &timeout) && timeout.Timeout(), Mistaken: errors.As(err, &mistaken),
+		})
+		if mistaken != nil {
+			b.cfg.Log.Write(logger.NodeMistaken, logger.Fields{Host: e.host, Peer: e.address, Err: err})
+			return
+		}
+		poller.Sleep(ctx, poller.Pause(failures))
+	}
+}
+
+func (b *Subscriber) replace(host string, s stream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if old, ok := b.following[host]; ok {
+		old.cancel()
+	}
+	b.following[host] = s
+}
+
+func (b *Subscriber) end(host string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if old, ok := b.following[host]; ok {
+		old.cancel()
+		delete(b.following, host)
+	}
+}
+
+// receive opens a stream and posts each update until it ends, and tells whether any came.
+func (b *Subscriber) receive(ctx context.Context, e subscribe, post blackboard.Post) (received bool, err error) {
+	opening, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	s, err := b.cfg.Open(opening, e.address)
+	if err != nil {
+		return false, err
+	}
+	defer s.Abort()
+	stop := context.AfterFunc(ctx, s.Abort)
+	defer stop()
+	o, _ := b.own()
+	request := &wirepb.SubscribeRequest{Self: encodeRecord(b.cfg.Self), Host: e.host, Known: encodeRecords(o.known)}
+	if err := encoder.Write(s, request, encoder.MaxControlBytes); err != nil {
+		return false, err
+	}
+	for {
+		if err := s.SetReadDeadline(time.Now().Add(silentAfter)); err != nil {
+			return received, err
+		}
+		var m wirepb.NodeUpdate
+		if err := encoder.Read(s.Reader, &m, encoder.MaxControlBytes); err != nil {
+			return received, err
+		}
+		if m.GetHost() != e.host {
+			return received, &MistakenError{Want: e.host, Got: m.GetHost()}
+		}
+		received = true
+		b.take(&m, post)
+	}
+}
+
+func (b *Subscriber) take(m *wirepb.NodeUpdate, post blackboard.Post) {
+	now := b.cfg.Now()
+	if known := decodeRecords(m.GetKnown()); len(known) > 0 {
+		post(blackboard.NodesFound{Nodes: known, Now: now})
+	}
+	post(blackboard.NodeUpdated{
+		Host: m.GetHost(), Incarnation: m.GetIncarnation(), Draining: m.GetDraining(), Version: m.GetVersion(),
+		Target: blackboard.TargetRecord{
+			Service: m.GetService(), Phase: phaseOf(m.GetTarget()), Slots: int(m.GetSlots()), Revision: m.GetRevision(),
+		},
+		Now: now,
+	})
+}
+
+// Serve sends this node's updates to a subscriber until the stream ends.
+func (b *Subscriber) Serve(ctx context.Context, s *linker.Stream) {
+	var request wirepb.SubscribeRequest
+	if s.SetReadDeadline(time.Now().Add(openTimeout)) != nil {
+		return
+	}
+	if err := encoder.Read(s.Reader, &request, encoder.MaxControlBytes); err != nil {
+		return
+	}
+	if request.GetHost() == b.cfg.Self.Host {
+		found := decodeRecords(append(request.GetKnown(), request.GetSelf()))
+		b.cfg.Post(blackboard.NodesFound{Nodes: found, Now: b.cfg.Now()})
+	}
+	stop := context.AfterFunc(ctx, s.Abort)
+	defer stop()
+	told := map[string]bool{}
+	for _, n := range request.GetKnown() {
+		told[n.GetHost()] = true
+	}
+	b.send(ctx, s, told)
+}
+
+// send writes updates until the stream ends. Nodes in told are known to the subscriber.
+func (b *Subscriber) send(ctx context.Context, s *linker.Stream, told map[string]bool) {
+	ticker := time.NewTicker(updateEvery)
+	defer ticker.Stop()
+	for {
+		o, changed := b.own()
+		if s.SetWriteDeadline(time.Now().Add(silentAfter)) != nil {
+			return
+		}
+		if err := encoder.Write(s, b.encode(o, told), encoder.MaxControlBytes); err != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (b *Subscriber) encode(o own, told map[string]bool) *wirepb.NodeUpdate {
+	t := &o.state.Target
+	m := &wirepb.NodeUpdate{
+		Host: b.cfg.Self.Host, Incarnation: b.cfg.Incarnation, Draining: o.state.Draining, Version: o.state.Version,
+		Service: t.Service, Target: phases[t.Phase], Slots: uint32(t.Slots), Revision: t.Revision,
+	}
+	for _, n := range o.known {
+		if !told[n.Host] {
+			told[n.Host] = true
+			m.Known = append(m.Known, encodeRecord(n))
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/internal/subscriber/subscriber.go
@@ -0,0 +1,290 @@
+// Package subscriber keeps what this node knows of the others: it owns the
+// entry Members where each node has one stream to each other one. A node
+// streams its own state to those that subscribe to it, at once when it changes
+// and otherwise once a second, so that a change arrives within a round trip
+// and silence is noticed within two seconds and a half.
+//
+// A subscriber tells who it is and whom it knows. A node that restarts while
+// the platform is away is found again that way by those that know its address.
+package subscriber
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/linker"
+	"gentianbarrow.example/internal/logger"
+	"gentianbarrow.example/internal/wirepb"
+)
+
+// StreamKind names the protocol.
+const StreamKind = "node-updates"
+
+const (
+	// updateEvery is the longest time between two updates.
+	updateEvery = 1 * time.Second
+	// silentAfter is how long a node may send no update before it counts as silent.
+	silentAfter = 2500 * time.Millisecond
+	// mostKnown bounds the nodes named in one message.
+	mostKnown = 4096
+)
+
+// Config holds what a subscriber needs.
+type Config struct {
+	Self        blackboard.NodeRecord
+	Incarnation uint64
+	// Open starts a stream to another node.
+	Open func(ctx context.Context, address string) (*linker.Stream, error)
+	// Post hands messages of the serving side to the board.
+	Post blackboard.Post
+	// Now returns the time of messages.
+	Now func() time.Time
+	Log *logger.Logger
+}
+
+// Subscriber is both ends of the protocol.
+type Subscriber struct {
+	cfg Config
+
+	mu sync.Mutex
+	// update is what this node says of itself. Guarded by mu.
+	update own
+	// order of update among all that were published. Guarded by mu.
+	order uint64
+	// changed is closed and replaced with update. Guarded by mu.
+	changed chan struct{}
+	// following ends the stream to each node. Guarded by mu.
+	following map[string]stream
+}
+
+// stream is a subscription under way.
+type stream struct {
+	address string
+	cancel  context.CancelFunc
+}
+
+// own is what a node says of itself.
+type own struct {
+	state blackboard.NodeState
+	// known names the nodes that this node knows; replaced when it learns of another.
+	known []blackboard.NodeRecord
+}
+
+// New returns a subscriber. Register Serve with the linker under StreamKind.
+func New(cfg Config) *Subscriber {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Subscriber{cfg: cfg, changed: make(chan struct{}), following: map[string]stream{}}
+}
+
+// Effects of this controller.
+type (
+	// subscribe replaces the stream to a host.
+	subscribe struct{ host, address string }
+	// forget ends it.
+	forget struct{ host string }
+	// publish carries the order of the update, since effects may run in any order.
+	publish struct {
+		update own
+		order  uint64
+	}
+	// report logs a change of what is believed of a node.
+	report struct {
+		event        logger.Event
+		host, reason string
+		version      uint64
+	}
+)
+
+// Controller returns the controller that owns the entry Members. It stands
+// after those that write Life, Config and Target, and passes their changes on.
+func (b *Subscriber) Controller() blackboard.Controller {
+	return blackboard.Controller{Name: "subscriber", Reduce: b.reduce, Run: b.run}
+}
+
+func (b *Subscriber) reduce(s blackboard.State, msg blackboard.Msg) (blackboard.State, []blackboard.Effect) {
+	var effects []blackboard.Effect
+	switch msg := msg.(type) {
+	case blackboard.NodesFound:
+		s, effects = found(s, msg)
+	case blackboard.NodeRemoved:
+		s, effects = removed(s, msg.Host)
+	case blackboard.NodeUpdated:
+		s, effects = updated(s, msg)
+	case blackboard.NodeLost:
+		s, effects = lost(s, msg)
+	}
+	if state := stateOf(&s); state != s.Members.Told {
+		s.Members.Told = state
+		s.Members.Tellings++
+		effects = append(effects, publish{update: own{state: state, known: s.Members.Known}, order: s.Members.Tellings})
+	}
+	return s, effects
+}
+
+func stateOf(s *blackboard.State) blackboard.NodeState {
+	n := blackboard.NodeState{
+		Draining: s.Life.Phase == blackboard.LifeDraining || s.Life.Phase == blackboard.LifeStopped,
+		Target:   s.Target.Record, Known: len(s.Members.Known),
+	}
+	if s.Config.Running != nil {
+		n.Version = s.Config.Running.Version
+	}
+	return n
+}
+
+// found adds nodes, and follows those whose address is new.
+func found(s blackboard.State, msg blackboard.NodesFound) (blackboard.State, []blackboard.Effect) {
+	var effects []blackboard.Effect
+	var members map[string]blackboard.Member
+	for _, n := range msg.Nodes {
+		old, known := s.Members.ByHost[n.Host]
+		if n.Host == s.Self.Host || n.Address == s.Self.Address || known && old.Address == n.Address {
+			continue
+		}
+		if members == nil {
+			members = cloned(s.Members.ByHost)
+		}
+		members[n.Host] = blackboard.Member{
+			Host: n.Host, Address: n.Address, DataCentre: n.DataCentre, Region: n.Region,
+			Status: blackboard.MemberDead, Changed: msg.Now,
+		}
+		effects = append(effects, subscribe{host: n.Host, address: n.Address})
+	}
+	if members != nil {
+		s.Members.ByHost = members
+		s.Members.Known = records(members)
+	}
+	return s, effects
+}
+
+func cloned(members map[string]blackboard.Member) map[string]blackboard.Member {
+	if members == nil {
+		return map[string]blackboard.Member{}
+	}
+	return maps.Clone(members)
+}
+
+func records(members map[string]blackboard.Member) []blackboard.NodeRecord {
+	list := make([]blackboard.NodeRecord, 0, len(members))
+	for _, host := range slices.Sorted(maps.Keys(members)) {
+		m := members[host]
+		list = append(list, blackboard.NodeRecord{Host: m.Host, Address: m.Address, DataCentre: m.DataCentre, Region: m.Region})
+	}
+	return list
+}
+
+func removed(s blackboard.State, host string) (blackboard.State, []blackboard.Effect) {
+	if _, known := s.Members.ByHost[host]; !known {
+		return s, nil
+	}
+	members := cloned(s.Members.ByHost)
+	delete(members, host)
+	s.Members.ByHost, s.Members.Known = members, records(members)
+	return s, []blackboard.Effect{forget{host: host}}
+}
+
+// updated takes in what a node says of itself.
+func updated(s blackboard.State, msg blackboard.NodeUpdated) (blackboard.State, []blackboard.Effect) {
+	m, known := s.Members.ByHost[msg.Host]
+	if !known {
+		return s, nil
+	}
+	next := m
+	next.Status, next.Incarnation, next.Target = blackboard.MemberAlive, msg.Incarnation, msg.Target
+	if msg.Draining {
+		next.Target.Phase = blackboard.TargetDraining
+	}
+	if next == m {
+		return s, nil
+	}
+	next.Changed = msg.Now
+	s.Members.ByHost = cloned(s.Members.ByHost)
+	s.Members.ByHost[msg.Host] = next
+	return s, []blackboard.Effect{report{
+		event: logger.NodeChanged, host: msg.Host, reason: string(next.Target.Phase), version: msg.Version,
+	}}
+}
+
+// lost keeps the node, since it may come back at its address, but sends it
+// nothing. A node that was replaced by another one at its address is forgotten.
+func lost(s blackboard.State, msg blackboard.NodeLost) (blackboard.State, []blackboard.Effect) {
+	m, known := s.Members.ByHost[msg.Host]
+	if !known || m.Address != msg.Address {
+		return s, nil
+	}
+	if msg.Mistaken {
+		return removed(s, msg.Host)
+	}
+	status := blackboard.MemberDead
+	if msg.Silent {
+		status = blackboard.MemberSuspect
+	}
+	if m.Status == status || m.Status == blackboard.MemberDead {
+		return s, nil
+	}
+	m.Status, m.Changed = status, msg.Now
+	s.Members.ByHost = cloned(s.Members.ByHost)
+	s.Members.ByHost[msg.Host] = m
+	return s, []blackboard.Effect{report{event: logger.NodeGone, host: msg.Host, reason: string(status)}}
+}
+
+func (b *Subscriber) run(ctx context.Context, e blackboard.Effect, post blackboard.Post) {
+	switch e := e.(type) {
+	case subscribe:
+		b.follow(ctx, e, post)
+	case forget:
+		b.end(e.host)
+	case publish:
+		b.publish(e)
+	case report:
+		b.cfg.Log.Write(e.event, logger.Fields{Host: e.host, Reason: e.reason, Version: e.version})
+	}
+}
+
+func (b *Subscriber) publish(e publish) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e.order < b.order {
+		return
+	}
+	b.update, b.order = e.update, e.order
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+func (b *Subscriber) own() (own, <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.update, b.changed
+}
+
+func encodeRecords(list []blackboard.NodeRecord) []*wirepb.NodeRecord {
+	out := make([]*wirepb.NodeRecord, 0, min(len(list), mostKnown))
+	for _, n := range list[:min(len(list), mostKnown)] {
+		out = append(out, encodeRecord(n))
+	}
+	return out
+}
+
+func encodeRecord(n blackboard.NodeRecord) *wirepb.NodeRecord {
+	return &wirepb.NodeRecord{Host: n.Host, Address: n.Address, DataCentre: n.DataCentre, Region: n.Region}
+}
+
+func decodeRecords(list []*wirepb.NodeRecord) []blackboard.NodeRecord {
+	out := make([]blackboard.NodeRecord, 0, len(list))
+	for _, n := range list {
+		if n.GetHost() == "" || n.GetAddress() == "" {
+			continue
+		}
+		out = append(out, blackboard.NodeRecord{
+			Host: n.GetHost(), Address: n.GetAddress(), DataCentre: n.GetDataCentre(), Region: n.GetRegion(),
+		})
+	}
+	return out
+}
--- a/internal/targeter/targeter.go
+++ b/internal/targeter/targeter.go
@@ -15,7 +15,6 @@
 	"sync"
 	"time"
 
-	"gentianbarrow.example/internal/dispatcher"
 	"gentianbarrow.example/internal/exchanger"
 )
 
@@ -248,7 +247,7 @@
 	w.Header().Set(exchanger.HeaderRequestID, id)
 	fault, ok := t.begin(id)
 	if !ok {
-		w.Header().Set(dispatcher.HeaderShed, dispatcher.ShedNotRun)
+		w.Header().Set(exchanger.HeaderShed, exchanger.ShedNotRun)
 		if fault == FaultShedBelow {
 			w.Header().Set(exchanger.HeaderRetried, "true")
 		}
--- a/pkg/snapshotter/apply.go
+++ b/pkg/snapshotter/apply.go
@@ -26,6 +26,7 @@
 	return &Snapshot{
 		Version:         s.Version,
 		RemovedFloor:    s.RemovedFloor,
+		Callers:         s.Callers,
 		Services:        cloneMap(s.Services),
 		Routes:          cloneMap(s.Routes),
 		RemovedServices: cloneMap(s.RemovedServices),
@@ -193,14 +194,30 @@
 	own := touchedNames(c).routes
 	for _, name := range slices.Sorted(maps.Keys(next.Routes)) {
 		r := next.Routes[name]
-		if !slices.Contains(c.RemoveServices, r.Service) || slices.Contains(own, name) {
+		if slices.Contains(own, name) {
 			continue
 		}
-		v.add(RefusedError{
-			Rule: RuleStillRouted, Resource: serviceLabel(r.Service), Field: "remove-services", Ticket: r.Ticket,
-			Detail: fmt.Sprintf("route %s still sends requests to it", name),
-		})
+		for _, service := range r.services() {
+			if slices.Contains(c.RemoveServices, service) {
+				v.add(RefusedError{
+					Rule: RuleStillRouted, Resource: serviceLabel(service), Field: "remove-services", Ticket: r.Ticket,
+					Detail: fmt.Sprintf("route %s still sends requests to it", name),
+				})
+			}
+		}
+	}
+}
+
+// services names every service that the route sends requests to.
+func (r Route) services() []string {
+	if len(r.Split) == 0 {
+		return []string{r.Service}
+	}
+	names := make([]string, 0, len(r.Split))
+	for _, s := range r.Split {
+		names = append(names, s.Service)
 	}
+	return names
 }
 
 func setServices(next *Snapshot, services []Service, ticket uint64) {
@@ -215,6 +232,7 @@
 	for _, r := range routes {
 		r.Ticket = ticket
 		r.Methods = slices.Clone(r.Methods)
+		r.Split = slices.Clone(r.Split)
 		next.Routes[r.Name] = r
 		delete(next.RemovedRoutes, r.Name)
 	}
--- a/pkg/snapshotter/apply_test.go
+++ b/pkg/snapshotter/apply_test.go
@@ -205,7 +205,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.method+" "+c.path, func(t *testing.T) {
-			r, service, ok := Match(s, c.method, c.path)
+			r, service, ok := Match(s, "", c.method, c.path)
 			assert.Equal(t, ok, c.want != "")
 			if ok {
 				assert.Equal(t, r.Name, c.want)
@@ -214,10 +214,10 @@
 		})
 	}
 	t.Run("no route", func(t *testing.T) {
-		_, _, ok := Match(frothvik(t), "GET", "/parts")
+		_, _, ok := Match(frothvik(t), "", "GET", "/parts")
 		assert.Assert(t, !ok)
 	})
 	t.Run("nothing is allocated", func(t *testing.T) {
-		assert.Equal(t, testing.AllocsPerRun(100, func() { Match(s, "GET", "/media/1/2/3") }), 0.0)
+		assert.Equal(t, testing.AllocsPerRun(100, func() { Match(s, "", "GET", "/media/1/2/3") }), 0.0)
 	})
 }
--- a/pkg/snapshotter/bench_test.go
+++ b/pkg/snapshotter/bench_test.go
@@ -86,7 +86,7 @@
 	})
 	b.Run("match", func(b *testing.B) {
 		for b.Loop() {
-			_, _, ok := Match(next, "GET", "/paza-trecerii-unite-service-1234/0/this/morning")
+			_, _, ok := Match(next, "", "GET", "/paza-trecerii-unite-service-1234/0/this/morning")
 			assert.Assert(b, ok)
 		}
 	})
--- a/pkg/snapshotter/codec.go
+++ b/pkg/snapshotter/codec.go
@@ -123,7 +123,8 @@
 	for i, n := range []int{s.Slots, s.Connections, s.Queue, s.BulkPercent, s.UrgentSlots, s.RetryPercent} {
 		b = appendNumber(b, protowire.Number(3+i), uint64(n))
 	}
-	return appendNumber(b, 9, s.Ticket)
+	b = appendNumber(b, 9, s.Ticket)
+	return appendString(b, 10, s.HealthPath)
 }
 
 func appendRoute(b []byte, r Route) []byte {
@@ -136,7 +137,26 @@
 	b = appendString(b, 5, string(r.Class))
 	b = appendNumber(b, 6, protowire.EncodeBool(r.Idempotent))
 	b = appendNumber(b, 7, uint64(r.TimeoutMs))
-	return appendNumber(b, 8, r.Ticket)
+	b = appendNumber(b, 8, r.Ticket)
+	b = appendString(b, 9, r.Host)
+	for _, s := range r.Split {
+		b = appendBytes(b, 10, appendNumber(appendString(nil, 1, s.Service), 2, uint64(s.Weight)))
+	}
+	b = appendNumber(b, 11, uint64(r.MaxAttempts))
+	b = appendNumber(b, 12, uint64(r.TargetLatencyMs))
+	return appendNumber(b, 13, uint64(r.Priority))
+}
+
+// appendCallers writes the limits as field n, unless nothing is set.
+func appendCallers(b []byte, n protowire.Number, c CallerLimits) []byte {
+	if c == (CallerLimits{}) {
+		return b
+	}
+	var item []byte
+	for i, v := range []int{c.HeaderBytes, c.BodyBytes, c.HeaderTimeoutMs, c.IdleTimeoutMs} {
+		item = appendNumber(item, protowire.Number(1+i), uint64(v))
+	}
+	return appendBytes(b, n, item)
 }
 
 func appendTombstone(b []byte, t tombstone) []byte {
@@ -181,7 +201,8 @@
 func EncodeSnapshot(s *Snapshot) []byte {
 	b := appendNumber(nil, 1, s.Version)
 	b = appendNumber(b, 2, s.RemovedFloor)
-	return appendBytes(b, 3, whole(s).encode())
+	b = appendBytes(b, 3, whole(s).encode())
+	return appendCallers(b, 4, s.Callers)
 }
 
 // DecodeSnapshot reads a whole snapshot. It returns *MalformedError; it does not validate.
@@ -197,6 +218,9 @@
 	s := Empty()
 	s.Version = m.GetVersion()
 	s.RemovedFloor = m.GetRemovedFloor()
+	if s.Callers, err = decodeCallers(m.GetCallers()); err != nil {
+		return nil, &MalformedError{Subject: "snapshot", Cause: err}
+	}
 	c.addTo(s)
 	return s, nil
 }
--- a/pkg/snapshotter/decode.go
+++ b/pkg/snapshotter/decode.go
@@ -54,6 +54,7 @@
 		UrgentSlots:  d.number("urgent-slots", p.GetUrgentSlots()),
 		RetryPercent: d.number("retry-percent", p.GetRetryPercent()),
 		Ticket:       p.GetTicket(),
+		HealthPath:   p.GetHealthPath(),
 	}
 	return s, d.err
 }
@@ -69,6 +70,25 @@
 		Idempotent: p.GetIdempotent(),
 		TimeoutMs:  d.number("timeout-ms", p.GetTimeoutMs()),
 		Ticket:     p.GetTicket(),
+
+		Host:            p.GetHost(),
+		MaxAttempts:     d.number("max-attempts", p.GetMaxAttempts()),
+		TargetLatencyMs: d.number("target-latency-ms", p.GetTargetLatencyMs()),
+		Priority:        d.number("priority", p.GetPriority()),
+	}
+	for _, s := range p.GetSplit() {
+		r.Split = append(r.Split, Share{Service: s.GetService(), Weight: d.number("weight", s.GetWeight())})
 	}
 	return r, d.err
 }
+
+func decodeCallers(p *wirepb.CallerLimits) (CallerLimits, error) {
+	var d small
+	c := CallerLimits{
+		HeaderBytes:     d.number("header-bytes", p.GetHeaderBytes()),
+		BodyBytes:       d.number("body-bytes", p.GetBodyBytes()),
+		HeaderTimeoutMs: d.number("header-timeout-ms", p.GetHeaderTimeoutMs()),
+		IdleTimeoutMs:   d.number("idle-timeout-ms", p.GetIdleTimeoutMs()),
+	}
+	return c, d.err
+}
--- a/pkg/snapshotter/delta.go
+++ b/pkg/snapshotter/delta.go
@@ -23,6 +23,7 @@
 	// Digest is that of the result.
 	Digest       Digest
 	RemovedFloor uint64
+	Callers      CallerLimits
 	Services     []Service
 	Routes       []Route
 	// RemovedServices and Services name no resource in common; likewise for routes.
@@ -35,6 +36,7 @@
 	d := &Delta{
 		BaseVersion: base.Version, BaseDigest: base.Digest(),
 		Version: next.Version, Digest: next.Digest(), RemovedFloor: next.RemovedFloor,
+		Callers: next.Callers,
 	}
 	for name, s := range next.Services {
 		if old, ok := base.Services[name]; !ok || old != s {
@@ -59,6 +61,11 @@
 		a.Class == b.Class &&
 		a.Idempotent == b.Idempotent &&
 		a.TimeoutMs == b.TimeoutMs &&
+		a.Host == b.Host &&
+		slices.Equal(a.Split, b.Split) &&
+		a.MaxAttempts == b.MaxAttempts &&
+		a.TargetLatencyMs == b.TargetLatencyMs &&
+		a.Priority == b.Priority &&
 		a.Ticket == b.Ticket
 }
 
@@ -97,6 +104,7 @@
 	next := clone(base)
 	next.Version = d.Version
 	next.RemovedFloor = d.RemovedFloor
+	next.Callers = d.Callers
 	for _, s := range d.Services {
 		next.Services[s.Name] = s
 		delete(next.RemovedServices, s.Name)
@@ -159,7 +167,8 @@
 	b = appendBytes(b, 3, d.BaseDigest[:])
 	b = appendBytes(b, 4, d.Digest[:])
 	b = appendNumber(b, 5, d.RemovedFloor)
-	return appendBytes(b, 6, c.encode())
+	b = appendBytes(b, 6, c.encode())
+	return appendCallers(b, 7, d.Callers)
 }
 
 func (r Removal) asTombstone() tombstone { return tombstone{name: r.Name, ticket: r.Ticket} }
@@ -178,6 +187,9 @@
 		BaseVersion: m.GetBaseVersion(), Version: m.GetVersion(), RemovedFloor: m.GetRemovedFloor(),
 		Services: c.services, Routes: c.routes,
 	}
+	if d.Callers, err = decodeCallers(m.GetCallers()); err != nil {
+		return nil, &MalformedError{Subject: "delta", Cause: err}
+	}
 	for _, t := range c.removedServices {
 		d.RemovedServices = append(d.RemovedServices, Removal{t.name, t.ticket})
 	}
--- a/pkg/snapshotter/delta_test.go
+++ b/pkg/snapshotter/delta_test.go
@@ -98,7 +98,7 @@
 			case reflect.Uint64:
 				v.SetUint(v.Uint() + 1)
 			default:
-				v.Set(reflect.ValueOf([]string{"GET"}))
+				v.Set(reflect.MakeSlice(v.Type(), 1, 1))
 			}
 			next.Routes["media"] = r
 			assert.Equal(t, len(Diff(base, next).Routes), 1)
--- a/pkg/snapshotter/match.go
+++ b/pkg/snapshotter/match.go
@@ -5,8 +5,16 @@
 	"strings"
 )
 
-// index finds the route of a path. It is never changed after it is made.
+// index finds the route of a host and path. It is never changed after it is made.
 type index struct {
+	// byHost holds the routes of each host; those of any host are under "".
+	byHost map[string]*prefixes
+	// count is how many routes the index tells apart.
+	count int
+}
+
+// prefixes finds the route of a path.
+type prefixes struct {
 	// byPrefix holds the routes by prefix without a trailing slash.
 	byPrefix map[string]matched
 	// longest is the length of the longest key.
@@ -18,15 +26,26 @@
 	service Service
 }
 
+// routeKey is what no two routes share.
+type routeKey struct{ host, prefix string }
+
 // prefixKey makes "/media" and "/media/" the same prefix.
 func prefixKey(prefix string) string { return strings.TrimSuffix(prefix, "/") }
 
 func newIndex(s *Snapshot) *index {
-	x := &index{byPrefix: make(map[string]matched, len(s.Routes))}
+	x := &index{byHost: map[string]*prefixes{}}
 	for _, r := range s.Routes {
+		p := x.byHost[r.Host]
+		if p == nil {
+			p = &prefixes{byPrefix: map[string]matched{}}
+			x.byHost[r.Host] = p
+		}
 		key := prefixKey(r.Prefix)
-		x.byPrefix[key] = matched{route: r, service: s.Services[r.Service]}
-		x.longest = max(x.longest, len(key))
+		p.byPrefix[key] = matched{route: r, service: s.Services[r.Service]}
+		p.longest = max(p.longest, len(key))
+	}
+	for _, p := range x.byHost {
+		x.count += len(p.byPrefix)
 	}
 	return x
 }
@@ -40,25 +59,41 @@
 	return x
 }
 
-// Match returns the route with the longest prefix of path, and its service. A
-// prefix ends at a slash or at the end of the path, so "/media" matches
-// "/media" and "/media/1" but not "/mediator". When that route does not take
-// the method there is no match: a shorter prefix is not tried, since it may
-// have another class or be idempotent. Match does not allocate.
-func Match(s *Snapshot, method, path string) (Route, Service, bool) {
+// Match returns the route of the host with the longest prefix of path, and its
+// service. A prefix ends at a slash or at the end of the path, so "/media"
+// matches "/media" and "/media/1" but not "/mediator"; "/media/" matches
+// "/media/1" but not "/media". When that route does not take the method there
+// is no match: a shorter prefix is not tried, since it may have another class
+// or be idempotent. Routes of any host are tried when the host has none that
+// match. Match does not allocate.
+func Match(s *Snapshot, host, method, path string) (Route, Service, bool) {
 	x := s.routes()
+	m, ok := x.byHost[host].match(path)
+	if !ok && host != "" {
+		m, ok = x.byHost[""].match(path)
+	}
+	if !ok {
+		return Route{}, Service{}, false
+	}
+	return m.route, m.service, takes(m.route.Methods, method)
+}
+
+func (p *prefixes) match(path string) (matched, bool) {
+	if p == nil {
+		return matched{}, false
+	}
 	end := len(path)
-	if end > x.longest {
-		end = boundary(path, x.longest)
+	if end > p.longest {
+		end = boundary(path, p.longest)
 	}
 	for end >= 0 {
-		m, ok := x.byPrefix[prefixKey(path[:end])]
-		if ok {
-			return m.route, m.service, takes(m.route.Methods, method)
+		m, ok := p.byPrefix[prefixKey(path[:end])]
+		if ok && strings.HasPrefix(path, m.route.Prefix) {
+			return m, true
 		}
 		end = strings.LastIndexByte(path[:end], '/')
 	}
-	return Route{}, Service{}, false
+	return matched{}, false
 }
 
 // boundary returns the last end of a path segment that is at most limit.
--- a/pkg/snapshotter/resource.go
+++ b/pkg/snapshotter/resource.go
@@ -43,26 +43,56 @@
 	UrgentSlots int `json:"urgent-slots" yaml:"urgent-slots"`
 	// RetryPercent is how many retries are allowed for each hundred requests, 0 to 100.
 	RetryPercent int `json:"retry-percent" yaml:"retry-percent"`
+	// HealthPath is where a target tells its health; empty means the path of the target's contract.
+	HealthPath string `json:"health-path,omitempty" yaml:"health-path,omitempty"`
 	// Ticket is the number of the ticket that set this resource last.
 	Ticket uint64 `json:"ticket" yaml:"-"`
 }
 
+// Share is the part of a route's requests that one service gets.
+type Share struct {
+	// Service names a service of the same snapshot.
+	Service string `json:"service" yaml:"service"`
+	// Weight is at least 1; the part is the weight over the sum of all weights.
+	Weight int `json:"weight" yaml:"weight"`
+}
+
+// CallerLimits bound what callers may send. 0 means that the node's settings decide.
+type CallerLimits struct {
+	HeaderBytes int `json:"header-bytes,omitempty"`
+	BodyBytes   int `json:"body-bytes,omitempty"`
+	// HeaderTimeoutMs is how long a caller may take to send the headers of a request, in milliseconds.
+	HeaderTimeoutMs int `json:"header-timeout-ms,omitempty"`
+	// IdleTimeoutMs is how long a connection may carry no request, in milliseconds.
+	IdleTimeoutMs int `json:"idle-timeout-ms,omitempty"`
+}
+
 // Route sends requests whose path has a prefix to a service.
 type Route struct {
 	// Name is unique and in kebab case.
 	Name string `json:"name" yaml:"name"`
-	// Prefix begins with a slash; the longest matching prefix wins, and no two routes share one.
+	// Host that requests must name; empty means any. Routes of a host go before those of any host.
+	Host string `json:"host,omitempty" yaml:"host,omitempty"`
+	// Prefix begins with a slash; the longest matching prefix wins, and no two routes of a host share one.
 	Prefix string `json:"prefix" yaml:"prefix"`
 	// Methods that the route takes; empty means all.
 	Methods []string `json:"methods,omitempty" yaml:"methods,omitempty"`
 	// Service names a service of the same snapshot.
 	Service string `json:"service" yaml:"service"`
+	// Split divides the requests among services; empty means that all go to Service, which otherwise is the first of them.
+	Split []Share `json:"split,omitempty" yaml:"split,omitempty"`
 	// Class of the requests of this route.
 	Class Class `json:"class" yaml:"class"`
 	// Idempotent tells that running a request twice is harmless. Only then is it sent again after it may have run.
 	Idempotent bool `json:"idempotent" yaml:"idempotent"`
 	// TimeoutMs is how long a request may take from its arrival, in milliseconds; at least 1.
 	TimeoutMs int `json:"timeout-ms" yaml:"timeout-ms"`
+	// MaxAttempts bounds the targets that one request is sent to; 0 means the node's own bound.
+	MaxAttempts int `json:"max-attempts,omitempty" yaml:"max-attempts,omitempty"`
+	// TargetLatencyMs is the time within which an answer has its full worth, in milliseconds; 0 when nothing is known of it.
+	TargetLatencyMs int `json:"target-latency-ms,omitempty" yaml:"target-latency-ms,omitempty"`
+	// Priority orders waiting requests of a class; 0 goes first.
+	Priority int `json:"priority,omitempty" yaml:"priority,omitempty"`
 	// Ticket is the number of the ticket that set this resource last.
 	Ticket uint64 `json:"ticket" yaml:"-"`
 }
@@ -83,6 +113,8 @@
 	// RemovedFloor is at least the ticket of every removal that is no longer
 	// listed. A ticket not above it cannot set a resource that does not exist.
 	RemovedFloor uint64 `json:"removed-floor,omitempty"`
+	// Callers bounds what callers may send.
+	Callers CallerLimits `json:"callers,omitzero"`
 
 	// index is made on first use from Routes and Services.
 	index atomic.Pointer[index]
--- a/pkg/snapshotter/validate.go
+++ b/pkg/snapshotter/validate.go
@@ -16,6 +16,10 @@
 	MaxConnections = 1_000_000
 	MaxQueue       = 1_000_000
 	MaxTimeoutMs   = 24 * 60 * 60 * 1000
+	MaxAttempts    = 1000
+	MaxPriority    = 1000
+	MaxWeight      = 1_000_000
+	MaxHostBytes   = 255
 	// MaxRefusals is how many violations one RefusedError lists.
 	MaxRefusals = 20
 )
@@ -150,12 +154,25 @@
 		v.limit(label, "urgent-slots", s.UrgentSlots, 0, s.Slots-1)
 	}
 	v.limit(label, "retry-percent", s.RetryPercent, 0, 100)
+	if s.HealthPath != "" && (len(s.HealthPath) > MaxPrefixBytes || !isPath(s.HealthPath)) {
+		v.add(RefusedError{
+			Rule: RulePrefix, Resource: label, Field: "health-path",
+			Detail: fmt.Sprintf("%q is not a path that begins with a slash, of at most %d bytes", s.HealthPath, MaxPrefixBytes),
+		})
+	}
 }
 
 func (v *violations) route(r Route) {
 	label := routeLabel(r.Name)
 	v.name(label, "name", r.Name)
 	v.limit(label, "timeout-ms", r.TimeoutMs, 1, MaxTimeoutMs)
+	v.limit(label, "max-attempts", r.MaxAttempts, 0, MaxAttempts)
+	v.limit(label, "target-latency-ms", r.TargetLatencyMs, 0, MaxTimeoutMs)
+	v.limit(label, "priority", r.Priority, 0, MaxPriority)
+	v.limit(label, "host", len(r.Host), 0, MaxHostBytes)
+	for _, s := range r.Split {
+		v.limit(label, "split", s.Weight, 1, MaxWeight)
+	}
 	if len(r.Prefix) > MaxPrefixBytes || !isPath(r.Prefix) {
 		v.add(RefusedError{
 			Rule: RulePrefix, Resource: label, Field: "prefix",
@@ -180,27 +197,30 @@
 
 // routed checks that the route's service exists.
 func (v *violations) routed(s *Snapshot, r Route) {
-	if _, ok := s.Services[r.Service]; ok {
-		return
+	for _, service := range r.services() {
+		if _, ok := s.Services[service]; ok {
+			continue
+		}
+		v.add(RefusedError{
+			Rule: RuleMissingService, Resource: routeLabel(r.Name), Field: "service",
+			Ticket: s.RemovedServices[service],
+			Detail: fmt.Sprintf("service %q does not exist", service),
+		})
 	}
-	v.add(RefusedError{
-		Rule: RuleMissingService, Resource: routeLabel(r.Name), Field: "service",
-		Ticket: s.RemovedServices[r.Service],
-		Detail: fmt.Sprintf("service %q does not exist", r.Service),
-	})
 }
 
 // prefixes checks that no two routes share a prefix.
 func (v *violations) prefixes(s *Snapshot) {
-	if len(s.routes().byPrefix) == len(s.Routes) {
+	if s.routes().count == len(s.Routes) {
 		return
 	}
-	first := make(map[string]Route, len(s.Routes))
+	first := make(map[routeKey]Route, len(s.Routes))
 	for _, name := range slices.Sorted(maps.Keys(s.Routes)) {
 		r := s.Routes[name]
-		other, ok := first[prefixKey(r.Prefix)]
+		key := routeKey{host: r.Host, prefix: prefixKey(r.Prefix)}
+		other, ok := first[key]
 		if !ok {
-			first[prefixKey(r.Prefix)] = r
+			first[key] = r
 			continue
 		}
 		// The route that came with the later ticket is the one at fault.
--- a/pkg/storer/errors.go
+++ b/pkg/storer/errors.go
@@ -44,6 +44,17 @@
 // Unwrap returns the cause.
 func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
 
+// CompactedError tells that the platform has dropped the history since a
+// revision: scan and follow from there. Source: the platform.
+type CompactedError struct {
+	Kind     string
+	Revision uint64
+}
+
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("changes of %q since revision %d are no longer known", e.Kind, e.Revision)
+}
+
 // TooLargeError tells that a value is over MaxValueBytes. Nothing was written.
 type TooLargeError struct {
 	Key   string
--- a/pkg/storer/fake.go
+++ b/pkg/storer/fake.go
@@ -21,6 +21,12 @@
 	objects map[string]Object
 	// deleted holds the last revision of deleted keys, so that revisions never repeat.
 	deleted map[string]uint64
+	// history holds every change of the store; the revision of the store is the
+	// number of changes. Those up to compacted are no longer told. Guarded by mu.
+	history   []change
+	compacted uint64
+	// grown is closed and replaced with each change of the store. Guarded by mu.
+	grown chan struct{}
 	// changed is closed and replaced when the key is written.
 	changed map[string]chan struct{}
 	faults  Faults
@@ -35,12 +41,15 @@
 		objects: map[string]Object{},
 		deleted: map[string]uint64{},
 		changed: map[string]chan struct{}{},
+		grown:   make(chan struct{}),
 	}
 }
 
 // Client returns the calls of the store.
 func (f *Fake) Client() Client {
-	return Client{Get: f.get, Put: f.put, Delete: f.remove, List: f.list, Watch: f.watch}
+	return Client{
+		Get: f.get, Put: f.put, Delete: f.remove, List: f.list, Watch: f.watch, Scan: f.scan, Follow: f.follow,
+	}
 }
 
 // Set replaces the switches. An outage ends the watches that wait.
@@ -54,6 +63,7 @@
 	for key := range f.changed {
 		f.wake(key)
 	}
+	f.wakeFollowers()
 }
 
 // Faults returns the switches as they are.
@@ -143,6 +153,7 @@
 	obj := Object{Key: key, Value: slices.Clone(value), Revision: max(old.Revision, f.deleted[key]) + 1}
 	f.objects[key] = obj
 	f.counts.WrittenBytes += len(value)
+	f.record(change{key: key})
 	f.wake(key)
 	return obj, nil
 }
@@ -171,6 +182,7 @@
 	}
 	delete(f.objects, key)
 	f.deleted[key] = old.Revision
+	f.record(change{key: key, removed: true})
 	return nil
 }
 
--- a/pkg/storer/faults.go
+++ b/pkg/storer/faults.go
@@ -16,6 +16,8 @@
 	OpDelete Op = "delete"
 	OpList   Op = "list"
 	OpWatch  Op = "watch"
+	OpScan   Op = "scan"
+	OpFollow Op = "follow"
 )
 
 // Fault is what goes wrong with one call.
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -47,4 +47,22 @@
 	// Watch waits until the object's revision is greater than the given one, and
 	// returns it. It returns ctx.Err() when ctx ends first.
 	Watch func(ctx context.Context, key string, after uint64) (Object, error)
+	// Scan returns the objects whose keys are the kind, a slash and a name, with
+	// their values and the revision of the store that they are read at. It is nil
+	// when the platform at hand does not offer it.
+	Scan func(ctx context.Context, kind string) (Changes, error)
+	// Follow waits until objects of the kind have changed since a revision of the
+	// store. It returns no changes when none came for a while, and *CompactedError
+	// when the platform no longer knows that far back. It is nil when Scan is.
+	Follow func(ctx context.Context, kind string, after uint64) (Changes, error)
+}
+
+// Changes are objects of one kind as a Scan or a Follow found them.
+type Changes struct {
+	// Objects that exist, with their values.
+	Objects []Object
+	// Removed are the keys of objects that no longer exist; empty after a Scan.
+	Removed []string
+	// Revision of the store to follow from.
+	Revision uint64
 }
