Ask the platform again every 0.7 s on two nodes of each data centre

A trace of one node's calls showed a watch of 14 s that ended with 410.

Ruled out: an advance of the revision past the hidden event (the watch had returned nothing); stale reads (none are made).

Change: a call waits 0.7 s on the first two living nodes of a data centre and 20 s on the others, which hear of a version from their peers and ask for it after 0.3 s. An answer without events leaves the revision as it was.

--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -84,7 +84,8 @@
 			drainer.WithClosing(n.callers.Drain)),
 		fetcher.New(fetcher.Config{
 			Platform: store, Kind: platform.ConfigKind, Decode: reader.DecodeConfig,
-			Open: open(fetcher.StreamKind), Log: n.log,
+			State: func() *blackboard.State { return n.board.Read() },
+			Open:  open(fetcher.StreamKind), Log: n.log,
 		}),
 		announcer.New(announcer.Config{
 			Check: dispatcher.CheckHealth(platform.TargetIDHeader), LapseAfter: lapseBeats * a.bounds.AnnounceEvery, Log: n.log,
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -25,6 +25,8 @@
 	// gatherFor is how long a starting node waits before it reads the others, so
 	// that a mesh that starts as a whole is read once and not once a node.
 	gatherFor = 500 * time.Millisecond
+	// wait is long: a node that is new tells those whom it finds.
+	wait = 20 * time.Second
 	// writeTimeout bounds one write.
 	writeTimeout = 2 * time.Second
 	// removeTimeout bounds the removal when a node leaves for good.
@@ -153,7 +155,7 @@
 
 func (cfg Config) follow(ctx context.Context, post blackboard.Post) {
 	p := poller.Poller{
-		Kind: Kind, Client: cfg.Platform,
+		Kind: Kind, Client: cfg.Platform, Wait: func() time.Duration { return wait },
 		Changed: func(c storer.Changes, _ bool) { cfg.changed(c, post) },
 		Lost: func(err error) {
 			cfg.Log.Write(logger.PlatformLost, logger.Fields{Reason: Kind, Err: err})
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -29,7 +29,13 @@
 const (
 	// askAfter is how long a node waits for the platform to tell it of a version
 	// that another node already runs.
-	askAfter = 500 * time.Millisecond
+	askAfter = 300 * time.Millisecond
+	// watchers is how many nodes of a data centre ask the platform again and again.
+	watchers = 2
+	// shortWait and longWait bound one call of these and of the others. With askAfter,
+	// the first leaves half of the two seconds within which a version is in force.
+	shortWait = 700 * time.Millisecond
+	longWait  = 20 * time.Second
 	// askTimeout bounds one request to another node.
 	askTimeout = 1 * time.Second
 	// maxSnapshotBytes is more than the platform holds in one object.
@@ -43,6 +49,8 @@
 	Kind string
 	// Decode reads the object's value.
 	Decode func(value []byte) (*snapshotter.Snapshot, error)
+	// State returns the state of the board.
+	State func() *blackboard.State
 	// Open starts a stream to another node.
 	Open func(ctx context.Context, address string) (*linker.Stream, error)
 	// Now returns the time of messages.
@@ -151,7 +159,7 @@
 
 func (cfg Config) follow(ctx context.Context, post blackboard.Post) {
 	p := poller.Poller{
-		Kind: cfg.Kind, Client: cfg.Platform,
+		Kind: cfg.Kind, Client: cfg.Platform, Wait: cfg.wait,
 		Changed: func(c storer.Changes, _ bool) {
 			for _, o := range c.Objects {
 				cfg.decode(o, post)
@@ -165,6 +173,26 @@
 	p.Run(ctx)
 }
 
+// wait is short on the first few nodes of a data centre, so that a change whose
+// event is lost is found in time, and long on the others, which hear of it.
+func (cfg Config) wait() time.Duration {
+	if s := cfg.State(); place(s) < watchers {
+		return shortWait
+	}
+	return longWait
+}
+
+// place is how many living nodes of the data centre stand before this one.
+func place(s *blackboard.State) int {
+	before := 0
+	for host, m := range s.Members.ByHost {
+		if m.DataCentre == s.Self.DataCentre && m.Status == blackboard.MemberAlive && host < s.Self.Host {
+			before++
+		}
+	}
+	return before
+}
+
 // decode refuses a value that is not valid as a whole: the version in force stays.
 func (cfg Config) decode(o storer.Object, post blackboard.Post) {
 	s, err := cfg.Decode(o.Value)
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -28,6 +28,9 @@
 	Kind string
 	// Client must offer Scan and Follow.
 	Client storer.Client
+	// Wait returns how long one call may wait for a change. A platform that has
+	// dropped its history may leave a call waiting: the next one is told.
+	Wait func() time.Duration
 	// Changed is told of the objects of a scan, with whole set, and of what changed after it.
 	Changed func(c storer.Changes, whole bool)
 	// Lost is told of the first failure after a success, and Regained of the first
@@ -106,7 +109,7 @@
 	if !f.scanned {
 		return f.poller.Client.Scan(ctx, f.poller.Kind)
 	}
-	return f.poller.Client.Follow(ctx, f.poller.Kind, f.revision)
+	return f.poller.Client.Follow(ctx, f.poller.Kind, f.revision, f.poller.Wait())
 }
 
 func (f *follower) failed(ctx context.Context, err error) {
--- a/pkg/storer/fake_kind.go
+++ b/pkg/storer/fake_kind.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 )
 
 // change is one entry of a Fake's history.
@@ -48,10 +49,12 @@
 	return c, nil
 }
 
-func (f *Fake) follow(ctx context.Context, kind string, after uint64) (Changes, error) {
+func (f *Fake) follow(ctx context.Context, kind string, after uint64, wait time.Duration) (Changes, error) {
 	if _, err := f.admit(ctx, OpFollow, kind); err != nil {
 		return Changes{}, err
 	}
+	waiting, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for {
@@ -64,8 +67,12 @@
 		if c := f.since(kind, after); len(c.Objects)+len(c.Removed) > 0 {
 			return c, nil
 		}
-		if err := f.waitForChange(ctx); err != nil {
-			return Changes{}, err
+		err := f.waitForChange(waiting)
+		if ctx.Err() != nil {
+			return Changes{}, ctx.Err()
+		}
+		if err != nil {
+			return Changes{Revision: after}, nil //nolint:nilerr // the wait is over
 		}
 	}
 }
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"time"
 )
 
 // AnyRevision passed to Watch asks for the object as it is now.
@@ -52,9 +53,10 @@
 	// when the platform at hand does not offer it.
 	Scan func(ctx context.Context, kind string) (Changes, error)
 	// Follow waits until objects of the kind have changed since a revision of the
-	// store. It returns no changes when none came for a while, and *CompactedError
-	// when the platform no longer knows that far back. It is nil when Scan is.
-	Follow func(ctx context.Context, kind string, after uint64) (Changes, error)
+	// store, at most for the given time. It returns no changes, and the revision that
+	// it was given, when none came, and *CompactedError when the platform no longer
+	// knows that far back. It is nil when Scan is.
+	Follow func(ctx context.Context, kind string, after uint64, wait time.Duration) (Changes, error)
 }
 
 // Changes are objects of one kind as a Scan or a Follow found them.
