--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -213,7 +213,8 @@
 		Meter:        m,
 		Log:          n.log,
 
-		Dialect: a.dialect, CallerService: n.settings.Target.Service, RetryBurst: a.bounds.RetryBurst,
+		Dialect: a.dialect, CallerService: n.settings.Target.Service, TargetHost: a.targetHost,
+		RetryBurst: a.bounds.RetryBurst,
 	})
 	n.callers = &acceptor.Server{Handler: n.receiver, MaxHeaderBytes: n.settings.Limits.HeaderBytes}
 }
--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strings"
 	"time"
 
@@ -41,6 +42,8 @@
 	dialect exchanger.Dialect
 	bounds  platform.Bounds
 	blame   time.Duration
+	// targetHost is the IP address of this host's target; empty when it is not known beforehand.
+	targetHost string
 }
 
 // newAdapter returns an error of the package platform when the bounds are not valid.
@@ -49,7 +52,8 @@
 		return adapter{dialect: exchanger.OwnDialect()}, nil
 	}
 	bounds, err := platform.ParseBounds(s.PlatformBounds)
-	return adapter{direct: true, dialect: platform.Dialect(), bounds: bounds, blame: directBlame}, err
+	host, _, _ := net.SplitHostPort(s.Target.Address)
+	return adapter{direct: true, dialect: platform.Dialect(), bounds: bounds, blame: directBlame, targetHost: host}, err
 }
 
 func (n *Node) record() blackboard.NodeRecord {
