Expect service times by route, start the earliest aim first, log each request

Change: pace by route (bounded), order of waiting requests by aim among equal priorities, a bounded line on each request, a writer that never waits.

--- a/cmd/gentian-node/main.go
+++ b/cmd/gentian-node/main.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -49,9 +50,18 @@
 		fmt.Println("settings are valid")
 		return
 	}
-	log := logger.New(os.Stdout, settings.Log.Format, settings.Log.Level, settings.Host, settings.DataCentre)
-	if err := run(settings, log); err != nil {
+	lines := logger.NewWriter(os.Stdout)
+	log := logger.New(lines, settings.Log.Format, settings.Log.Level, settings.Host, settings.DataCentre)
+	ctx, cancel := context.WithCancel(context.Background())
+	var writing sync.WaitGroup
+	writing.Go(func() { lines.Run(ctx) })
+	err = run(settings, log)
+	if err != nil {
 		log.Write(logger.NodeFailed, logger.Fields{Err: err})
+	}
+	cancel()
+	writing.Wait()
+	if err != nil {
 		os.Exit(exitFailed)
 	}
 }
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -191,7 +191,7 @@
 		Mistaken: func(id string) {
 			n.board.Post(blackboard.TargetMistaken{ID: id, Now: time.Now()})
 		},
-		FixedSlots: a.direct, NoRamp: a.direct, Blame: a.blame,
+		FixedSlots: a.direct, NoRamp: a.direct, Blame: a.blame, Order: a.order,
 	})
 	f := forwarder.New(forwarder.Config{
 		Open:    n.links.OpenWith,
@@ -213,8 +213,7 @@
 		Meter:        m,
 		Log:          n.log,
 
-		Dialect: a.dialect, CallerService: n.settings.Target.Service, TargetHost: a.targetHost,
-		RetryBurst: a.bounds.RetryBurst,
+		Dialect: a.dialect, CallerService: n.settings.Target.Service, RetryBurst: a.bounds.RetryBurst,
 	})
 	n.callers = &acceptor.Server{Handler: n.receiver, MaxHeaderBytes: n.settings.Limits.HeaderBytes}
 }
--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"strings"
 	"time"
 
@@ -13,6 +12,7 @@
 	"gentianbarrow.example/internal/enroller"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/fetcher"
+	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/loader"
 	"gentianbarrow.example/internal/logger"
@@ -42,8 +42,7 @@
 	dialect exchanger.Dialect
 	bounds  platform.Bounds
 	blame   time.Duration
-	// targetHost is the IP address of this host's target; empty when it is not known beforehand.
-	targetHost string
+	order   limiter.Order
 }
 
 // newAdapter returns an error of the package platform when the bounds are not valid.
@@ -52,8 +51,7 @@
 		return adapter{dialect: exchanger.OwnDialect()}, nil
 	}
 	bounds, err := platform.ParseBounds(s.PlatformBounds)
-	host, _, _ := net.SplitHostPort(s.Target.Address)
-	return adapter{direct: true, dialect: platform.Dialect(), bounds: bounds, blame: directBlame, targetHost: host}, err
+	return adapter{direct: true, dialect: platform.Dialect(), bounds: bounds, blame: directBlame, order: limiter.OrderAim}, err
 }
 
 func (n *Node) record() blackboard.NodeRecord {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -43,6 +43,8 @@
 	Blame time.Duration
 	// FixedSlots and NoRamp are passed on to the limits of the target.
 	FixedSlots, NoRamp bool
+	// Order of waiting requests; empty means that of the limiter.
+	Order limiter.Order
 	// Mistaken is told the id of the process that answered in place of the expected one; nil means nobody.
 	Mistaken func(targetID string)
 	// Judge is told what a finished request showed of the target; nil means nobody.
@@ -166,7 +168,7 @@
 		return exchanger.NotRun(exchanger.ReasonNoConfig, nil)
 	}
 	release, err := waiter.Acquire(ctx, limiter.Request{
-		Class: r.Class, Firm: r.Firm, Deadline: r.Deadline, Priority: r.Priority, Aim: r.Aim,
+		Class: r.Class, Firm: r.Firm, Deadline: r.Deadline, Priority: r.Priority, Aim: r.Aim, Route: r.Route,
 	})
 	if err != nil {
 		forget(entry)
@@ -243,7 +245,7 @@
 		return nil
 	}
 	limits := limiter.LimitsOf(s)
-	limits.FixedSlots, limits.NoRamp = e.cfg.FixedSlots, e.cfg.NoRamp
+	limits.FixedSlots, limits.NoRamp, limits.Order = e.cfg.FixedSlots, e.cfg.NoRamp, e.cfg.Order
 	if t.Record.Slots > 0 {
 		limits.Slots = min(limits.Slots, t.Record.Slots)
 	}
--- a/internal/limiter/gate.go
+++ b/internal/limiter/gate.go
@@ -17,6 +17,7 @@
 type running struct {
 	class   class
 	firm    string
+	route   string
 	started time.Time
 }
 
@@ -61,7 +62,7 @@
 		return g.refuse(now, r, ReasonLate)
 	}
 	if g.room(now).admits(c, g.tally) {
-		g.start(now, r.ID, c, r.Firm)
+		g.start(now, r.ID, running{class: c, firm: r.Firm, route: r.Route})
 		return Decision{Verdict: VerdictAdmitted, Changes: g.changes}
 	}
 	return g.enqueue(now, r, c)
@@ -80,7 +81,7 @@
 	g.tally.remove(run.class, run.firm)
 	g.pace.ended(run.class, run.started)
 	if res.Outcome == retrier.OutcomeDone {
-		g.pace.add(run.class, now.Sub(run.started))
+		g.pace.add(run.class, run.route, now.Sub(run.started))
 	}
 	g.pace.freed(now)
 	g.adapter.observe(now, run.class, now.Sub(run.started), res, full)
@@ -181,13 +182,13 @@
 	if !now.Before(r.Deadline) {
 		return true
 	}
-	return g.tally.classes[c] > 0 && now.Add(g.pace.expected(c)).After(r.Deadline)
+	return g.tally.classes[c] > 0 && now.Add(g.pace.expectedOn(c, r.Route)).After(r.Deadline)
 }
 
 func (g *Gate) enqueue(now time.Time, r Request, c class) Decision {
 	startBy := g.startBy(now, r, c)
 	if g.queue.order != OrderNewest && g.expectedStart(now, c, r.Firm, r.Priority).After(startBy) {
-		return g.refuse(now, r, g.dueReason(c, startBy, r.Deadline))
+		return g.refuse(now, r, g.dueReason(c, r.Route, startBy, r.Deadline))
 	}
 	if !g.queue.hasPlace(c) {
 		victim, ok := g.queue.victim(c, r.Firm, r.Priority)
@@ -198,7 +199,7 @@
 		g.drop(now, victim, ReasonQueueFull)
 	}
 	g.queue.push(waiting{
-		id: r.ID, class: c, firm: r.Firm, priority: r.Priority, deadline: r.Deadline, startBy: startBy,
+		id: r.ID, class: c, firm: r.Firm, route: r.Route, priority: r.Priority, aim: r.Aim, deadline: r.Deadline, startBy: startBy,
 	})
 	return Decision{Verdict: VerdictQueued, StartBy: startBy, Changes: g.changes}
 }
@@ -219,12 +220,13 @@
 // startBy returns when a waiting request is dropped: when it could no longer
 // end in time, or when it has waited so long that another target is the better try.
 func (g *Gate) startBy(now time.Time, r Request, c class) time.Time {
-	by := r.Deadline.Add(-g.pace.expected(c))
+	expected := g.pace.expectedOn(c, r.Route)
+	by := r.Deadline.Add(-expected)
 	if by.Before(now) {
 		by = r.Deadline
 	}
 	if !r.Aim.IsZero() {
-		return earlier(by, later(r.Aim.Add(-g.pace.expected(c)), now.Add(leastPatience)))
+		return earlier(by, later(r.Aim.Add(-expected), now.Add(leastPatience)))
 	}
 	if c == bulk {
 		return by
@@ -258,7 +260,7 @@
 			break
 		}
 		g.queue.remove(w.id)
-		g.drop(now, w, g.dueReason(w.class, w.startBy, w.deadline))
+		g.drop(now, w, g.dueReason(w.class, w.route, w.startBy, w.deadline))
 	}
 	if g.draining {
 		return
@@ -270,27 +272,28 @@
 			return
 		}
 		g.queue.remove(w.id)
-		g.start(now, w.id, w.class, w.firm)
+		g.start(now, w.id, running{class: w.class, firm: w.firm, route: w.route})
 		g.changes.Started = append(g.changes.Started, w.id)
 	}
 }
 
 // dueReason tells why a request that can't start by its time ends: because it
 // waits longer than any may, or because it would miss its deadline.
-func (g *Gate) dueReason(c class, startBy, deadline time.Time) Reason {
-	if startBy.Add(g.pace.expected(c)).Before(deadline) {
+func (g *Gate) dueReason(c class, route string, startBy, deadline time.Time) Reason {
+	if startBy.Add(g.pace.expectedOn(c, route)).Before(deadline) {
 		return ReasonWaited
 	}
 	return ReasonLate
 }
 
-func (g *Gate) start(now time.Time, id uint64, c class, firm string) {
+func (g *Gate) start(now time.Time, id uint64, run running) {
 	if len(g.running) == 0 {
 		g.pace.freed(now)
 	}
-	g.running[id] = running{class: c, firm: firm, started: now}
-	g.tally.add(c, firm)
-	g.pace.started(c, now)
+	run.started = now
+	g.running[id] = run
+	g.tally.add(run.class, run.firm)
+	g.pace.started(run.class, now)
 }
 
 func (g *Gate) refuse(now time.Time, r Request, why Reason) Decision {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -54,6 +54,8 @@
 	OrderNewest Order = "newest-first"
 	// OrderDeadline starts the one with the earliest deadline.
 	OrderDeadline Order = "earliest-deadline"
+	// OrderAim starts the one whose answer loses worth first.
+	OrderAim Order = "earliest-aim"
 )
 
 // LimitsOf returns the limits that a service sets for each of its targets.
@@ -71,6 +73,8 @@
 	Class snapshotter.Class
 	// Firm that sent the request.
 	Firm string
+	// Route that the request came by; service times are expected by route. Empty means by class.
+	Route string
 	// Priority orders the waiting requests of a class; 0 goes first.
 	Priority int
 	// Aim is until when the answer has its full worth; zero when nothing is known of it.
--- a/internal/limiter/pace.go
+++ b/internal/limiter/pace.go
@@ -13,14 +13,36 @@
 type pace struct {
 	// mean service time of each class in nanoseconds; 0 before the first sample.
 	mean [classes]float64
+	// byRoute is the same for each route, of at most maxRoutes; nil before the first.
+	byRoute map[string]float64
 	// starts is the sum of the start times of each class's running requests, in microseconds since 1970.
 	starts [classes]int64
 	// lastFreed is when a slot last came free or the target went from idle to busy.
 	lastFreed time.Time
 }
 
-func (p *pace) add(c class, service time.Duration) {
+// maxRoutes bounds the routes whose service times are kept apart.
+const maxRoutes = 256
+
+func (p *pace) add(c class, route string, service time.Duration) {
 	p.mean[c] = smooth(p.mean[c], float64(service), serviceWeight)
+	if route == "" {
+		return
+	}
+	if p.byRoute == nil {
+		p.byRoute = map[string]float64{}
+	}
+	if before, known := p.byRoute[route]; known || len(p.byRoute) < maxRoutes {
+		p.byRoute[route] = smooth(before, float64(service), serviceWeight)
+	}
+}
+
+// expectedOn returns how long a request of the route runs, as far as that is known.
+func (p *pace) expectedOn(c class, route string) time.Duration {
+	if mean, known := p.byRoute[route]; known {
+		return time.Duration(mean)
+	}
+	return p.expected(c)
 }
 
 func (p *pace) freed(now time.Time) { p.lastFreed = now }
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -10,7 +10,10 @@
 	id       uint64
 	class    class
 	firm     string
+	route    string
 	priority int
+	// aim is zero when nothing is known of it.
+	aim      time.Time
 	deadline time.Time
 	// startBy is when the request is dropped; not after deadline.
 	startBy time.Time
@@ -199,13 +202,25 @@
 		if w.firm != firm || w.priority != lead {
 			continue
 		}
-		if !found || newest || q.order == OrderDeadline && w.deadline.Before(best.deadline) {
+		if !found || newest || q.earlier(&w, &best) {
 			best, found = w, true
 		}
 	}
 	return best
 }
 
+// earlier tells whether a request starts before one that came earlier.
+func (q *queue) earlier(w, than *waiting) bool {
+	switch q.order {
+	case OrderDeadline:
+		return w.deadline.Before(than.deadline)
+	case OrderAim:
+		return w.aim.Before(than.aim)
+	default:
+		return false
+	}
+}
+
 // victim returns the waiting request that gives up its place to a new one: one
 // of a less urgent class or priority, or of a firm with more waiting requests, or, when
 // the newest starts first, the firm's own oldest.
--- a/internal/logger/events_life.go
+++ b/internal/logger/events_life.go
@@ -17,6 +17,16 @@
 		Meaning: "The node cannot go on and ends.",
 		Action:  "Read the error field; settings or a port that is in use are the usual causes.",
 	}
+	SettingsChanged = Event{
+		Number: 103, Name: "settings-changed", Level: LevelWarn,
+		Meaning: "The settings file has changed; the reason field tells whether by a signal. Nothing in it can be changed while the node runs.",
+		Action:  "Restart the node when the change is meant for it.",
+	}
+	LinesDropped = Event{
+		Number: 104, Name: "log-lines-dropped", Level: LevelWarn,
+		Meaning: "The reader of the log was too slow, and count lines were dropped.",
+		Action:  "Look at what reads the node's standard output.",
+	}
 )
 
-var lifeEvents = []Event{NodeStarted, NodeStopped, NodeFailed}
+var lifeEvents = []Event{NodeStarted, NodeStopped, NodeFailed, SettingsChanged, LinesDropped}
--- a/internal/logger/events_request.go
+++ b/internal/logger/events_request.go
@@ -22,6 +22,31 @@
 		Meaning: "A request that is not idempotent may have run, and its answer is lost; the caller was told so.",
 		Action:  "If the caller asks, search the target's own log for the request id.",
 	}
+	RequestAnswered = Event{
+		Number: 420, Name: "request-answered", Level: LevelInfo,
+		Meaning: "A target's answer went to the caller; attempts tells where the request was sent and why, ms how long it took.",
+		Action:  "None.",
+	}
+	RequestRefused = Event{
+		Number: 421, Name: "request-refused", Level: LevelWarn,
+		Meaning: "The request has run at no target, and the caller was told so; reason and attempts tell why.",
+		Action:  "Look at the last attempt: its host's log has the load of the target at that time.",
+	}
+	RequestFailed = Event{
+		Number: 422, Name: "request-failed", Level: LevelWarn,
+		Meaning: "The request may have run, and no answer of a target went to the caller; reason and attempts tell why.",
+		Action:  "Search the log of the host of the last attempt for the request id.",
+	}
+	RequestNotAdmitted = Event{
+		Number: 423, Name: "request-not-admitted", Level: LevelWarn,
+		Meaning: "This node did not give the request to the target on its host; load tells the target's slots, running and waiting requests.",
+		Action:  "None, unless the target is failed or draining: then see target-changed.",
+	}
+	RequestLinesSuppressed = Event{
+		Number: 424, Name: "request-lines-suppressed", Level: LevelInfo,
+		Meaning: "So many lines on requests were left out since the last such event, to bound the volume; failures are left out last.",
+		Action:  "None.",
+	}
 	AnswerTruncated = Event{
 		Number: 411, Name: "answer-truncated", Level: LevelWarn,
 		Meaning: "An answer ended before its end; the caller's connection was aborted so that it cannot look complete.",
@@ -41,5 +66,5 @@
 
 var requestEvents = []Event{
 	DrainStarted, DrainWouldCut, DrainCut,
-	RequestOutcomeUnknown, AnswerTruncated, AnswerCrossed, ForwardRejected,
+	RequestOutcomeUnknown, AnswerTruncated, RequestAnswered, RequestRefused, RequestFailed, RequestNotAdmitted, RequestLinesSuppressed, AnswerCrossed, ForwardRejected,
 }
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -8,8 +8,10 @@
 import (
 	"fmt"
 	"io"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 )
 
 // Level tells how urgent an event is.
@@ -61,15 +63,31 @@
 	Reason     string
 	// Target names the target's process.
 	Target string
-	Count  int
-	Err    error
+	// Attempts tells where a request was sent, why, and what came of it.
+	Attempts string
+	// Millis is how long a request took, and LeftMillis how long it had when it came.
+	Millis     int64
+	LeftMillis int64
+	Count      int
+	Err        error
 }
 
 // Logger writes events. The zero value writes nothing.
 type Logger struct {
 	entry *logrus.Entry
+	// failures and successes bound the lines on requests.
+	failures, successes *rate.Limiter
+	// suppressed counts the lines on requests that were left out since the last report.
+	suppressed atomic.Int64
 }
 
+// Bounds on the lines on requests. Failures use their own part, and what
+// successes leave, since they are what is searched for afterwards.
+const (
+	linesPerSecond        = 200
+	successLinesPerSecond = 40
+)
+
 // New returns a logger that writes events of at least the given level to w.
 // Each event carries the host and data centre.
 func New(w io.Writer, format Format, level Level, host, dataCentre string) *Logger {
@@ -80,7 +98,30 @@
 	if format == FormatJSON {
 		l.SetFormatter(&logrus.JSONFormatter{})
 	}
-	return &Logger{entry: l.WithFields(logrus.Fields{"host": host, "data-centre": dataCentre})}
+	return &Logger{
+		entry:    l.WithFields(logrus.Fields{"host": host, "data-centre": dataCentre}),
+		failures: rate.NewLimiter(linesPerSecond, linesPerSecond), successes: rate.NewLimiter(successLinesPerSecond, successLinesPerSecond),
+	}
+}
+
+// WriteRequest records what came of a request, within the bounds on such lines.
+// What is left out is counted and told with the next line that is written.
+func (l *Logger) WriteRequest(e Event, f Fields) {
+	if l == nil || l.entry == nil {
+		return
+	}
+	limiter := l.failures
+	if e.Level == LevelInfo {
+		limiter = l.successes
+	}
+	if !limiter.Allow() {
+		l.suppressed.Add(1)
+		return
+	}
+	if n := l.suppressed.Swap(0); n > 0 {
+		l.Write(RequestLinesSuppressed, Fields{Count: int(n)})
+	}
+	l.Write(e, f)
 }
 
 // Write records one event.
@@ -104,6 +145,7 @@
 		{"class", f.Class},
 		{"reason", f.Reason},
 		{"target", f.Target},
+		{"attempts", f.Attempts},
 	}
 	for _, t := range texts {
 		if t.value != "" {
@@ -119,6 +161,9 @@
 	if f.Before != 0 {
 		out["before"] = f.Before
 	}
+	if f.LeftMillis != 0 {
+		out["ms"], out["ms-left"] = f.Millis, f.LeftMillis
+	}
 	if f.Count != 0 {
 		out["count"] = f.Count
 	}
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -145,10 +145,6 @@
 		ContentLength:  r.ContentLength, ConfigVersion: version,
 		Priority: route.Priority, CallerService: c.receiver.cfg.CallerService, MaxAttempts: route.MaxAttempts,
 	}
-	if c.fromTarget() && out.Class == snapshotter.ClassShort {
-		// A running request waits for it: turning it away wastes what has been done.
-		out.Class = snapshotter.ClassUrgent
-	}
 	if route.TargetLatencyMs > 0 {
 		out.Aim = c.record.Arrived.Add(time.Duration(route.TargetLatencyMs) * time.Millisecond)
 	}
@@ -161,12 +157,6 @@
 	return out
 }
 
-// fromTarget tells that this host's target makes the call.
-func (c *call) fromTarget() bool {
-	host, _, err := net.SplitHostPort(c.httpRequest.RemoteAddr)
-	return err == nil && host == c.receiver.cfg.TargetHost
-}
-
 // header returns a header of the caller's dialect; empty when it is not spoken.
 func (c *call) header(name string) string {
 	if name == "" {
@@ -253,6 +243,7 @@
 	if ring := c.receiver.cfg.Explanations; ring != nil {
 		ring.Add(c.record)
 	}
+	c.logOutcome()
 	firm, class := "", snapshotter.Class("")
 	if c.request != nil {
 		firm, class = c.request.Firm, c.request.Class
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -39,9 +39,6 @@
 	Dialect exchanger.Dialect
 	// CallerService is the service of this host's target; empty when requests do not name it.
 	CallerService string
-	// TargetHost is the IP address from which this host's target makes calls of its
-	// own; empty when they can't be told from callers' requests.
-	TargetHost string
 	// RetryBurst is how many retries of a service all nodes together may save up; 0 leaves it to the budget.
 	RetryBurst int
 	// Execute runs a request on this host's target.
