--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -43,8 +43,8 @@
 	crowding = 0.5
 	// crossingCost is what a request costs that goes to another data centre, and
 	// crossingPerKB what each 1,000 bytes of it and its answer add.
-	crossingCost  = 2 * time.Millisecond
-	crossingPerKB = 10 * time.Millisecond
+	crossingCost  = 10 * time.Millisecond
+	crossingPerKB = 20 * time.Millisecond
 	// farFactor multiplies them for another region.
 	farFactor = 4
 	// leastSlowness bounds how much cheaper a fast target is.
