--- a/internal/limiter/gate.go
+++ b/internal/limiter/gate.go
@@ -187,7 +187,7 @@
 
 func (g *Gate) enqueue(now time.Time, r Request, c class) Decision {
 	startBy := g.startBy(now, r, c)
-	if g.queue.order != OrderNewest && g.expectedStart(now, c, r.Firm, r.Priority).After(startBy) {
+	if g.queue.order != OrderNewest && g.expectedStart(now, c, r.waiting()).After(startBy) {
 		return g.refuse(now, r, g.dueReason(c, r.Route, startBy, r.Deadline))
 	}
 	if !g.queue.hasPlace(c) {
@@ -198,25 +198,30 @@
 		g.queue.remove(victim.id)
 		g.drop(now, victim, ReasonQueueFull)
 	}
-	g.queue.push(waiting{
-		id: r.ID, class: c, firm: r.Firm, route: r.Route, priority: r.Priority, aim: r.Aim, deadline: r.Deadline, startBy: startBy,
-	})
+	w := r.waiting()
+	w.class, w.startBy = c, startBy
+	g.queue.push(w)
 	return Decision{Verdict: VerdictQueued, StartBy: startBy, Changes: g.changes}
 }
 
 // expectedStart returns when a further request of the firm would start: behind
 // the firm's own that wait, at the pace of its fair share of the slots.
-func (g *Gate) expectedStart(now time.Time, c class, firm string, priority int) time.Time {
+func (g *Gate) expectedStart(now time.Time, c class, w waiting) time.Time {
 	room := g.room(now)
 	slots := room.ordinarySlots
 	if c == bulk {
 		slots = room.bulkSlots
 	}
 	service := g.pace.current(now, c, g.tally.classes[c])
-	ahead := g.queue.ahead(c, firm, priority) * g.queue.firms(c, firm)
+	ahead := g.queue.ahead(c, &w) * g.queue.firms(c, w.firm)
 	return now.Add(g.pace.wait(now, ahead, slots, service))
 }
 
+// waiting returns the request as it stands in the queue, without its class and time to start.
+func (r Request) waiting() waiting {
+	return waiting{id: r.ID, firm: r.Firm, route: r.Route, priority: r.Priority, aim: r.Aim, deadline: r.Deadline}
+}
+
 // startBy returns when a waiting request is dropped: when it could no longer
 // end in time, or when it has waited so long that another target is the better try.
 func (g *Gate) startBy(now time.Time, r Request, c class) time.Time {
@@ -297,11 +302,11 @@
 }
 
 func (g *Gate) refuse(now time.Time, r Request, why Reason) Decision {
-	after := g.expectedStart(now, classOf(r.Class), r.Firm, r.Priority)
+	after := g.expectedStart(now, classOf(r.Class), r.waiting())
 	return Decision{Verdict: VerdictRefused, Reason: why, RetryAfter: after, Changes: g.changes}
 }
 
 func (g *Gate) drop(now time.Time, w waiting, why Reason) {
-	after := g.expectedStart(now, w.class, w.firm, w.priority)
+	after := g.expectedStart(now, w.class, w)
 	g.changes.Dropped = append(g.changes.Dropped, Drop{ID: w.id, Reason: why, RetryAfter: after})
 }
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -182,10 +182,11 @@
 }
 
 // ahead counts the firm's waiting requests of the class that start before a further one.
-func (q *queue) ahead(c class, firm string, priority int) int {
+func (q *queue) ahead(c class, r *waiting) int {
 	n := 0
-	for _, w := range q.byClass[c] {
-		if w.firm == firm && w.priority <= priority {
+	for i := range q.byClass[c] {
+		w := &q.byClass[c][i]
+		if w.firm == r.firm && (w.priority < r.priority || w.priority == r.priority && !q.earlier(r, w)) {
 			n++
 		}
 	}
