--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -17,6 +17,10 @@
 // maxMoves bounds how often a request moves on from a node whose target takes no work.
 const maxMoves = 4
 
+// maxFullMoves bounds how often a request moves on from a target without room:
+// in a peak all are full, and each move costs the bytes of a request.
+const maxFullMoves = 2
+
 // attempts sends the request until an answer stands.
 func (c *call) attempts(ctx context.Context) *exchanger.Answer {
 	r := &run{call: c}
@@ -58,6 +62,8 @@
 	tried []string
 	// moves counts attempts that a node refused because its target takes no work.
 	moves int
+	// fullMoves counts those whose target had no room.
+	fullMoves int
 	// mayHaveRun tells that an attempt so far ended as unknown.
 	mayHaveRun bool
 	// last is the latest answer that was not the caller's; nil before.
@@ -189,12 +195,23 @@
 	}
 }
 
+// full tells that a node refused the request because its target has no room for it.
+func full(reason exchanger.Reason) bool {
+	switch reason {
+	case exchanger.Reason(limiter.ReasonQueueFull), exchanger.Reason(limiter.ReasonWaited), exchanger.Reason(limiter.ReasonLate):
+		return true
+	default:
+		return false
+	}
+}
+
 // moved tells that a node refused the request before its target saw it, so that
 // going to another one adds no load to any target.
 func moved(reason exchanger.Reason) bool {
-	switch reason {
-	case exchanger.Reason(limiter.ReasonQueueFull), exchanger.Reason(limiter.ReasonWaited), exchanger.Reason(limiter.ReasonLate):
+	if full(reason) {
 		return true
+	}
+	switch reason {
 	case exchanger.ReasonTargetDraining, exchanger.ReasonNodeDraining, exchanger.ReasonTargetFailed,
 		exchanger.ReasonWrongTarget, exchanger.ReasonNoTarget, exchanger.ReasonUnreachable:
 		return true
@@ -213,7 +230,10 @@
 			return false
 		}
 		r.moves++
-		return r.moves <= maxMoves && r.call.body.replayable() && !r.barred()
+		if full(a.Reason) {
+			r.fullMoves++
+		}
+		return r.moves <= maxMoves && r.fullMoves <= maxFullMoves && r.call.body.replayable() && !r.barred()
 	}
 	now := time.Now()
 	rc := r.receiver()
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -42,7 +42,7 @@
 		}
 		low = high
 	}
-	if s.best < 0 {
+	if s.best < 0 && len(r.Tried) == 0 {
 		s.leastRefused()
 	}
 	var e Explanation
@@ -169,11 +169,16 @@
 	return RejectionNone
 }
 
-// leastRefused falls back, where every target has refused, to the one whose refusal ends first.
+// leastRefused falls back, where every target has refused, to the one of the
+// nearest whose refusal ends first. It is asked once: a request that a full
+// target refuses is not carried to the others that are known to be full.
 func (s *search) leastRefused() {
 	var until time.Time
 	for i := range s.candidates {
 		c := &s.candidates[i]
+		if c.Distance > s.candidates[0].Distance {
+			return
+		}
 		x := s.table.targets[c.Host]
 		if s.rejected(c, x) != RejectionRefused {
 			continue
