--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -55,6 +55,8 @@
 	failWeight = 0.1
 	failFades  = 3 * time.Second
 	failCost   = 20.0
+	// toleratedFails is the share that costs nothing: a single failure among other attempts.
+	toleratedFails = 0.12
 	// oldAfter is the age at which knowledge of a remote candidate doubles its cost.
 	oldAfter = 10 * time.Second
 	// mostDoubt bounds the factor of that age.
@@ -209,7 +211,7 @@
 	}
 	service := usualService(l) * aversion(x.slowness(now, l))
 	cost := service * (1 + crowding*min((pending+1)/slots, 1) + max(pending+1-slots, 0)/slots)
-	cost *= 1 + failCost*x.failShare(now)
+	cost *= 1 + failCost*max(x.failShare(now)-toleratedFails, 0)
 	return cost*doubt(now, c) + crossing(c, bytes), pending+1 <= slots
 }
 
