--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -116,7 +116,7 @@
 	rc := r.receiver()
 	request := router.Request{
 		Service: r.call.service.Name, Class: r.call.request.Class, Tried: r.tried, Explain: rc.cfg.Explanations != nil,
-		Bytes: rc.expectedBytes(r.call.request.Route, r.call.request.ContentLength),
+		Route: r.call.request.Route, Bytes: rc.expectedBytes(r.call.request.Route, r.call.request.ContentLength),
 	}
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
@@ -178,7 +178,7 @@
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
 	rc.table.Finished(time.Now(), r.Service, host, router.Result{
-		Outcome: a.Outcome, Class: r.Class, Latency: took, Load: a.Load, RetryAfter: a.RetryAt,
+		Outcome: a.Outcome, Class: r.Class, Route: r.Route, Latency: took, Load: a.Load, RetryAfter: a.RetryAt,
 		Cancelled: a.Reason == exchanger.ReasonCancelled || a.Reason == exchanger.ReasonDeadline,
 		Failed:    a.Status >= http.StatusInternalServerError || a.Reason == exchanger.ReasonTargetShed,
 	})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,7 +44,9 @@
 // Request asks for a target.
 type Request struct {
 	Service string
-	Class   snapshotter.Class
+	// Route that the request came by; what is usual is learned by route. Empty means by service.
+	Route string
+	Class snapshotter.Class
 	// Bytes of the request and its answer, as far as they can be told beforehand.
 	Bytes int
 	// Tried names the hosts that this request was sent to before; none is chosen again.
@@ -109,6 +111,8 @@
 type Result struct {
 	Outcome retrier.Outcome
 	Class   snapshotter.Class
+	// Route of the request.
+	Route string
 	// Latency from sending the request to its answer.
 	Latency time.Duration
 	// Load that came with the answer; nil when none came.
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -149,7 +149,7 @@
 	}
 	s.sampled[s.count] = i
 	s.count++
-	cost, room := x.cost(s.now, c, s.level, s.request.Bytes)
+	cost, room := x.cost(s.now, c, s.level, s.request)
 	if s.best < 0 || cost < s.bestCost*clearlyLess {
 		s.best, s.bestCost, s.bestRoom, s.bestSlowness = i, cost, room, x.slowness(s.now, s.level)
 	}
@@ -212,7 +212,7 @@
 		d.Rejection = s.passedOver(i)
 	}
 	if slices.Contains(s.sampled[:s.count], i) {
-		d.Cost, _ = x.cost(s.now, c, s.level, s.request.Bytes)
+		d.Cost, _ = x.cost(s.now, c, s.level, s.request)
 	}
 	return d
 }
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -67,6 +67,32 @@
 type level struct {
 	// latency and service time in nanoseconds; 0 before the first sample.
 	latency, service float64
+	// byRoute holds the latency of each route, of at most maxRoutes; nil before the first.
+	byRoute map[string]float64
+}
+
+// maxRoutes bounds the routes whose latency is kept apart.
+const maxRoutes = 256
+
+// usual returns the usual latency of a route, in nanoseconds; 0 when nothing is known.
+func (l *level) usual(route string) float64 {
+	if l == nil {
+		return 0
+	}
+	if latency, known := l.byRoute[route]; known {
+		return latency
+	}
+	return l.latency
+}
+
+func (l *level) sample(route string, latency float64) {
+	l.latency = smooth(l.latency, latency, levelWeight)
+	if l.byRoute == nil {
+		l.byRoute = map[string]float64{}
+	}
+	if before, known := l.byRoute[route]; known || len(l.byRoute) < maxRoutes {
+		l.byRoute[route] = smooth(before, latency, levelWeight)
+	}
 }
 
 // target is what this node has seen of one target. A nil target is one that nothing is known of.
@@ -80,8 +106,8 @@
 	others int
 	// incarnation that the knowledge belongs to.
 	incarnation uint64
-	// latency is smoothed, in nanoseconds, as of answered; 0 before the first sample.
-	latency  float64
+	// ratio of its latency to what is usual, smoothed, as of answered; 0 before the first sample.
+	ratio    float64
 	answered time.Time
 	// progressed is when an answer came or, from idle, a request was sent.
 	progressed time.Time
@@ -116,7 +142,7 @@
 		x.sample(now, l, r)
 	case !r.Cancelled:
 		x.failed(now, r)
-	case float64(r.Latency) > x.latency:
+	case float64(r.Latency) > x.ratio*l.usual(r.Route):
 		// The target owed an answer for longer than usual. Less tells nothing of it.
 		x.sample(now, l, r)
 	}
@@ -148,16 +174,23 @@
 	if r.Class == snapshotter.ClassBulk {
 		return
 	}
-	sample := float64(r.Latency)
+	latency := float64(r.Latency)
+	sample := 1.0
+	if usual := l.usual(r.Route); usual > 0 {
+		sample = min(latency/usual, ratioClip)
+	}
 	weight := downWeight
-	if sample > x.latency {
+	if sample > x.ratio {
 		weight = upWeight
 	}
-	x.latency = smooth(x.latency, sample, weight)
+	x.ratio = smooth(x.ratio, sample, weight)
 	x.answered = now
-	l.latency = smooth(l.latency, sample, levelWeight)
+	l.sample(r.Route, latency)
 }
 
+// ratioClip bounds the effect of one answer.
+const ratioClip = 20.0
+
 // failed leaves the target alone for as long as its refusal says, or, when no
 // answer came, for a time that doubles with each failure.
 func (x *target) failed(now time.Time, r Result) {
@@ -196,7 +229,7 @@
 // cost is the time, in nanoseconds, that an answer is likely to take, with what
 // crossing data centres and failures are worth added. The second result tells
 // whether a slot is believed to be free.
-func (x *target) cost(now time.Time, c *Candidate, l *level, bytes int) (float64, bool) {
+func (x *target) cost(now time.Time, c *Candidate, l *level, r *Request) (float64, bool) {
 	slots := float64(max(c.Slots, 1))
 	if c.Cold {
 		slots = max(slots/coldDivisor, 1)
@@ -209,22 +242,18 @@
 			slots += weight * (float64(x.load.Slots) - slots)
 		}
 	}
-	service := usualService(l) * aversion(x.slowness(now, l))
+	service := usualService(l, r.Route) * aversion(x.slowness(now, l))
 	cost := service * (1 + crowding*min((pending+1)/slots, 1) + max(pending+1-slots, 0)/slots)
 	cost *= 1 + failCost*max(x.failShare(now)-toleratedFails, 0)
-	return cost*doubt(now, c) + crossing(c, bytes), pending+1 <= slots
+	return cost*doubt(now, c) + crossing(c, r.Bytes), pending+1 <= slots
 }
 
-// usualService returns the service time that is usual at a service, in nanoseconds.
-func usualService(l *level) float64 {
-	switch {
-	case l == nil || l.latency == 0:
-		return float64(unknownService)
-	case l.service > 0:
-		return l.service
-	default:
-		return l.latency
+// usualService returns how long requests of the route usually take, in nanoseconds.
+func usualService(l *level, route string) float64 {
+	if usual := l.usual(route); usual > 0 {
+		return usual
 	}
+	return float64(unknownService)
 }
 
 // crossing returns what leaving this node's data centre costs, in nanoseconds.
@@ -255,7 +284,10 @@
 	if x == nil || l == nil || l.latency == 0 {
 		return 1
 	}
-	slow := faded(x.latency/l.latency, now.Sub(x.answered), slownessFades)
+	slow := 1.0
+	if x.ratio > 0 {
+		slow = faded(x.ratio, now.Sub(x.answered), slownessFades)
+	}
 	if l.service > 0 {
 		slow = max(slow, faded(float64(x.load.Service)/l.service, now.Sub(x.reported), slownessFades))
 	}
