Hedge within a node's small burst, to targets with a free slot only

Cause: the reserve for retries (5 tokens) was greater than the burst that a node of eleven may have (4.4), so no request was ever hedged.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -11,7 +11,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -215,7 +217,12 @@
 
 		Dialect: a.dialect, CallerService: n.settings.Target.Service, RetryBurst: a.bounds.RetryBurst,
 	})
-	n.callers = &acceptor.Server{Handler: n.receiver, MaxHeaderBytes: n.settings.Limits.HeaderBytes}
+	n.callers = &acceptor.Server{
+		Handler: n.receiver, MaxHeaderBytes: n.settings.Limits.HeaderBytes,
+		Panicked: func(value any) {
+			n.log.Write(logger.RequestPanicked, logger.Fields{Reason: fmt.Sprint(value), Stack: string(debug.Stack())})
+		},
+	}
 }
 
 func (n *Node) service(name string) (snapshotter.Service, bool) {
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -82,6 +82,8 @@
 	Depth int
 	// Attempt counts from 1 at the node that took the request.
 	Attempt int
+	// NoWait asks to be refused rather than to wait for a slot.
+	NoWait bool
 	// RetriedAbove tells that the request belongs to a retry of a node nearer the caller.
 	RetriedAbove bool
 	// IdempotencyKey is empty when the caller sent none.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -168,7 +168,7 @@
 		return exchanger.NotRun(exchanger.ReasonNoConfig, nil)
 	}
 	release, err := waiter.Acquire(ctx, limiter.Request{
-		Class: r.Class, Firm: r.Firm, Deadline: r.Deadline, Priority: r.Priority, Aim: r.Aim, Route: r.Route,
+		Class: r.Class, Firm: r.Firm, Deadline: r.Deadline, Priority: r.Priority, Aim: r.Aim, Route: r.Route, NoWait: r.NoWait,
 	})
 	if err != nil {
 		forget(entry)
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -30,7 +30,7 @@
 		Depth:          uint32(r.Depth), Attempt: uint32(r.Attempt), RetriedAbove: r.RetriedAbove,
 		IdempotencyKey: r.IdempotencyKey, Recall: r.Recall,
 		ContentLength: r.ContentLength, ConfigVersion: r.ConfigVersion,
-		CallerService: r.CallerService, Priority: uint32(r.Priority), AimMicro: aimLeft(r),
+		CallerService: r.CallerService, Priority: uint32(r.Priority), AimMicro: aimLeft(r), NoWait: r.NoWait,
 	}
 }
 
@@ -55,7 +55,7 @@
 		Depth:      int(m.GetDepth()), Attempt: int(m.GetAttempt()), RetriedAbove: m.GetRetriedAbove(),
 		IdempotencyKey: m.GetIdempotencyKey(), Recall: m.GetRecall(),
 		ContentLength: m.GetContentLength(), ConfigVersion: m.GetConfigVersion(),
-		CallerService: m.GetCallerService(), Priority: int(m.GetPriority()),
+		CallerService: m.GetCallerService(), Priority: int(m.GetPriority()), NoWait: m.GetNoWait(),
 	}
 	if left := m.GetAimMicro(); left > 0 {
 		r.Aim = now.Add(time.Duration(min(left, maxRemaining.Microseconds())) * time.Microsecond)
--- a/internal/limiter/gate.go
+++ b/internal/limiter/gate.go
@@ -187,6 +187,9 @@
 
 func (g *Gate) enqueue(now time.Time, r Request, c class) Decision {
 	startBy := g.startBy(now, r, c)
+	if r.NoWait {
+		return g.refuse(now, r, ReasonQueueFull)
+	}
 	if g.queue.order != OrderNewest && g.expectedStart(now, c, r.waiting()).After(startBy) {
 		return g.refuse(now, r, g.dueReason(c, r.Route, startBy, r.Deadline))
 	}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -75,6 +75,8 @@
 	Firm string
 	// Route that the request came by; service times are expected by route. Empty means by class.
 	Route string
+	// NoWait refuses the request when there is no free slot.
+	NoWait bool
 	// Priority orders the waiting requests of a class; 0 goes first.
 	Priority int
 	// Aim is until when the answer has its full worth; zero when nothing is known of it.
--- a/internal/logger/events_request.go
+++ b/internal/logger/events_request.go
@@ -42,6 +42,11 @@
 		Meaning: "This node did not give the request to the target on its host; load tells the target's slots, running and waiting requests.",
 		Action:  "None, unless the target is failed or draining: then see target-changed.",
 	}
+	RequestPanicked = Event{
+		Number: 425, Name: "request-panicked", Level: LevelError,
+		Meaning: "A fault of the program ended a request and its connection; stack tells where.",
+		Action:  "Report it with this line.",
+	}
 	RequestLinesSuppressed = Event{
 		Number: 424, Name: "request-lines-suppressed", Level: LevelInfo,
 		Meaning: "So many lines on requests were left out since the last such event, to bound the volume; failures are left out last.",
@@ -66,5 +71,5 @@
 
 var requestEvents = []Event{
 	DrainStarted, DrainWouldCut, DrainCut,
-	RequestOutcomeUnknown, AnswerTruncated, RequestAnswered, RequestRefused, RequestFailed, RequestNotAdmitted, RequestLinesSuppressed, AnswerCrossed, ForwardRejected,
+	RequestOutcomeUnknown, AnswerTruncated, RequestAnswered, RequestRefused, RequestFailed, RequestNotAdmitted, RequestPanicked, RequestLinesSuppressed, AnswerCrossed, ForwardRejected,
 }
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -65,6 +65,8 @@
 	Target string
 	// Attempts tells where a request was sent, why, and what came of it.
 	Attempts string
+	// Stack of a panic.
+	Stack string
 	// Millis is how long a request took, and LeftMillis how long it had when it came.
 	Millis     int64
 	LeftMillis int64
@@ -146,6 +148,7 @@
 		{"reason", f.Reason},
 		{"target", f.Target},
 		{"attempts", f.Attempts},
+		{"stack", f.Stack},
 	}
 	for _, t := range texts {
 		if t.value != "" {
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -64,6 +64,8 @@
 	moves int
 	// fullMoves counts those whose target had no room.
 	fullMoves int
+	// hedging tells that a second attempt beside the first is being chosen.
+	hedging bool
 	// mayHaveRun tells that an attempt so far ended as unknown.
 	mayHaveRun bool
 	// last is the latest answer that was not the caller's; nil before.
@@ -117,6 +119,7 @@
 	request := router.Request{
 		Service: r.call.service.Name, Class: r.call.request.Class, Tried: r.tried, Explain: rc.cfg.Explanations != nil,
 		Route: r.call.request.Route, Bytes: rc.expectedBytes(r.call.request.Route, r.call.request.ContentLength),
+		RoomOnly: r.hedging,
 	}
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
@@ -142,7 +145,7 @@
 		return exchanger.NotRun(exchanger.ReasonKeyHomeLost, nil)
 	}
 	request := *r.call.request
-	request.Attempt = attempt
+	request.Attempt, request.NoWait = attempt, t.why == explainer.WhyHedge
 	if body != nil {
 		request.Body = body
 	}
@@ -184,6 +187,7 @@
 	})
 	if b := rc.budgets[r.Service]; b != nil && a.Outcome == retrier.OutcomeDone {
 		b.Observed(took)
+		smooth(&rc.stat(r.Route).latency, float64(took))
 	}
 }
 
@@ -237,8 +241,9 @@
 	}
 	now := time.Now()
 	rc := r.receiver()
+	state := r.state(a.Outcome, a.Reason)
 	rc.mu.Lock()
-	action := rc.budget(now, r.call.service).Next(now, r.state(a.Outcome, a.Reason))
+	action := rc.budget(now, r.call.service).Next(now, state)
 	rc.mu.Unlock()
 	if action.Verb != retrier.VerbRetry {
 		r.call.record.GaveUp = action.Reason
@@ -276,5 +281,6 @@
 		Attempts: max(len(r.tried)-r.moves, 1), TargetsLeft: left,
 		RetriedAbove: c.request.RetriedAbove, RetriedBelow: reason == exchanger.ReasonShedBelow,
 		Deadline: c.request.Deadline, MaxAttempts: c.request.MaxAttempts,
+		Expected: r.receiver().expectedLatency(c.request.Route),
 	}
 }
--- a/internal/receiver/hedge.go
+++ b/internal/receiver/hedge.go
@@ -15,8 +15,9 @@
 func (r *run) hedged(ctx context.Context, t target) *exchanger.Answer {
 	now := time.Now()
 	rc := r.receiver()
+	state := r.state(retrier.OutcomeUnknown, exchanger.ReasonNone)
 	rc.mu.Lock()
-	plan := rc.budget(now, r.call.service).Hedge(now, r.state(retrier.OutcomeUnknown, exchanger.ReasonNone))
+	plan := rc.budget(now, r.call.service).Hedge(now, state)
 	rc.mu.Unlock()
 	if plan.Verb != retrier.VerbHedge || r.keyed() {
 		body := r.reader()
@@ -105,6 +106,8 @@
 	if !ok {
 		return target{}, false
 	}
+	r.hedging = true
+	defer func() { r.hedging = false }()
 	return r.choose(explainer.WhyHedge)
 }
 
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -68,8 +68,8 @@
 	budgets map[string]*retrier.Budget
 	// splits by route. Guarded by mu.
 	splits map[string]*split
-	// sizes by route. Guarded by mu.
-	sizes map[string]*sizes
+	// stats by route; cleared with the table. Guarded by mu.
+	stats map[string]*routeStats
 	// forgetAt is when the table is next cleared of old entries. Guarded by mu.
 	forgetAt time.Time
 }
@@ -88,7 +88,7 @@
 	}
 	return &Receiver{
 		cfg: cfg, table: router.New(), rnd: rand.New(rand.NewPCG(seed, seed)),
-		budgets: map[string]*retrier.Budget{}, splits: map[string]*split{}, sizes: map[string]*sizes{},
+		budgets: map[string]*retrier.Budget{}, splits: map[string]*split{}, stats: map[string]*routeStats{},
 	}
 }
 
@@ -128,4 +128,5 @@
 	}
 	rc.forgetAt = now.Add(forgetAfter)
 	rc.table.Forget(now.Add(-forgetAfter))
+	clear(rc.stats)
 }
--- a/internal/receiver/split.go
+++ b/internal/receiver/split.go
@@ -54,38 +54,3 @@
 	}
 	return s.next()
 }
-
-// sizes are the smoothed bytes of a route's requests and answers.
-type sizes struct{ request, answer float64 }
-
-// sizeWeight is the weight of one sample.
-const sizeWeight = 0.1
-
-// expectedBytes returns how many bytes the request and its answer are likely to have.
-func (rc *Receiver) expectedBytes(route string, requestLength int64) int {
-	rc.mu.Lock()
-	defer rc.mu.Unlock()
-	s := rc.sizes[route]
-	switch {
-	case s == nil:
-		return int(max(requestLength, 0))
-	case requestLength >= 0:
-		return int(float64(requestLength) + s.answer)
-	default:
-		return int(s.request + s.answer)
-	}
-}
-
-// sized records the bytes of a finished exchange.
-func (rc *Receiver) sized(route string, request, answer int64) {
-	rc.mu.Lock()
-	defer rc.mu.Unlock()
-	s := rc.sizes[route]
-	if s == nil {
-		s = &sizes{request: float64(request), answer: float64(answer)}
-		rc.sizes[route] = s
-		return
-	}
-	s.request += sizeWeight * (float64(request) - s.request)
-	s.answer += sizeWeight * (float64(answer) - s.answer)
-}
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -9,7 +9,7 @@
 	floorEvery = 10 * time.Second
 	// burstTokens is the most that a budget saves up.
 	burstTokens = 10.0
-	// hedgeReserve is what hedges leave of the tokens for retries.
+	// hedgeReserve is what hedges leave of the tokens for retries, at most half of the burst.
 	hedgeReserve = 5.0
 	// hedgeQuantile is the share of attempts that end before a hedge starts.
 	hedgeQuantile = 0.95
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -77,7 +77,7 @@
 
 // SpendHedge takes a token for a hedge whose time has come, and tells whether
 // it may start. The loser of the two attempts is to be cancelled.
-func (b *Budget) SpendHedge(now time.Time) bool { return b.spend(now, hedgeReserve) }
+func (b *Budget) SpendHedge(now time.Time) bool { return b.spend(now, min(hedgeReserve, b.burst/2)) }
 
 // barred tells which rule forbids another attempt whatever the time and budget.
 func (s State) barred() Reason {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -49,6 +49,8 @@
 	Class snapshotter.Class
 	// Bytes of the request and its answer, as far as they can be told beforehand.
 	Bytes int
+	// RoomOnly asks for a target that is believed to have a free slot, or for none.
+	RoomOnly bool
 	// Tried names the hosts that this request was sent to before; none is chosen again.
 	Tried []string
 	// Explain asks for a full Explanation; without it nothing is allocated.
@@ -78,6 +80,8 @@
 	RejectionDraining Rejection = "draining"
 	// RejectionRefused means that the target refused a request of the class, or failed, a moment ago.
 	RejectionRefused Rejection = "refused"
+	// RejectionRoom means that no candidate is believed to have a free slot, and the request asked for one.
+	RejectionRoom Rejection = "no-room"
 	// RejectionCost means that another sampled candidate cost less.
 	RejectionCost Rejection = "cost"
 	// RejectionDistance means that a nearer target was taken.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -216,6 +216,28 @@
 	})
 }
 
+func TestRoomOnly(t *testing.T) {
+	table, all := New(), near(2)
+	r := roster()
+	r.Explain, r.RoomOnly = true, true
+	for _, c := range all {
+		visit(table, c.Host, at(0), Result{
+			Outcome: retrier.OutcomeDone, Latency: 10 * time.Millisecond, Load: &limiter.Load{Slots: 10, InFlight: 10},
+		})
+		for range 10 {
+			table.Started(at(0), c.Host)
+		}
+	}
+	choice, e := table.Choose(at(1), r, all, rand.New(rand.NewPCG(1, 1)))
+	assert.Assert(t, !choice.OK, "every target is full")
+	for _, c := range e.Considered {
+		assert.Equal(t, c.Rejection, RejectionRoom)
+	}
+	r.RoomOnly = false
+	choice, _ = table.Choose(at(1), r, all, rand.New(rand.NewPCG(1, 1)))
+	assert.Assert(t, choice.OK)
+}
+
 func TestExplanation(t *testing.T) {
 	r := roster()
 	r.Explain, r.Tried = true, []string{"near-0"}
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -45,6 +45,9 @@
 	if s.best < 0 && len(r.Tried) == 0 {
 		s.leastRefused()
 	}
+	if r.RoomOnly && !s.bestRoom {
+		s.best = -1
+	}
 	var e Explanation
 	if r.Explain {
 		e = s.explain()
@@ -220,6 +223,8 @@
 // passedOver tells why a usable candidate was not taken.
 func (s *search) passedOver(i int) Rejection {
 	switch {
+	case s.best < 0:
+		return RejectionRoom
 	case slices.Contains(s.sampled[:s.count], i):
 		return RejectionCost
 	case s.candidates[i].Distance > s.candidates[s.best].Distance:
