--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -37,7 +37,7 @@
 	for low := 0; low < len(candidates); {
 		high := endOfDistance(candidates, low)
 		s.sample(low, high, rnd)
-		if s.best >= 0 && s.bestRoom && s.bestSlowness < avoidFrom {
+		if s.best >= 0 && s.bestCost.room && s.bestSlowness < avoidFrom {
 			break
 		}
 		low = high
@@ -45,7 +45,7 @@
 	if s.best < 0 && len(r.Tried) == 0 {
 		s.leastRefused()
 	}
-	if r.RoomOnly && !s.bestRoom {
+	if r.RoomOnly && !s.bestCost.room {
 		s.best = -1
 	}
 	var e Explanation
@@ -112,9 +112,7 @@
 	level *level
 	// best is the index of the cheapest candidate so far; negative means none.
 	best     int
-	bestCost float64
-	// bestRoom tells that the best candidate is believed to have a free slot.
-	bestRoom bool
+	bestCost cost
 	// bestSlowness of the best candidate.
 	bestSlowness float64
 	// sampled holds the indices that were compared, of every distance.
@@ -152,13 +150,22 @@
 	}
 	s.sampled[s.count] = i
 	s.count++
-	cost, room := x.cost(s.now, c, s.level, s.request)
-	if s.best < 0 || cost < s.bestCost*clearlyLess {
-		s.best, s.bestCost, s.bestRoom, s.bestSlowness = i, cost, room, x.slowness(s.now, s.level)
+	price := x.cost(s.now, c, s.level, s.request)
+	if s.best < 0 || s.cheaper(c, price) {
+		s.best, s.bestCost, s.bestSlowness = i, price, x.slowness(s.now, s.level)
 	}
 	return true
 }
 
+// cheaper compares a candidate with the best. A nearer straggler is left for a
+// farther target only when the time itself is worth the way.
+func (s *search) cheaper(c *Candidate, price cost) bool {
+	if c.Distance == s.candidates[s.best].Distance {
+		return price.averse < s.bestCost.averse*clearlyLess
+	}
+	return price.time < s.bestCost.time*clearlyLess
+}
+
 // rejected tells why a candidate is out of the question at this moment.
 func (s *search) rejected(c *Candidate, x *target) Rejection {
 	switch {
@@ -215,7 +222,7 @@
 		d.Rejection = s.passedOver(i)
 	}
 	if slices.Contains(s.sampled[:s.count], i) {
-		d.Cost, _ = x.cost(s.now, c, s.level, s.request)
+		d.Cost = x.cost(s.now, c, s.level, s.request).averse
 	}
 	return d
 }
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -45,6 +45,8 @@
 	// crossingPerKB what each 1,000 bytes of it and its answer add.
 	crossingCost  = 10 * time.Millisecond
 	crossingPerKB = 20 * time.Millisecond
+	// headerBytes is about what the headers of a request and its answer add on the way.
+	headerBytes = 600
 	// farFactor multiplies them for another region.
 	farFactor = 4
 	// leastSlowness bounds how much cheaper a fast target is.
@@ -188,8 +190,8 @@
 	l.sample(r.Route, latency)
 }
 
-// ratioClip bounds the effect of one answer.
-const ratioClip = 20.0
+// ratioClip bounds the effect of one answer: some requests run many times longer than the rest.
+const ratioClip = 4.0
 
 // failed leaves the target alone for as long as its refusal says, or, when no
 // answer came, for a time that doubles with each failure.
@@ -226,10 +228,19 @@
 	return x != nil && x.load.Draining && now.Before(x.reported.Add(drainTrusted))
 }
 
-// cost is the time, in nanoseconds, that an answer is likely to take, with what
-// crossing data centres and failures are worth added. The second result tells
-// whether a slot is believed to be free.
-func (x *target) cost(now time.Time, c *Candidate, l *level, r *Request) (float64, bool) {
+// cost of a candidate.
+type cost struct {
+	// time, in nanoseconds, that an answer is likely to take, with what crossing data
+	// centres and failures are worth added.
+	time float64
+	// averse is the same with more than its slowness for a straggler. Candidates of
+	// one distance are compared by it.
+	averse float64
+	// room tells whether a slot is believed to be free.
+	room bool
+}
+
+func (x *target) cost(now time.Time, c *Candidate, l *level, r *Request) cost {
 	slots := float64(max(c.Slots, 1))
 	if c.Cold {
 		slots = max(slots/coldDivisor, 1)
@@ -242,10 +253,11 @@
 			slots += weight * (float64(x.load.Slots) - slots)
 		}
 	}
-	service := usualService(l, r.Route) * aversion(x.slowness(now, l))
-	cost := service * (1 + crowding*min((pending+1)/slots, 1) + max(pending+1-slots, 0)/slots)
-	cost *= 1 + failCost*max(x.failShare(now)-toleratedFails, 0)
-	return cost*doubt(now, c) + crossing(c, r.Bytes), pending+1 <= slots
+	base := usualService(l, r.Route) * (1 + crowding*min((pending+1)/slots, 1) + max(pending+1-slots, 0)/slots)
+	base *= 1 + failCost*max(x.failShare(now)-toleratedFails, 0)
+	slowness, away := x.slowness(now, l), crossing(c, r.Bytes)
+	base *= doubt(now, c)
+	return cost{time: base*slowness + away, averse: base*aversion(slowness) + away, room: pending+1 <= slots}
 }
 
 // usualService returns how long requests of the route usually take, in nanoseconds.
@@ -261,7 +273,7 @@
 	if c.Distance == 0 {
 		return 0
 	}
-	cost := float64(crossingCost) + float64(crossingPerKB)*float64(bytes)/1000
+	cost := float64(crossingCost) + float64(crossingPerKB)*float64(headerBytes+bytes)/1000
 	if c.Distance > 1 {
 		return cost * farFactor
 	}
