--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -173,7 +173,8 @@
 	switch {
 	case c.source.exhausted():
 		status = http.StatusRequestHeaderFieldsTooLarge
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case errors.As(c.source.err, &timeout) && timeout.Timeout():
+		// The parser takes the end of the bytes for the end of a line.
 		status = http.StatusRequestTimeout
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		c.gone()
@@ -285,9 +286,11 @@
 	// left is how many bytes may still be read; negative means any number.
 	left int
 	over bool
+	// err is the latest failure to read.
+	err error
 }
 
-func (s *boundedSource) allow(n int) { s.left, s.over = n+readBufferBytes, false }
+func (s *boundedSource) allow(n int) { s.left, s.over, s.err = n+readBufferBytes, false, nil }
 
 func (s *boundedSource) allowAll() { s.left = -1 }
 
@@ -303,6 +306,7 @@
 		p = p[:s.left]
 	}
 	n, err := s.r.Read(p)
+	s.err = err
 	if s.left > 0 {
 		s.left -= n
 	}
--- a/pkg/storer/fake.go
+++ b/pkg/storer/fake.go
@@ -25,7 +25,7 @@
 	// number of changes. Those up to compacted are no longer told. Guarded by mu.
 	history   []change
 	compacted uint64
-	// grown is closed and replaced with each change of the store. Guarded by mu.
+	// grown is closed with the next change of the store; nil when nobody waits. Guarded by mu.
 	grown chan struct{}
 	// changed is closed and replaced when the key is written.
 	changed map[string]chan struct{}
@@ -41,7 +41,6 @@
 		objects: map[string]Object{},
 		deleted: map[string]uint64{},
 		changed: map[string]chan struct{}{},
-		grown:   make(chan struct{}),
 	}
 }
 
--- a/pkg/storer/fake_kind.go
+++ b/pkg/storer/fake_kind.go
@@ -22,8 +22,10 @@
 
 // wakeFollowers ends the waits for a change of the store. f.mu is held.
 func (f *Fake) wakeFollowers() {
-	close(f.grown)
-	f.grown = make(chan struct{})
+	if f.grown != nil {
+		close(f.grown)
+		f.grown = nil
+	}
 }
 
 // Compact drops the history: who follows from an earlier revision has to scan.
@@ -98,6 +100,9 @@
 
 // waitForChange returns when the store has changed or an outage begins. f.mu is held before and after.
 func (f *Fake) waitForChange(ctx context.Context) error {
+	if f.grown == nil {
+		f.grown = make(chan struct{})
+	}
 	ch := f.grown
 	f.mu.Unlock()
 	defer f.mu.Lock()
