--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -47,16 +47,17 @@
 
 func (b *bench) get(path string) { b.send("GET " + path + " HTTP/1.1\r\nHost: a.example\r\n\r\n") }
 
-// assertAnswer reads the next answer.
-func (b *bench) assertAnswer(status int, body string) *http.Response {
+// assertAnswer reads the next answer and tells whether the connection ends with it.
+func (b *bench) assertAnswer(status int, body string) (last bool) {
 	b.t.Helper()
 	resp, err := http.ReadResponse(b.r, &http.Request{Method: http.MethodGet})
 	assert.NilError(b.t, err)
+	defer resp.Body.Close()
 	got, err := io.ReadAll(resp.Body)
 	assert.NilError(b.t, err)
 	assert.Equal(b.t, resp.StatusCode, status)
 	assert.Equal(b.t, string(got), body)
-	return resp
+	return resp.Close
 }
 
 func (b *bench) assertClosed() {
@@ -133,6 +134,7 @@
 			b.get("/a")
 			resp, err := http.ReadResponse(b.r, nil)
 			assert.NilError(t, err)
+			defer resp.Body.Close()
 			_, err = io.ReadAll(resp.Body)
 			assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 		})
@@ -146,6 +148,7 @@
 			b.get("/a")
 			resp, err := http.ReadResponse(b.r, nil)
 			if err == nil {
+				defer resp.Body.Close()
 				_, err = io.ReadAll(resp.Body)
 			}
 			assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
@@ -154,8 +157,7 @@
 	t.Run("a body that is not read ends the connection after the answer", func(t *testing.T) {
 		play(t, echoPath, func(_ *testing.T, b *bench) {
 			b.send("POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\n")
-			resp := b.assertAnswer(http.StatusOK, "/a")
-			assert.Assert(b.t, resp.Close)
+			assert.Assert(b.t, b.assertAnswer(http.StatusOK, "/a"))
 			b.assertClosed()
 		})
 	})
@@ -169,8 +171,8 @@
 			b.get("/b")
 			synctest.Wait()
 			b.server.Drain()
-			assert.Assert(t, !b.assertAnswer(http.StatusOK, "/a").Close)
-			assert.Assert(t, b.assertAnswer(http.StatusOK, "/b").Close)
+			assert.Assert(t, !b.assertAnswer(http.StatusOK, "/a"))
+			assert.Assert(t, b.assertAnswer(http.StatusOK, "/b"))
 			b.assertClosed()
 		})
 	})
@@ -199,6 +201,7 @@
 				sending.Go(func() { _, _ = io.WriteString(b.near, c.request) })
 				resp, err := http.ReadResponse(b.r, nil)
 				assert.NilError(t, err)
+				defer resp.Body.Close()
 				assert.Equal(t, resp.StatusCode, c.status)
 				_, _ = io.Copy(io.Discard, resp.Body)
 				_ = b.near.Close()
--- a/internal/announcer/rules.go
+++ b/internal/announcer/rules.go
@@ -12,7 +12,10 @@
 	if outdated(t, m) {
 		return t
 	}
-	if t.Address != m.Address || t.ID != m.ID {
+	switch {
+	case t.ID != m.ID:
+		t.Evidence = blackboard.TargetEvidence{}
+	case t.Address != m.Address:
 		t.Evidence = blackboard.TargetEvidence{Held: t.Evidence.Held, Falls: t.Evidence.Falls}
 	}
 	t.Address = m.Address
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -190,6 +190,7 @@
 		Client:  dispatcher.NewHTTP(dispatcher.WithDialect(a.dialect)),
 		Observe: m.Served,
 		Judge:   o.observe,
+		Log:     n.log,
 		Mistaken: func(id string) {
 			n.board.Post(blackboard.TargetMistaken{ID: id, Now: time.Now()})
 		},
--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -158,7 +158,8 @@
 // target that stops reading may still answer.
 func (x *exchange) bodyEnded(err error) error {
 	var op *net.OpError
-	if err != nil && !(errors.As(err, &op) && op.Op == "write") {
+	stopped := errors.As(err, &op) && op.Op == "write"
+	if err != nil && !stopped {
 		x.broken.Store(true)
 		_ = x.conn.Close()
 	}
--- a/internal/dispatcher/http_test.go
+++ b/internal/dispatcher/http_test.go
@@ -225,7 +225,7 @@
 		})
 	})
 	t.Run("a late answer to an earlier request does not cost the next one its answer", func(t *testing.T) {
-		serve := func(n int, c net.Conn, r *bufio.Reader) {
+		serve := func(_ int, c net.Conn, r *bufio.Reader) {
 			for range 2 {
 				req, err := http.ReadRequest(r)
 				if err != nil {
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -148,7 +148,8 @@
 	c.usableUntil, c.freshUntil = now.Add(c.limit), now.Add(min(freshTimeout, c.limit))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := append(p.idle[address], c)
+	list := p.idle[address]
+	list = append(list, c)
 	old := 0
 	for old < len(list) && (now.After(list[old].usableUntil) || len(list)-old > maxIdle) {
 		_ = list[old].Close()
@@ -169,22 +170,22 @@
 	p.idle = map[string][]*conn{}
 }
 
-// dialed is the end of an attempt to connect.
-type dialed struct {
+// attempt is the end of an attempt to connect.
+type attempt struct {
 	conn net.Conn
 	err  error
 }
 
 // connect returns when the connection is made or ctx ends; a connection that comes later is closed.
 func (p *pool) connect(ctx context.Context, address string) (*conn, error) {
-	result := make(chan dialed, 1)
+	result := make(chan attempt, 1)
 	p.dials.Go(func() {
 		nc, err := p.dial(ctx, "tcp", address)
 		if err == nil && ctx.Err() != nil {
 			_ = nc.Close()
 			err = ctx.Err()
 		}
-		result <- dialed{conn: nc, err: err}
+		result <- attempt{conn: nc, err: err}
 	})
 	select {
 	case d := <-result:
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -117,6 +117,35 @@
 	})
 }
 
+func TestLinger(t *testing.T) {
+	t.Run("callers are served until they have learned of the stop, other nodes are not", func(t *testing.T) {
+		closed := false
+		b := newBench(WithLinger(2*time.Second), WithClosing(func() { closed = true }))
+		b.stop()
+		assert.Assert(t, closed)
+		_, peer := b.tracker.BeginPeer(snapshotter.ClassShort)
+		done, caller := b.tracker.Begin(snapshotter.ClassShort)
+		assert.Assert(t, caller && !peer)
+		done()
+		b.tickAfter(2*time.Second - time.Millisecond)
+		b.assertPhase(t, blackboard.LifeDraining)
+		b.tickAfter(time.Millisecond)
+		_, caller = b.tracker.Begin(snapshotter.ClassShort)
+		assert.Assert(t, !caller)
+		b.assertPhase(t, blackboard.LifeStopped)
+	})
+	t.Run("a request that came meanwhile is finished", func(t *testing.T) {
+		b := newBench(WithLinger(2 * time.Second))
+		b.stop()
+		done, _ := b.tracker.Begin(snapshotter.ClassShort)
+		b.tickAfter(4 * time.Second)
+		b.assertPhase(t, blackboard.LifeDraining)
+		done()
+		b.tickAfter(settleTime)
+		b.assertPhase(t, blackboard.LifeStopped)
+	})
+}
+
 func TestTracker(t *testing.T) {
 	t.Run("nothing begins once it is closed", func(t *testing.T) {
 		tr := NewTracker()
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	"gentianbarrow.example/internal/dispatcher"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/limiter"
+	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/pkg/snapshotter"
 )
 
@@ -45,6 +47,8 @@
 	FixedSlots, NoRamp bool
 	// Order of waiting requests; empty means that of the limiter.
 	Order limiter.Order
+	// Log is told of each request that does not get to the target.
+	Log *logger.Logger
 	// Mistaken is told the id of the process that answered in place of the expected one; nil means nobody.
 	Mistaken func(targetID string)
 	// Judge is told what a finished request showed of the target; nil means nobody.
@@ -81,6 +85,7 @@
 	}
 	t := e.cfg.Target()
 	if reason := refusal(t, r.Service, time.Now()); reason != exchanger.ReasonNone {
+		e.notAdmitted(t, r, reason)
 		return e.Refuse(r, reason)
 	}
 	if !keyed(r) {
@@ -172,7 +177,9 @@
 	})
 	if err != nil {
 		forget(entry)
-		return refused(err)
+		a := refused(err)
+		e.notAdmitted(t, r, a.Reason)
+		return a
 	}
 	started := time.Now()
 	r.TargetID = t.ID
@@ -188,6 +195,18 @@
 	return a
 }
 
+// notAdmitted logs what a refusal was decided on.
+func (e *Executor) notAdmitted(t blackboard.Target, r *exchanger.Request, reason exchanger.Reason) {
+	load, _ := e.Load()
+	now := time.Now()
+	e.cfg.Log.WriteRequest(logger.RequestNotAdmitted, logger.Fields{
+		RequestID: r.ID, Service: r.Service, Route: r.Route, Reason: string(reason), Version: r.ConfigVersion, Target: t.ID,
+		Load: fmt.Sprintf("%d running, %d waiting, %d slots, %s a request; %s, announced %s ago", load.InFlight, load.Queued,
+			load.Slots, load.Service.Round(time.Millisecond), t.Record.Phase, now.Sub(t.Renewed).Round(time.Millisecond)),
+		Millis: 0, LeftMillis: max(r.Deadline.Sub(now).Milliseconds(), 1),
+	})
+}
+
 func forget(entry *deduplicator.Entry) {
 	if entry != nil {
 		entry.NotRun()
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -65,6 +65,8 @@
 	Target string
 	// Attempts tells where a request was sent, why, and what came of it.
 	Attempts string
+	// Load of a target when a request was decided on.
+	Load string
 	// Stack of a panic.
 	Stack string
 	// Millis is how long a request took, and LeftMillis how long it had when it came.
@@ -149,6 +151,7 @@
 		{"target", f.Target},
 		{"attempts", f.Attempts},
 		{"stack", f.Stack},
+		{"load", f.Load},
 	}
 	for _, t := range texts {
 		if t.value != "" {
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -66,6 +66,25 @@
 	})
 }
 
+func TestBurst(t *testing.T) {
+	now := time.Unix(0, 0)
+	spent := func(burst float64, hedge bool) int {
+		b := NewBudget(now, 20)
+		b.SetBurst(burst)
+		for range 1000 {
+			b.Offered(now, false)
+		}
+		n := 0
+		for hedge && b.SpendHedge(now) || !hedge && b.spend(now, 0) {
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, spent(4, false), 4)
+	assert.Assert(t, spent(4, true) > 0, "a small burst leaves something for hedges")
+	assert.Assert(t, spent(4, true) <= 2, "and half of it for retries")
+}
+
 func TestHedge(t *testing.T) {
 	observed := func() *Budget {
 		b := NewBudget(start, 20)
