--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -147,21 +147,21 @@
 		if r.checks {
 			t, effects = startCheck(t, healthPath(&s), m.Now)
 		}
-		s.Target = settle(t, s.Life.Phase, m.Now)
+		s.Target = settle(t, s.Life, m.Now)
 	case blackboard.TargetAnnounced:
-		s.Target = settle(announce(t, m, r.lapseAfter), s.Life.Phase, m.Now)
+		s.Target = settle(announce(t, m, r.lapseAfter), s.Life, m.Now)
 		effects = confirmed(m.Applied)
 	case blackboard.TargetLeft:
-		s.Target = settle(leave(t, m), s.Life.Phase, m.Now)
+		s.Target = settle(leave(t, m), s.Life, m.Now)
 		effects = confirmed(m.Applied)
 	case blackboard.TargetMistaken:
-		s.Target = settle(mistaken(t, m), s.Life.Phase, m.Now)
+		s.Target = settle(mistaken(t, m), s.Life, m.Now)
 	case blackboard.TargetObserved:
-		s.Target = settle(observe(t, m), s.Life.Phase, m.Now)
+		s.Target = settle(observe(t, m), s.Life, m.Now)
 	case blackboard.TargetChecked:
-		s.Target = settle(checked(t, m, r.lapseAfter), s.Life.Phase, m.Now)
+		s.Target = settle(checked(t, m, r.lapseAfter), s.Life, m.Now)
 	case blackboard.StopRequested:
-		s.Target = settle(t, blackboard.LifeDraining, m.Now)
+		s.Target = settle(t, s.Life, m.Now)
 	}
 	return s, effects
 }
--- a/internal/announcer/announcer_test.go
+++ b/internal/announcer/announcer_test.go
@@ -110,6 +110,8 @@
 	t.Run("a stopping node drains its target", func(t *testing.T) {
 		b := newBench(t)
 		b.ready()
+		// The drainer stands before the announcer and has changed its entry.
+		b.state.Life.Phase = blackboard.LifeDraining
 		b.post(blackboard.StopRequested{Now: b.now})
 		b.assertPhase(blackboard.TargetDraining)
 	})
--- a/internal/announcer/rules.go
+++ b/internal/announcer/rules.go
@@ -132,7 +132,7 @@
 }
 
 // settle decides the phase of the target and raises the revision when the record changes.
-func settle(t blackboard.Target, life blackboard.LifePhase, now time.Time) blackboard.Target {
+func settle(t blackboard.Target, life blackboard.Life, now time.Time) blackboard.Target {
 	phase := decide(t, life, now)
 	if t.Record.Phase == blackboard.TargetReady && phase != blackboard.TargetReady {
 		t.Evidence = fall(t.Evidence, now)
@@ -150,9 +150,9 @@
 	return t
 }
 
-func decide(t blackboard.Target, life blackboard.LifePhase, now time.Time) blackboard.TargetPhase {
+func decide(t blackboard.Target, life blackboard.Life, now time.Time) blackboard.TargetPhase {
 	e := t.Evidence
-	stopping := life == blackboard.LifeDraining || life == blackboard.LifeStopped
+	stopping := !life.TakesPeers()
 	switch {
 	case e.Announced == "", e.Announced == blackboard.TargetNone:
 		return blackboard.TargetNone
--- a/internal/blackboard/state.go
+++ b/internal/blackboard/state.go
@@ -62,6 +62,8 @@
 	StopRequests int
 	// EndAt is when a draining node ends unless a request is still in flight.
 	EndAt time.Time
+	// PeersUntil is until when a draining node takes requests of other nodes; zero when it takes none.
+	PeersUntil time.Time
 	// LingerUntil is until when a draining node takes callers' requests; zero when it takes none.
 	LingerUntil time.Time
 	// CutAt is when the node ends also with requests in flight; zero means never.
@@ -70,6 +72,11 @@
 	InFlight int
 }
 
+// TakesPeers tells that the node takes requests of other nodes.
+func (l Life) TakesPeers() bool {
+	return l.Phase != LifeStopped && (l.Phase != LifeDraining || !l.PeersUntil.IsZero())
+}
+
 // MemberStatus is what a node believes of another.
 type MemberStatus string
 
--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -24,6 +24,9 @@
 	// lingerTime is how long a stopping node takes callers' requests: the platform
 	// asks once a second and needs two answers.
 	lingerTime = 2300 * time.Millisecond
+	// peersLinger is how long it takes requests of other nodes: the rest of
+	// lingerTime is enough for almost all of them to end.
+	peersLinger = 1300 * time.Millisecond
 	// cutShare of the platform's grace is when a stopping node ends with requests in flight.
 	cutShare = 0.92
 	// lapseBeats is how many announcements a target may miss.
@@ -81,7 +84,7 @@
 	}
 	n.board = blackboard.New(state, []blackboard.Controller{
 		drainer.New(n.tracker, n.log,
-			drainer.WithLinger(lingerTime),
+			drainer.WithLinger(lingerTime, peersLinger),
 			drainer.WithCutAfter(time.Duration(float64(a.bounds.Grace)*cutShare)),
 			drainer.WithClosing(n.callers.Drain)),
 		fetcher.New(fetcher.Config{
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -32,6 +32,7 @@
 
 // Effects of this controller.
 type (
+	beginLinger   struct{}
 	closeTracker  struct{ peersOnly bool }
 	countRequests struct{ now time.Time }
 	reportCut     struct{ final bool }
@@ -45,9 +46,11 @@
 func WithCutAfter(d time.Duration) Option { return func(c *drainer) { c.cutAfter = d } }
 
 // WithLinger goes on taking callers' requests for a while after the first stop
-// request, so that none is refused before callers have learned of the stop.
-// Work of other nodes is refused at once.
-func WithLinger(d time.Duration) Option { return func(c *drainer) { c.linger = d } }
+// request, so that none is refused before callers have learned of the stop, and
+// those of other nodes for the first part of it: the target still works.
+func WithLinger(callers, peers time.Duration) Option {
+	return func(c *drainer) { c.linger, c.peersLinger = callers, peers }
+}
 
 // WithClosing is told of the first stop request.
 func WithClosing(f func()) Option { return func(c *drainer) { c.closing = f } }
@@ -59,6 +62,8 @@
 	cutAfter time.Duration
 	// linger is added to the time of the first stop request; 0 means that callers are refused at once.
 	linger time.Duration
+	// peersLinger is the same for other nodes.
+	peersLinger time.Duration
 	// closing is nil when nobody is told.
 	closing func()
 }
@@ -93,11 +98,16 @@
 	case s.Life.StopRequests == 1:
 		s.Life.Phase = blackboard.LifeDraining
 		s.Life.EndAt = now.Add(max(settleTime, d.linger))
-		s.Life.LingerUntil = now.Add(d.linger)
+		if d.linger > 0 {
+			s.Life.LingerUntil, s.Life.PeersUntil = now.Add(d.linger), now.Add(d.peersLinger)
+		}
 		if d.cutAfter > 0 {
 			s.Life.CutAt = now.Add(d.cutAfter)
 		}
-		return s, []blackboard.Effect{closeTracker{peersOnly: d.linger > 0}}
+		if d.linger > 0 {
+			return s, []blackboard.Effect{beginLinger{}}
+		}
+		return s, []blackboard.Effect{beginLinger{}, closeTracker{}}
 	case s.Life.StopRequests < stopsThatCut:
 		return s, []blackboard.Effect{reportCut{}}
 	default:
@@ -116,12 +126,23 @@
 	case !s.Life.CutAt.IsZero() && !now.Before(s.Life.CutAt):
 		s.Life.Phase = blackboard.LifeStopped
 		return s, []blackboard.Effect{reportCut{final: true}}
-	case d.linger > 0 && !s.Life.LingerUntil.IsZero() && !now.Before(s.Life.LingerUntil):
-		s.Life.LingerUntil = time.Time{}
-		return s, []blackboard.Effect{closeTracker{}, countRequests{now: now}}
 	default:
-		return s, []blackboard.Effect{countRequests{now: now}}
+		return endLinger(s, now)
+	}
+}
+
+// endLinger refuses other nodes and callers when their time has come.
+func endLinger(s blackboard.State, now time.Time) (blackboard.State, []blackboard.Effect) {
+	effects := []blackboard.Effect{countRequests{now: now}}
+	if !s.Life.PeersUntil.IsZero() && !now.Before(s.Life.PeersUntil) {
+		s.Life.PeersUntil = time.Time{}
+		effects = append(effects, closeTracker{peersOnly: true})
+	}
+	if !s.Life.LingerUntil.IsZero() && !now.Before(s.Life.LingerUntil) {
+		s.Life.LingerUntil = time.Time{}
+		effects = append(effects, closeTracker{})
 	}
+	return s, effects
 }
 
 func counted(s blackboard.State, msg Counted) (blackboard.State, []blackboard.Effect) {
@@ -148,6 +169,7 @@
 			d.tracker.Close()
 		}
 		d.tracker.ClosePeers()
+	case beginLinger:
 		if d.closing != nil {
 			d.closing()
 		}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -129,7 +129,7 @@
 
 func stateOf(s *blackboard.State) blackboard.NodeState {
 	n := blackboard.NodeState{
-		Draining: s.Life.Phase == blackboard.LifeDraining || s.Life.Phase == blackboard.LifeStopped,
+		Draining: !s.Life.TakesPeers(),
 		Target:   s.Target.Record, Known: len(s.Members.Known),
 	}
 	if s.Config.Running != nil {
