--- a/cmd/gentian-node/main.go
+++ b/cmd/gentian-node/main.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -55,7 +56,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var writing sync.WaitGroup
 	writing.Go(func() { lines.Run(ctx) })
-	err = run(settings, log)
+	err = run(*path, settings, log)
 	if err != nil {
 		log.Write(logger.NodeFailed, logger.Fields{Err: err})
 	}
@@ -66,7 +67,7 @@
 	}
 }
 
-func run(settings loader.Settings, log *logger.Logger) error {
+func run(path string, settings loader.Settings, log *logger.Logger) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	n, err := composer.Listen(ctx, settings, log)
@@ -85,9 +86,23 @@
 		passStops(ctx, signals, stops)
 		return nil
 	})
+	hups := make(chan os.Signal, signalsWaiting)
+	signal.Notify(hups, syscall.SIGHUP)
+	group.Go(func() error {
+		loader.Watch(ctx, path, settings, hups, func(c loader.Change) { reportChange(log, c) })
+		return nil
+	})
 	return group.Wait()
 }
 
+func reportChange(log *logger.Logger, c loader.Change) {
+	if c.Err != nil {
+		log.Write(logger.SettingsRefused, logger.Fields{Err: c.Err})
+		return
+	}
+	log.Write(logger.SettingsChanged, logger.Fields{Reason: strings.Join(c.Keys, ", "), Count: len(c.Keys)})
+}
+
 // passStops turns signals into stop requests until ctx ends.
 func passStops(ctx context.Context, signals <-chan os.Signal, stops chan<- time.Time) {
 	for {
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -50,7 +50,7 @@
 // assertAnswer reads the next answer and tells whether the connection ends with it.
 func (b *bench) assertAnswer(status int, body string) (last bool) {
 	b.t.Helper()
-	resp, err := http.ReadResponse(b.r, &http.Request{Method: http.MethodGet})
+	resp, err := http.ReadResponse(b.r, &http.Request{Method: http.MethodGet}) //nolint:bodyclose // net.Pipe holds nothing back
 	assert.NilError(b.t, err)
 	defer resp.Body.Close()
 	got, err := io.ReadAll(resp.Body)
@@ -132,7 +132,7 @@
 		}
 		play(t, handler, func(t *testing.T, b *bench) {
 			b.get("/a")
-			resp, err := http.ReadResponse(b.r, nil) //nolint:bodyclose // closed below
+			resp, err := http.ReadResponse(b.r, nil) //nolint:bodyclose // net.Pipe holds nothing back
 			assert.NilError(t, err)
 			defer resp.Body.Close()
 			_, err = io.ReadAll(resp.Body)
@@ -146,7 +146,7 @@
 		}
 		play(t, handler, func(t *testing.T, b *bench) {
 			b.get("/a")
-			resp, err := http.ReadResponse(b.r, nil) //nolint:bodyclose // closed below
+			resp, err := http.ReadResponse(b.r, nil) //nolint:bodyclose // net.Pipe holds nothing back
 			if err == nil {
 				defer resp.Body.Close()
 				_, err = io.ReadAll(resp.Body)
@@ -199,7 +199,7 @@
 			play(t, echoPath, func(t *testing.T, b *bench) {
 				var sending sync.WaitGroup
 				sending.Go(func() { _, _ = io.WriteString(b.near, c.request) })
-				resp, err := http.ReadResponse(b.r, nil) //nolint:bodyclose // closed below
+				resp, err := http.ReadResponse(b.r, nil) //nolint:bodyclose // net.Pipe holds nothing back
 				assert.NilError(t, err)
 				defer resp.Body.Close()
 				assert.Equal(t, resp.StatusCode, c.status)
@@ -218,7 +218,7 @@
 	}
 	play(t, handler, func(t *testing.T, b *bench) {
 		b.send("POST /a HTTP/1.1\r\nHost: a.example\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
-		resp, err := http.ReadResponse(b.r, nil)
+		resp, err := http.ReadResponse(b.r, nil) //nolint:bodyclose // net.Pipe holds nothing back
 		assert.NilError(t, err)
 		assert.Equal(t, resp.StatusCode, http.StatusContinue)
 		b.send("body")
@@ -245,7 +245,7 @@
 	}
 	cancel()
 	close(release)
-	resp, err := http.ReadResponse(bufio.NewReader(busy), nil)
+	resp, err := http.ReadResponse(bufio.NewReader(busy), nil) //nolint:bodyclose // net.Pipe holds nothing back
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	_, _ = io.Copy(io.Discard, resp.Body)
--- a/internal/logger/events_life.go
+++ b/internal/logger/events_life.go
@@ -19,9 +19,14 @@
 	}
 	SettingsChanged = Event{
 		Number: 103, Name: "settings-changed", Level: LevelWarn,
-		Meaning: "The settings file has changed; the reason field tells whether by a signal. Nothing in it can be changed while the node runs.",
+		Meaning: "The settings file was read again, after a signal or because it differs; reason names the keys that changed. They take effect with the next start.",
 		Action:  "Restart the node when the change is meant for it.",
 	}
+	SettingsRefused = Event{
+		Number: 105, Name: "settings-refused", Level: LevelError,
+		Meaning: "The settings file has changed and is not valid; the node goes on with the former settings.",
+		Action:  "Mend the file: the node would not start with it.",
+	}
 	LinesDropped = Event{
 		Number: 104, Name: "log-lines-dropped", Level: LevelWarn,
 		Meaning: "The reader of the log was too slow, and count lines were dropped.",
@@ -29,4 +34,4 @@
 	}
 )
 
-var lifeEvents = []Event{NodeStarted, NodeStopped, NodeFailed, SettingsChanged, LinesDropped}
+var lifeEvents = []Event{NodeStarted, NodeStopped, NodeFailed, SettingsChanged, LinesDropped, SettingsRefused}
