--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -9,6 +9,10 @@
 //  3. Failed checks in a row make it failed, unless a request has succeeded lately.
 //  4. A check that passes brings nothing back before its time is up.
 //
+// A node that has just started gives its target nothing before this announces
+// itself, whatever its health check says: the process before it may have
+// acknowledged that the target leaves.
+//
 // A target that failed is held out for a time that doubles with each fall, so
 // that one which flaps costs little.
 //
@@ -42,9 +46,6 @@
 	stableAfter = 30 * time.Second
 )
 
-// unknownSlots is what a target is taken to have before it announces itself.
-const unknownSlots = 8
-
 // How many failures in a row count.
 const (
 	requestFailures = 5
@@ -54,9 +55,8 @@
 
 // Config is what an announcer is made of.
 type Config struct {
-	// Check probes the health of the target and returns the id of the process that
-	// answered, if it told; nil means that there are no checks.
-	Check func(ctx context.Context, address, path string) (id string, err error)
+	// Check probes the health of the target; nil means that there are no checks.
+	Check func(ctx context.Context, address, path string) error
 	// LapseAfter is how long an announcement lasts; 0 means the time of this package.
 	LapseAfter time.Duration
 	Log        *logger.Logger
@@ -110,8 +110,8 @@
 func (cfg Config) check(ctx context.Context, check CheckTarget, post blackboard.Post) {
 	ctx, cancel := context.WithDeadline(ctx, check.Ends)
 	defer cancel()
-	id, err := cfg.Check(ctx, check.Address, check.Path)
-	post(blackboard.TargetChecked{Address: check.Address, ID: id, Success: err == nil, Now: cfg.Now()})
+	err := cfg.Check(ctx, check.Address, check.Path)
+	post(blackboard.TargetChecked{Address: check.Address, Success: err == nil, Now: cfg.Now()})
 }
 
 // Effects of this controller besides CheckTarget.
@@ -159,7 +159,7 @@
 	case blackboard.TargetObserved:
 		s.Target = settle(observe(t, m), s.Life, m.Now)
 	case blackboard.TargetChecked:
-		s.Target = settle(checked(t, m, r.lapseAfter), s.Life, m.Now)
+		s.Target = settle(checked(t, m), s.Life, m.Now)
 	case blackboard.StopRequested:
 		s.Target = settle(t, s.Life, m.Now)
 	}
--- a/internal/announcer/rules.go
+++ b/internal/announcer/rules.go
@@ -10,6 +10,10 @@
 // address is another process: what was seen of the former does not count.
 func announce(t blackboard.Target, m blackboard.TargetAnnounced, lapseAfter time.Duration) blackboard.Target {
 	if outdated(t, m) {
+		if t.Started == 0 {
+			// From now on a later process under the same id can be told from this one.
+			t.Started = m.Started
+		}
 		return t
 	}
 	switch {
@@ -41,8 +45,10 @@
 		return false
 	case m.Started != t.Started && t.Started != 0:
 		return m.Started < t.Started
-	case m.ID != t.ID || t.Started == 0:
+	case m.ID != t.ID:
 		return false
+	case t.Started == 0:
+		return t.Evidence.Left
 	default:
 		return m.Sequence <= t.Sequence || t.Evidence.Left
 	}
@@ -54,6 +60,9 @@
 		return t
 	}
 	t.ID = m.ID
+	if m.Started != 0 {
+		t.Started = m.Started
+	}
 	t.Evidence.Announced = blackboard.TargetDraining
 	t.Evidence.Left = true
 	return t
@@ -82,18 +91,11 @@
 }
 
 // checked takes in what a health check showed.
-func checked(t blackboard.Target, m blackboard.TargetChecked, lapseAfter time.Duration) blackboard.Target {
+func checked(t blackboard.Target, m blackboard.TargetChecked) blackboard.Target {
 	if m.Address != t.Address || t.Evidence.CheckEnds.IsZero() {
 		return t // the answer is for another target, or late and counted as failed already
 	}
 	t.Evidence.CheckEnds = time.Time{}
-	if m.Success && t.Evidence.Announced == "" {
-		// A node that has just started learns of its target before this announces itself.
-		t.ID = m.ID
-		t.Record.Slots = unknownSlots
-		t.Evidence.Announced = blackboard.TargetReady
-		t.Renewed, t.Lapses = m.Now, m.Now.Add(lapseAfter)
-	}
 	if m.Success {
 		t.Evidence.CheckPassed = m.Now
 		t.Evidence.CheckFailures = 0
@@ -110,12 +112,12 @@
 		e.CheckEnds = time.Time{}
 		e.CheckFailures++
 	}
-	unheard := e.Announced == "" && t.Address != ""
-	if !unheard && (e.Announced == "" || e.Announced == blackboard.TargetNone || !now.Before(t.Lapses)) || now.Before(e.NextCheck) {
+	unheard := e.Announced == "" || e.Announced == blackboard.TargetNone
+	if unheard || now.Before(e.NextCheck) || !now.Before(t.Lapses) {
 		return t, nil
 	}
 	e.NextCheck = now.Add(checkPeriod)
-	if !unheard && now.Sub(e.Succeeded) < requestEvidence && e.CheckFailures == 0 {
+	if now.Sub(e.Succeeded) < requestEvidence && e.CheckFailures == 0 {
 		return t, nil
 	}
 	e.CheckEnds = now.Add(checkTimeout)
--- a/internal/blackboard/message_membership.go
+++ b/internal/blackboard/message_membership.go
@@ -57,6 +57,8 @@
 // TargetLeft tells that the target's process is about to end.
 type TargetLeft struct {
 	ID string
+	// Started is when the process began; 0 when it did not tell.
+	Started int64
 	// Applied, when not nil, is called once the message has taken effect.
 	Applied func()
 	Now     time.Time
@@ -81,8 +83,6 @@
 type TargetChecked struct {
 	// Address that was checked. The result is void when the target has moved since.
 	Address string
-	// ID names the process that answered; empty when it did not say.
-	ID      string
 	Success bool
 	Now     time.Time
 }
--- a/internal/blackboard/message_node.go
+++ b/internal/blackboard/message_node.go
@@ -19,7 +19,9 @@
 // NodesFound tells of nodes that exist or have existed.
 type NodesFound struct {
 	Nodes []NodeRecord
-	Now   time.Time
+	// Certain tells that the nodes themselves have just said where they are.
+	Certain bool
+	Now     time.Time
 }
 
 // NodeRemoved tells that a node has been taken out of the mesh.
--- a/internal/blackboard/state.go
+++ b/internal/blackboard/state.go
@@ -139,6 +139,9 @@
 type Members struct {
 	// ByHost holds the nodes of this data centre, this node included. Read only; replaced on change.
 	ByHost map[string]Member
+	// Mistaken holds, by host, an address at which another node answered. What others
+	// say of it is ignored until the node itself says so. Read only; replaced on change.
+	Mistaken map[string]string
 	// Told is what the subscriber has told the others of this node.
 	Told NodeState
 	// Tellings counts the changes of Told.
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -142,7 +142,7 @@
 		drainer.New(n.tracker, n.log, n.drainOptions()...),
 		elector.New(platform, n.settings.DataCentre, elector.WithLogger(n.log)),
 		follower.New(n.streams, follower.NewPlatform(platform), follower.WithLogger(n.log)),
-		announcer.New(announcer.Config{Check: dispatcher.CheckHealth(""), Log: n.log}),
+		announcer.New(announcer.Config{Check: dispatcher.CheckHealth, Log: n.log}),
 		gossiper.New(gossiper.Config{
 			Seeds:     n.settings.SeedPeers,
 			Send:      n.listeners.packets.Send,
--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -93,7 +93,7 @@
 			Open:  open(fetcher.StreamKind), Log: n.log,
 		}),
 		announcer.New(announcer.Config{
-			Check: dispatcher.CheckHealth(platform.TargetIDHeader), LapseAfter: lapseBeats * a.bounds.AnnounceEvery, Log: n.log,
+			Check: dispatcher.CheckHealth, LapseAfter: lapseBeats * a.bounds.AnnounceEvery, Log: n.log,
 		}),
 		n.executor.Controller(),
 		enroller.New(enroller.Config{Self: n.record(), Platform: store, Log: n.log}),
--- a/internal/subscriber/stream.go
+++ b/internal/subscriber/stream.go
@@ -145,8 +145,9 @@
 		return
 	}
 	if request.GetHost() == b.cfg.Self.Host {
-		found := decodeRecords(append(request.GetKnown(), request.GetSelf()))
-		b.cfg.Post(blackboard.NodesFound{Nodes: found, Now: b.cfg.Now()})
+		now := b.cfg.Now()
+		b.cfg.Post(blackboard.NodesFound{Nodes: decodeRecords(request.GetKnown()), Now: now})
+		b.cfg.Post(blackboard.NodesFound{Nodes: decodeRecords([]*wirepb.NodeRecord{request.GetSelf()}), Certain: true, Now: now})
 	}
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -29,6 +29,8 @@
 	updateEvery = 1 * time.Second
 	// silentAfter is how long a node may send no update before it counts as silent.
 	silentAfter = 2500 * time.Millisecond
+	// mostMistaken bounds the addresses that are remembered as another node's.
+	mostMistaken = 1024
 	// mostKnown bounds the nodes named in one message.
 	mostKnown = 4096
 )
@@ -147,6 +149,9 @@
 		if n.Host == s.Self.Host || n.Address == s.Self.Address || known && old.Address == n.Address {
 			continue
 		}
+		if s.Members.Mistaken[n.Host] == n.Address && !msg.Certain {
+			continue
+		}
 		if members == nil {
 			members = cloned(s.Members.ByHost)
 		}
@@ -219,6 +224,12 @@
 		return s, nil
 	}
 	if msg.Mistaken {
+		mistaken := maps.Clone(s.Members.Mistaken)
+		if mistaken == nil || len(mistaken) >= mostMistaken {
+			mistaken = map[string]string{}
+		}
+		mistaken[msg.Host] = msg.Address
+		s.Members.Mistaken = mistaken
 		return removed(s, msg.Host)
 	}
 	status := blackboard.MemberDead
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -104,6 +104,10 @@
 		b.post(found)
 		b.post(blackboard.NodeLost{Host: other.Host, Address: other.Address, Mistaken: true, Now: start})
 		assert.Equal(t, len(b.state.Members.ByHost), 0)
+		assert.Equal(t, len(b.post(found)), 0, "what others say of it is not believed")
+		itself := found
+		itself.Certain = true
+		assert.Equal(t, len(b.post(itself)), 1, "what it says itself is")
 	})
 	t.Run("and so is one that was removed", func(t *testing.T) {
 		b := newBench(t)
