--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -11,9 +11,7 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -179,53 +177,6 @@
 	}
 }
 
-// buildRequestPath makes what carries callers' requests. It reads the board, which is made after it.
-func (n *Node) buildRequestPath(a adapter) {
-	m := meter.New(n.metrics, func() int { return n.tracker.Count().Total })
-	o := &observer{post: func(msg blackboard.Msg) { n.board.Post(msg) }, now: time.Now}
-	n.executor = executor.New(executor.Config{
-		Host:    n.settings.Host,
-		Target:  func() blackboard.Target { return n.board.Read().Target },
-		Service: n.service,
-		Client:  dispatcher.NewHTTP(dispatcher.WithDialect(a.dialect)),
-		Observe: m.Served,
-		Judge:   o.observe,
-		Log:     n.log,
-		Mistaken: func(id string) {
-			n.board.Post(blackboard.TargetMistaken{ID: id, Now: time.Now()})
-		},
-		FixedSlots: a.direct, NoRamp: a.direct, Blame: a.blame, Order: a.order,
-	})
-	f := forwarder.New(forwarder.Config{
-		Open:    n.links.OpenWith,
-		Execute: n.executor.Execute,
-		Refuse:  n.executor.Refuse,
-		Tracker: n.tracker,
-		// Peers tell by it that a node has restarted since they learned of its load.
-		Incarnation: n.self.Incarnation,
-		Log:         n.log,
-	})
-	n.links.Handle(forwarder.Kind, f.Handle)
-	n.receiver = receiver.New(receiver.Config{
-		State:        func() *blackboard.State { return n.board.Read() },
-		Match:        snapshotter.Match,
-		Execute:      n.executor.Execute,
-		Forward:      f.Forward,
-		Tracker:      n.tracker,
-		Explanations: n.explainer,
-		Meter:        m,
-		Log:          n.log,
-
-		Dialect: a.dialect, CallerService: n.settings.Target.Service, RetryBurst: a.bounds.RetryBurst,
-	})
-	n.callers = &acceptor.Server{
-		Handler: n.receiver, MaxHeaderBytes: n.settings.Limits.HeaderBytes,
-		Panicked: func(value any) {
-			n.log.Write(logger.RequestPanicked, logger.Fields{Reason: fmt.Sprint(value), Stack: string(debug.Stack())})
-		},
-	}
-}
-
 func (n *Node) service(name string) (snapshotter.Service, bool) {
 	running := n.board.Read().Config.Running
 	if running == nil {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -227,22 +227,6 @@
 	return a
 }
 
-// recall answers a request whose key is known.
-func recall(s deduplicator.Snapshot) *exchanger.Answer {
-	switch {
-	case s.State == deduplicator.StateRunning:
-		a := exchanger.Unknown(exchanger.ReasonKeyRunning, nil)
-		a.RetryAt = time.Now().Add(keyRunningRetry)
-		return a
-	case s.State == deduplicator.StateUnknown:
-		return exchanger.Unknown(exchanger.ReasonKeyUnknown, nil)
-	case s.Answer.BodyDropped:
-		return exchanger.Unknown(exchanger.ReasonKeyAnswerDropped, nil)
-	default:
-		return replay(s.Answer)
-	}
-}
-
 // stamp adds the host and the load to an answer.
 func (e *Executor) stamp(a *exchanger.Answer) *exchanger.Answer {
 	a.Target = e.cfg.Host
--- /dev/null
+++ b/internal/executor/recall.go
@@ -0,0 +1,24 @@
+package executor
+
+import (
+	"time"
+
+	"gentianbarrow.example/internal/deduplicator"
+	"gentianbarrow.example/internal/exchanger"
+)
+
+// recall answers a request whose key is known.
+func recall(s deduplicator.Snapshot) *exchanger.Answer {
+	switch {
+	case s.State == deduplicator.StateRunning:
+		a := exchanger.Unknown(exchanger.ReasonKeyRunning, nil)
+		a.RetryAt = time.Now().Add(keyRunningRetry)
+		return a
+	case s.State == deduplicator.StateUnknown:
+		return exchanger.Unknown(exchanger.ReasonKeyUnknown, nil)
+	case s.Answer.BodyDropped:
+		return exchanger.Unknown(exchanger.ReasonKeyAnswerDropped, nil)
+	default:
+		return replay(s.Answer)
+	}
+}
