--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -34,9 +34,8 @@
 	maxPipelined = 32
 	// lingerTime is how long a closed connection is still read, so that bytes
 	// which the caller has sent do not reset it before the answer is read.
-	lingerTime = 500 * time.Millisecond
-	// closeTimeout bounds how long Serve waits for requests after its context has ended.
-	closeTimeout = 3 * time.Second
+	lingerTime          = 500 * time.Millisecond
+	defaultCloseTimeout = 3 * time.Second
 )
 
 // Server serves callers. The zero values of its fields stand for defaults.
@@ -48,6 +47,8 @@
 	HeaderTimeout time.Duration
 	// IdleTimeout bounds how long a connection carries no request.
 	IdleTimeout time.Duration
+	// CloseTimeout bounds how long Serve waits for requests after its context has ended.
+	CloseTimeout time.Duration
 	// Panicked is told of a panic of the handler other than http.ErrAbortHandler; nil means nobody.
 	Panicked func(value any)
 
@@ -120,7 +121,7 @@
 		s.group.Wait()
 		close(ended)
 	})
-	timer := time.NewTimer(closeTimeout)
+	timer := time.NewTimer(orDefault(s.CloseTimeout, defaultCloseTimeout))
 	defer timer.Stop()
 	select {
 	case <-ended:
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -253,6 +253,27 @@
 	group.Wait()
 }
 
+// TestServeGivesUp holds the end to its bound when a request does not end.
+func TestServeGivesUp(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &Server{CloseTimeout: time.Millisecond, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+	})}
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { assert.NilError(t, s.Serve(ctx, ln)) })
+	busy, err := net.Dial("tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	_, _ = io.WriteString(busy, "GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	for len(s.open()) == 0 || s.open()[0].hasStarted() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	group.Wait()
+	_ = busy.Close()
+}
+
 // hasStarted counts the requests that have begun.
 func (c *conn) hasStarted() int {
 	c.mu.Lock()
--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -27,8 +27,11 @@
 	// peersLinger is how long it takes requests of other nodes: the rest of
 	// lingerTime is enough for almost all of them to end.
 	peersLinger = 1300 * time.Millisecond
-	// cutShare of the platform's grace is when a stopping node ends with requests in flight.
-	cutShare = 0.92
+	// cutShare of the platform's grace is when a stopping node ends with requests in
+	// flight. What follows, directFarewell and directClose, fits in the rest.
+	cutShare = 0.85
+	// directClose is how long answers that were cut off by then may take to go out.
+	directClose = 300 * time.Millisecond
 	// lapseBeats is how many announcements a target may miss.
 	lapseBeats = 4
 	// directBlame is how long a target must have held a request that ran into its
@@ -45,7 +48,9 @@
 	dialect exchanger.Dialect
 	bounds  platform.Bounds
 	blame   time.Duration
-	order   limiter.Order
+	// closeTimeout of callers' connections; 0 means that of the acceptor.
+	closeTimeout time.Duration
+	order        limiter.Order
 }
 
 // newAdapter returns an error of the package platform when the bounds are not valid.
@@ -54,7 +59,7 @@
 		return adapter{dialect: exchanger.OwnDialect()}, nil
 	}
 	bounds, err := platform.ParseBounds(s.PlatformBounds)
-	return adapter{direct: true, dialect: platform.Dialect(), bounds: bounds, blame: directBlame, order: limiter.OrderAim}, err
+	return adapter{direct: true, dialect: platform.Dialect(), bounds: bounds, blame: directBlame, order: limiter.OrderAim, closeTimeout: directClose}, err
 }
 
 func (n *Node) record() blackboard.NodeRecord {
--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -56,7 +56,7 @@
 		Dialect: a.dialect, CallerService: n.settings.Target.Service, RetryBurst: a.bounds.RetryBurst,
 	})
 	n.callers = &acceptor.Server{
-		Handler: n.receiver, MaxHeaderBytes: n.settings.Limits.HeaderBytes,
+		Handler: n.receiver, MaxHeaderBytes: n.settings.Limits.HeaderBytes, CloseTimeout: a.closeTimeout,
 		Panicked: func(value any) {
 			n.log.Write(logger.RequestPanicked, logger.Fields{Reason: fmt.Sprint(value), Stack: string(debug.Stack())})
 		},
