Let few nodes of a data centre watch the platform, and pass versions on as deltas

Cause: on the larger deployment (62 hosts, links of 7 Mbit/s, 1,120 routes) every node watched the configuration object and took each version whole, about 300 kB, from the platform and again from whichever node told of it first, in any data centre. Ruled out: processor time (0.028 cores a node on average).

Change: the two nodes with the fastest links in each data centre watch; others stand in for those that say they have lost the platform, at most three more while it is away for all. The rest ask the platform once in 10 s and take versions from a node of their own data centre, as a delta where that still has the version they run. Nodes are listed to subscribers that have not read the list themselves, and an update that says nothing new is empty. Membership is watched by the same nodes.

--- a/internal/blackboard/config.go
+++ b/internal/blackboard/config.go
@@ -34,6 +34,8 @@
 	Heard Heard
 	// Following tells that the platform is being followed directly; it stays false where a tree of relays does so.
 	Following bool
+	// PlatformLost tells that the platform, which is being followed directly, does not answer.
+	PlatformLost bool
 }
 
 // Stage is a whole, validated version that waits for its witnesses.
@@ -166,8 +168,12 @@
 type Heard struct {
 	Version uint64
 	Address string
+	// Near tells that the peer stands in this node's data centre.
+	Near bool
 	// PullAt is when to pull it unless it has arrived by then.
 	PullAt time.Time
+	// NotBefore is the earliest time of PullAt after a pull that failed; zero before.
+	NotBefore time.Time
 }
 
 // Lease is the entry of the elector.
--- a/internal/blackboard/message_node.go
+++ b/internal/blackboard/message_node.go
@@ -14,6 +14,8 @@
 	Address    string `json:"address"`
 	DataCentre string `json:"data-centre"`
 	Region     string `json:"region"`
+	// LinkMbit is the speed of the host's link in Mbit/s; 0 when not known.
+	LinkMbit int `json:"link-mbit,omitempty"`
 }
 
 // NodesFound tells of nodes that exist or have existed.
@@ -21,7 +23,9 @@
 	Nodes []NodeRecord
 	// Certain tells that the nodes themselves have just said where they are.
 	Certain bool
-	Now     time.Time
+	// Whole tells that there are no others, as far as the platform knows.
+	Whole bool
+	Now   time.Time
 }
 
 // NodeRemoved tells that a node has been taken out of the mesh.
@@ -39,7 +43,9 @@
 	Target   TargetRecord
 	// Version of the configuration that the node runs; 0 when none.
 	Version uint64
-	Now     time.Time
+	// PlatformLost tells that the node does not reach the platform.
+	PlatformLost bool
+	Now          time.Time
 }
 
 // NodeLost tells that the stream to a node has ended.
@@ -62,5 +68,11 @@
 	Now    time.Time
 }
 
+// PlatformSeen tells that this node has lost the platform, or has it back.
+type PlatformSeen struct {
+	Lost bool
+	Now  time.Time
+}
+
 // ConfigAskEnded tells that a node could not hand out a newer configuration.
 type ConfigAskEnded struct{ Now time.Time }
--- a/internal/blackboard/state.go
+++ b/internal/blackboard/state.go
@@ -32,6 +32,8 @@
 	Address string
 	// Incarnation is greater than that of any earlier process on this host.
 	Incarnation uint64
+	// LinkMbit is the speed of the host's link in Mbit/s; 0 when not known.
+	LinkMbit int
 }
 
 // Enrolment is the entry of the enroller.
@@ -106,6 +108,10 @@
 	Forget time.Time
 	// Target is what the member announced of its host's target.
 	Target TargetRecord
+	// LinkMbit is the speed of the host's link in Mbit/s; 0 when not known.
+	LinkMbit int
+	// PlatformLost tells that the member says it does not reach the platform.
+	PlatformLost bool
 }
 
 // TargetPhase is what a target says of itself.
@@ -144,6 +150,8 @@
 	Mistaken map[string]string
 	// Told is what the subscriber has told the others of this node.
 	Told NodeState
+	// Listed tells that the platform has said who there is.
+	Listed bool
 	// Tellings counts the changes of Told.
 	Tellings uint64
 	// Known names the members of ByHost in order of host. The subscriber keeps it. Read only; replaced on change.
@@ -164,6 +172,10 @@
 	Target  TargetRecord
 	// Known counts the nodes that it knows.
 	Known int
+	// Listed tells that it has read from the platform who there is.
+	Listed bool
+	// PlatformLost tells that the node does not reach the platform.
+	PlatformLost bool
 }
 
 // DataCentreSummary is what a data centre tells the others.
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -82,6 +82,7 @@
 		explainer: explainer.New(),
 		metrics:   prometheus.NewRegistry(),
 	}
+	n.self.LinkMbit = adapter.bounds.LinkMbit
 	n.countTraffic()
 	n.buildRequestPath(adapter)
 	if settings.PlatformAPI == loader.PlatformObjects {
--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -65,6 +65,7 @@
 func (n *Node) record() blackboard.NodeRecord {
 	return blackboard.NodeRecord{
 		Host: n.self.Host, Address: n.self.Address, DataCentre: n.self.DataCentre, Region: n.self.Region,
+		LinkMbit: n.self.LinkMbit,
 	}
 }
 
@@ -101,7 +102,10 @@
 			Check: dispatcher.CheckHealth, LapseAfter: lapseBeats * a.bounds.AnnounceEvery, Log: n.log,
 		}),
 		n.executor.Controller(),
-		enroller.New(enroller.Config{Self: n.record(), Platform: store, Log: n.log}),
+		enroller.New(enroller.Config{
+			Self: n.record(), Platform: store, Log: n.log,
+			State: func() *blackboard.State { return n.board.Read() },
+		}),
 		nodes.Controller(),
 	})
 	n.announcements = platform.Announcements(platform.AnnouncementReceiver{
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -25,8 +25,11 @@
 	// gatherFor is how long a starting node waits before it reads the others, so
 	// that a mesh that starts as a whole is read once and not once a node.
 	gatherFor = 500 * time.Millisecond
-	// wait is long: a node that is new tells those whom it finds.
+	// wait bounds one call: a node that is new tells those whom it finds, so events may be late.
 	wait = 20 * time.Second
+	// askEvery is how often the nodes ask that do not watch. What they miss until then
+	// is which nodes were taken out for good.
+	askEvery = 15 * time.Second
 	// writeTimeout bounds one write.
 	writeTimeout = 2 * time.Second
 	// removeTimeout bounds the removal when a node leaves for good.
@@ -37,6 +40,8 @@
 type Config struct {
 	Self     blackboard.NodeRecord
 	Platform storer.Client
+	// State returns the state of the board; nil means that this node always watches.
+	State func() *blackboard.State
 	// Now returns the time of messages.
 	Now func() time.Time
 	Log *logger.Logger
@@ -155,17 +160,14 @@
 
 func (cfg Config) follow(ctx context.Context, post blackboard.Post) {
 	p := poller.Poller{
-		Kind: Kind, Client: cfg.Platform, Wait: func() time.Duration { return wait },
-		Changed: func(c storer.Changes, _ bool) { cfg.changed(c, post) },
-		Lost: func(err error) {
-			cfg.Log.Write(logger.PlatformLost, logger.Fields{Reason: Kind, Err: err})
-		},
-		Regained: func() { cfg.Log.Write(logger.PlatformRegained, logger.Fields{Reason: Kind}) },
+		Kind: Kind, Client: cfg.Platform, Wait: wait, Turn: poller.Turn{State: cfg.State, AskEvery: askEvery},
+		Changed: func(c storer.Changes, whole bool) { cfg.changed(c, whole, post) },
+		Log:     cfg.Log,
 	}
 	p.Run(ctx)
 }
 
-func (cfg Config) changed(c storer.Changes, post blackboard.Post) {
+func (cfg Config) changed(c storer.Changes, whole bool, post blackboard.Post) {
 	found := make([]blackboard.NodeRecord, 0, len(c.Objects))
 	for _, o := range c.Objects {
 		var record blackboard.NodeRecord
@@ -177,7 +179,7 @@
 	}
 	now := cfg.Now()
 	if len(found) > 0 {
-		post(blackboard.NodesFound{Nodes: found, Now: now})
+		post(blackboard.NodesFound{Nodes: found, Whole: whole, Now: now})
 	}
 	for _, key := range c.Removed {
 		post(blackboard.NodeRemoved{Host: strings.TrimPrefix(key, Kind+"/"), Now: now})
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -3,22 +3,23 @@
 // holds the whole configuration in one object, so that no version is ever in
 // pieces.
 //
-// Each node follows that object. A node that the platform turns away hears of
-// a greater version from the nodes that it is connected to and takes it from
-// one of them, so a version that one node has read reaches all that can reach
-// each other. A process never goes back to a lower version.
+// A few nodes of each data centre watch that object. The others hear of a
+// greater version from the nodes that they are connected to and take it from
+// one of them, as what has changed since the version that they run. So a
+// version that one node has read reaches all that can reach each other, and
+// the whole configuration crosses few links. A process never goes back to a
+// lower version.
 package fetcher
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"gentianbarrow.example/internal/blackboard"
-	"gentianbarrow.example/internal/encoder"
 	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/poller"
-	"gentianbarrow.example/internal/wirepb"
 	"gentianbarrow.example/pkg/snapshotter"
 	"gentianbarrow.example/pkg/storer"
 )
@@ -27,15 +28,21 @@
 const StreamKind = "snapshot"
 
 const (
-	// askAfter is how long a node waits for the platform to tell it of a version
-	// that another node already runs.
+	// askAfter is how long a node that watches the platform waits to be told by it
+	// of a version that another node already runs.
 	askAfter = 300 * time.Millisecond
-	// watchers is how many nodes of a data centre ask the platform again and again.
-	watchers = 2
-	// shortWait and longWait bound one call of these and of the others. With askAfter,
-	// the first leaves half of the two seconds within which a version is in force.
-	shortWait = 700 * time.Millisecond
-	longWait  = 20 * time.Second
+	// askFarAfter is how long a node waits for the word of a node in its own data
+	// centre, so that a version crosses to each data centre few times.
+	askFarAfter = 300 * time.Millisecond
+	// askAgainAfter a failure the same version is asked for again.
+	askAgainAfter = 500 * time.Millisecond
+	// watchWait bounds one call of a node that watches. With askFarAfter, it leaves
+	// half of the two seconds within which a version is in force.
+	watchWait = 700 * time.Millisecond
+	// askEvery is how often the other nodes ask the platform, in case they hear of nothing.
+	askEvery = 10 * time.Second
+	// keptVersions is how many versions a node can make deltas from: those of a few seconds of changes.
+	keptVersions = 16
 	// askTimeout bounds one request to another node.
 	askTimeout = 1 * time.Second
 	// maxSnapshotBytes is more than the platform holds in one object.
@@ -63,7 +70,8 @@
 	follow struct{}
 	ask    struct {
 		address string
-		above   uint64
+		// base is what this node runs; nil when nothing.
+		base *snapshotter.Snapshot
 	}
 	applied struct {
 		version, before uint64
@@ -89,7 +97,9 @@
 	case blackboard.NodeUpdated:
 		return hear(s, msg), nil
 	case blackboard.ConfigAskEnded:
-		s.Config.Heard = blackboard.Heard{}
+		return askEnded(s, msg.Now), nil
+	case blackboard.PlatformSeen:
+		s.Config.PlatformLost = msg.Lost
 	}
 	return s, nil
 }
@@ -107,6 +117,10 @@
 	if s.Config.Running != nil && msg.Snapshot.Version <= before {
 		return s, nil
 	}
+	if s.Config.Running != nil {
+		s.Config.Recent = append(slices.Clone(s.Config.Recent), s.Config.Running)
+		s.Config.Recent = s.Config.Recent[max(len(s.Config.Recent)-keptVersions, 0):]
+	}
 	s.Config.Running = msg.Snapshot
 	s.Config.Floor = msg.Snapshot.Version
 	s.Config.Recovering = false
@@ -116,23 +130,45 @@
 	return s, []blackboard.Effect{applied{version: msg.Snapshot.Version, before: before, source: msg.Source}}
 }
 
-// hear notes that a node runs a greater version. An address that is being asked is kept.
+// hear notes that a node runs a greater version. A node of the own data centre
+// is asked rather than one of another.
 func hear(s blackboard.State, msg blackboard.NodeUpdated) blackboard.State {
 	member, known := s.Members.ByHost[msg.Host]
-	if !known || msg.Version <= version(s.Config.Running) || msg.Version <= s.Config.Heard.Version {
+	heard := s.Config.Heard
+	if !known || msg.Version <= version(s.Config.Running) || msg.Version < heard.Version {
 		return s
 	}
-	at := msg.Now.Add(askAfter)
-	if s.Config.Running == nil {
-		at = msg.Now
+	near := member.DataCentre == s.Self.DataCentre
+	if msg.Version == heard.Version && (heard.Near || !near) {
+		return s
+	}
+	at := msg.Now.Add(patience(&s, near))
+	if heard.Version != 0 && heard.PullAt.Before(at) {
+		at = heard.PullAt
+	}
+	if at.Before(heard.NotBefore) {
+		at = heard.NotBefore
 	}
-	if s.Config.Heard.Version != 0 && s.Config.Heard.PullAt.Before(at) {
-		at = s.Config.Heard.PullAt
+	s.Config.Heard = blackboard.Heard{
+		Version: msg.Version, Address: member.Address, Near: near, PullAt: at, NotBefore: heard.NotBefore,
 	}
-	s.Config.Heard = blackboard.Heard{Version: msg.Version, Address: member.Address, PullAt: at}
 	return s
 }
 
+// patience is how long a version that a node runs may take to come by itself.
+func patience(s *blackboard.State, near bool) time.Duration {
+	switch {
+	case s.Config.Running == nil:
+		return 0
+	case !near:
+		return askFarAfter
+	case !s.Config.PlatformLost && poller.Watches(s):
+		return askAfter
+	default:
+		return 0
+	}
+}
+
 func tick(s blackboard.State, now time.Time) (blackboard.State, []blackboard.Effect) {
 	var effects []blackboard.Effect
 	if !s.Config.Following {
@@ -141,11 +177,21 @@
 	}
 	if heard := s.Config.Heard; heard.Version > version(s.Config.Running) && !now.Before(heard.PullAt) {
 		s.Config.Heard.PullAt = now.Add(askTimeout)
-		effects = append(effects, ask{address: heard.Address, above: version(s.Config.Running)})
+		effects = append(effects, ask{address: heard.Address, base: s.Config.Running})
 	}
 	return s, effects
 }
 
+// askEnded lets any node be asked next: the one that was asked may be gone.
+func askEnded(s blackboard.State, now time.Time) blackboard.State {
+	if s.Config.Heard.Version != 0 {
+		s.Config.Heard.Near = false
+		s.Config.Heard.NotBefore = now.Add(askAgainAfter)
+		s.Config.Heard.PullAt = s.Config.Heard.NotBefore
+	}
+	return s
+}
+
 func (cfg Config) run(ctx context.Context, e blackboard.Effect, post blackboard.Post) {
 	switch e := e.(type) {
 	case follow:
@@ -159,40 +205,18 @@
 
 func (cfg Config) follow(ctx context.Context, post blackboard.Post) {
 	p := poller.Poller{
-		Kind: cfg.Kind, Client: cfg.Platform, Wait: cfg.wait,
+		Kind: cfg.Kind, Client: cfg.Platform, Wait: watchWait, Turn: poller.Turn{State: cfg.State, AskEvery: askEvery},
 		Changed: func(c storer.Changes, _ bool) {
 			for _, o := range c.Objects {
 				cfg.decode(o, post)
 			}
 		},
-		Lost: func(err error) {
-			cfg.Log.Write(logger.PlatformLost, logger.Fields{Reason: cfg.Kind, Err: err})
-		},
-		Regained: func() { cfg.Log.Write(logger.PlatformRegained, logger.Fields{Reason: cfg.Kind}) },
+		Seen: func(lost bool) { post(blackboard.PlatformSeen{Lost: lost, Now: cfg.Now()}) },
+		Log:  cfg.Log,
 	}
 	p.Run(ctx)
 }
 
-// wait is short on the first few nodes of a data centre, so that a change whose
-// event is lost is found in time, and long on the others, which hear of it.
-func (cfg Config) wait() time.Duration {
-	if s := cfg.State(); place(s) < watchers {
-		return shortWait
-	}
-	return longWait
-}
-
-// place is how many living nodes of the data centre stand before this one.
-func place(s *blackboard.State) int {
-	before := 0
-	for host, m := range s.Members.ByHost {
-		if m.DataCentre == s.Self.DataCentre && m.Status == blackboard.MemberAlive && host < s.Self.Host {
-			before++
-		}
-	}
-	return before
-}
-
 // decode refuses a value that is not valid as a whole: the version in force stays.
 func (cfg Config) decode(o storer.Object, post blackboard.Post) {
 	s, err := cfg.Decode(o.Value)
@@ -205,59 +229,3 @@
 	}
 	post(blackboard.ConfigRead{Snapshot: s, Now: cfg.Now()})
 }
-
-// ask takes the configuration from another node.
-func (cfg Config) ask(ctx context.Context, e ask, post blackboard.Post) {
-	s, err := cfg.request(ctx, e)
-	if err == nil && s != nil {
-		err = snapshotter.Validate(s)
-	}
-	if err != nil {
-		cfg.Log.Write(logger.ConfigAskFailed, logger.Fields{Peer: e.address, Err: err})
-	}
-	if err != nil || s == nil {
-		post(blackboard.ConfigAskEnded{Now: cfg.Now()})
-		return
-	}
-	post(blackboard.ConfigRead{Snapshot: s, Source: e.address, Now: cfg.Now()})
-}
-
-func (cfg Config) request(ctx context.Context, e ask) (*snapshotter.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	stream, err := cfg.Open(ctx, e.address)
-	if err != nil {
-		return nil, err
-	}
-	defer stream.Abort()
-	if err := stream.SetDeadline(cfg.Now().Add(askTimeout)); err != nil {
-		return nil, err
-	}
-	if err := encoder.Write(stream, &wirepb.SnapshotRequest{Above: e.above}, encoder.MaxHeaderBytes); err != nil {
-		return nil, err
-	}
-	var reply wirepb.SnapshotReply
-	if err := encoder.Read(stream.Reader, &reply, maxSnapshotBytes); err != nil || len(reply.GetSnapshot()) == 0 {
-		return nil, err
-	}
-	return snapshotter.DecodeSnapshot(reply.GetSnapshot())
-}
-
-// Handler hands out the configuration in force.
-func Handler(read func() *blackboard.State) linker.Handler {
-	return func(_ context.Context, s *linker.Stream) {
-		if s.SetDeadline(time.Now().Add(askTimeout)) != nil {
-			return
-		}
-		var request wirepb.SnapshotRequest
-		if err := encoder.Read(s.Reader, &request, encoder.MaxHeaderBytes); err != nil {
-			return
-		}
-		reply := &wirepb.SnapshotReply{}
-		if running := read().Config.Running; version(running) > request.GetAbove() {
-			reply.Snapshot = snapshotter.EncodeSnapshot(running)
-		}
-		// A reply that does not arrive is asked for again.
-		_ = encoder.Write(s, reply, maxSnapshotBytes)
-	}
-}
--- a/internal/fetcher/fetcher_test.go
+++ b/internal/fetcher/fetcher_test.go
@@ -54,46 +54,77 @@
 }
 
 func TestHearing(t *testing.T) {
-	heard := func(running, version uint64) blackboard.State {
-		s, _ := Reduce(stateWith(running), blackboard.NodeUpdated{Host: "a-1", Version: version, Now: start})
+	hears := func(s blackboard.State, host string, version uint64, at time.Time) blackboard.State {
+		s, _ = Reduce(s, blackboard.NodeUpdated{Host: host, Version: version, Now: at})
 		return s
 	}
-	asks := func(t *testing.T, s blackboard.State, at time.Time, want int) blackboard.State {
+	heard := func(running, version uint64) blackboard.State {
+		return hears(stateWith(running), "a-1", version, start)
+	}
+	asks := func(t *testing.T, s blackboard.State, at time.Time, want ...string) blackboard.State {
 		t.Helper()
 		s, effects := Reduce(s, blackboard.Tick{Now: at})
-		assert.Equal(t, len(effects), want)
+		var addresses []string
+		for _, e := range effects {
+			addresses = append(addresses, e.(ask).address)
+		}
+		assert.DeepEqual(t, addresses, want)
 		return s
 	}
-	t.Run("a greater version is asked for once the platform had its time", func(t *testing.T) {
+	t.Run("a node that watches asks once the platform had its time", func(t *testing.T) {
 		s := heard(3, 7)
-		s = asks(t, s, start.Add(askAfter-time.Millisecond), 0)
-		s = asks(t, s, start.Add(askAfter), 1)
-		asks(t, s, start.Add(askAfter+blackboard.TickEvery), 0)
+		s = asks(t, s, start.Add(askAfter-time.Millisecond))
+		s = asks(t, s, start.Add(askAfter), "10.0.0.1:7600")
+		asks(t, s, start.Add(askAfter+blackboard.TickEvery))
+	})
+	t.Run("unless it has lost the platform", func(t *testing.T) {
+		s, _ := Reduce(stateWith(3), blackboard.PlatformSeen{Lost: true, Now: start})
+		asks(t, hears(s, "a-1", 7, start), start, "10.0.0.1:7600")
+	})
+	t.Run("a node that does not watch asks at once", func(t *testing.T) {
+		asks(t, hears(amongThree(3), "a-1", 7, start), start, "10.0.0.1:7600")
+	})
+	t.Run("a node of its own data centre before one of another", func(t *testing.T) {
+		s := hears(amongThree(3), "b-1", 7, start)
+		s = asks(t, s, start)
+		s = hears(s, "a-1", 7, start.Add(time.Millisecond))
+		s = hears(s, "b-1", 7, start.Add(2*time.Millisecond))
+		asks(t, s, start.Add(time.Millisecond), "10.0.0.1:7600")
+	})
+	t.Run("and one of another where the own one does not tell", func(t *testing.T) {
+		s := hears(amongThree(3), "b-1", 7, start)
+		asks(t, s, start.Add(askFarAfter), "10.1.0.1:7600")
+	})
+	t.Run("further versions do not put the question off", func(t *testing.T) {
+		s := hears(amongThree(3), "b-1", 7, start)
+		s = hears(s, "b-1", 9, start.Add(askFarAfter-time.Millisecond))
+		asks(t, s, start.Add(askFarAfter), "10.1.0.1:7600")
+	})
+	t.Run("a node without a configuration asks at once", func(t *testing.T) {
+		asks(t, heard(0, 7), start, "10.0.0.1:7600")
 	})
-	t.Run("a node without a configuration asks at once", func(t *testing.T) { asks(t, heard(0, 7), start, 1) })
 	t.Run("versions that are not greater are not asked for", func(t *testing.T) {
-		asks(t, heard(7, 7), start.Add(time.Minute), 0)
+		asks(t, heard(7, 7), start.Add(time.Minute))
 	})
 	t.Run("a version that has come is not asked for", func(t *testing.T) {
 		s, _ := Reduce(heard(3, 7), blackboard.ConfigRead{Snapshot: snapshot(7), Now: start})
-		asks(t, s, start.Add(time.Minute), 0)
+		asks(t, s, start.Add(time.Minute))
 	})
-	t.Run("an answer without a version ends the question, and the next update asks again", func(t *testing.T) {
-		s, _ := Reduce(heard(3, 7), blackboard.ConfigAskEnded{Now: start})
-		asks(t, s, start.Add(time.Minute), 0)
-		s, _ = Reduce(s, blackboard.NodeUpdated{Host: "a-1", Version: 7, Now: start})
-		asks(t, s, start.Add(time.Minute), 1)
+	t.Run("after a failure it is asked for again, of whoever tells of it next", func(t *testing.T) {
+		s := asks(t, hears(amongThree(3), "a-1", 7, start), start, "10.0.0.1:7600")
+		s, _ = Reduce(s, blackboard.ConfigAskEnded{Now: start})
+		s = hears(s, "a-0", 7, start)
+		s = asks(t, s, start.Add(askAgainAfter-time.Millisecond))
+		asks(t, s, start.Add(askAgainAfter), "10.0.0.0:7600")
 	})
 }
 
-func TestWait(t *testing.T) {
-	s := stateWith(3)
-	cfg := Config{State: func() *blackboard.State { return &s }}
-	assert.Equal(t, cfg.wait(), shortWait, "the second node of a data centre asks again and again")
-	s.Members.ByHost["a-0"] = blackboard.Member{Host: "a-0", DataCentre: "a", Status: blackboard.MemberAlive}
-	assert.Equal(t, cfg.wait(), longWait, "the third does not")
-	s.Members.ByHost["a-0"] = blackboard.Member{Host: "a-0", DataCentre: "a", Status: blackboard.MemberDead}
-	assert.Equal(t, cfg.wait(), shortWait, "unless one of the others is gone")
+// amongThree is a node behind two others of its data centre, with one in another.
+func amongThree(version uint64) blackboard.State {
+	s := stateWith(version)
+	s.Members.ByHost["a-0"] = blackboard.Member{Host: "a-0", Address: "10.0.0.0:7600", DataCentre: "a", Status: blackboard.MemberAlive}
+	s.Members.ByHost["b-1"] = blackboard.Member{Host: "b-1", Address: "10.1.0.1:7600", DataCentre: "b", Status: blackboard.MemberAlive}
+	return s
 }
 
 // decodeDigit makes a snapshot of a value of one digit; other values are not valid.
@@ -116,11 +147,19 @@
 		put("3", 0)
 		s := stateWith(0)
 		var got []uint64
+		var seen []bool
 		cfg := Config{Platform: client, Kind: "config", Decode: decodeDigit, State: func() *blackboard.State { return &s }, Now: time.Now}
 		ctx, cancel := context.WithCancel(t.Context())
 		var group sync.WaitGroup
 		group.Go(func() {
-			cfg.follow(ctx, func(m blackboard.Msg) { got = append(got, m.(blackboard.ConfigRead).Snapshot.Version) })
+			cfg.follow(ctx, func(m blackboard.Msg) {
+				switch m := m.(type) {
+				case blackboard.ConfigRead:
+					got = append(got, m.Snapshot.Version)
+				case blackboard.PlatformSeen:
+					seen = append(seen, m.Lost)
+				}
+			})
 		})
 		step := func() {
 			time.Sleep(3 * time.Second)
@@ -140,5 +179,6 @@
 		cancel()
 		group.Wait()
 		assert.DeepEqual(t, got, []uint64{3, 5, 7})
+		assert.DeepEqual(t, seen, []bool{true, false})
 	})
 }
--- a/internal/inspector/view.go
+++ b/internal/inspector/view.go
@@ -32,6 +32,8 @@
 	Rack        string `json:"rack"`
 	Address     string `json:"address"`
 	Incarnation uint64 `json:"incarnation"`
+	// LinkMbit is the speed of the host's link in Mbit/s; 0 when not known.
+	LinkMbit int `json:"link-mbit,omitempty"`
 }
 
 // ConfigView tells which version is in force on the node.
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/pkg/storer"
 )
 
@@ -28,15 +29,17 @@
 	Kind string
 	// Client must offer Scan and Follow.
 	Client storer.Client
-	// Wait returns how long one call may wait for a change. A platform that has
+	// Wait is how long one call may wait for a change. A platform that has
 	// dropped its history may leave a call waiting: the next one is told.
-	Wait func() time.Duration
+	Wait time.Duration
+	// Turn decides when to ask; the zero value asks always.
+	Turn Turn
 	// Changed is told of the objects of a scan, with whole set, and of what changed after it.
 	Changed func(c storer.Changes, whole bool)
-	// Lost is told of the first failure after a success, and Regained of the first
-	// success after a failure. Both may be nil.
-	Lost     func(err error)
-	Regained func()
+	// Seen is told of the first failure after a success, with lost set, and of the
+	// first success after a failure; nil means nobody.
+	Seen func(lost bool)
+	Log  *logger.Logger
 	// Sleep waits; it returns false when ctx has ended. Tests replace it.
 	Sleep func(ctx context.Context, d time.Duration) bool
 }
@@ -75,11 +78,16 @@
 	poller   *Poller
 	revision uint64
 	// scanned tells that revision is one to follow from.
-	scanned  bool
+	scanned bool
+	// watching tells that calls wait for a change; otherwise they ask what has changed so far.
+	watching bool
 	failures int
 }
 
 func (f *follower) step(ctx context.Context) {
+	if f.scanned && f.failures == 0 {
+		f.watching = f.poller.Turn.await(ctx, f.poller.Sleep)
+	}
 	changes, err := f.ask(ctx)
 	if ctx.Err() != nil {
 		return
@@ -93,8 +101,9 @@
 		f.failed(ctx, err)
 		return
 	}
-	if f.failures > 0 && f.poller.Regained != nil {
-		f.poller.Regained()
+	if f.failures > 0 {
+		f.poller.Log.Write(logger.PlatformRegained, logger.Fields{Reason: f.poller.Kind, Count: f.failures})
+		f.seen(false)
 	}
 	f.failures = 0
 	whole := !f.scanned
@@ -109,13 +118,27 @@
 	if !f.scanned {
 		return f.poller.Client.Scan(ctx, f.poller.Kind)
 	}
-	return f.poller.Client.Follow(ctx, f.poller.Kind, f.revision, f.poller.Wait())
+	return f.poller.Client.Follow(ctx, f.poller.Kind, f.revision, f.wait())
+}
+
+func (f *follower) wait() time.Duration {
+	if !f.watching {
+		return 0
+	}
+	return f.poller.Wait
 }
 
 func (f *follower) failed(ctx context.Context, err error) {
 	f.failures++
-	if f.failures == 1 && f.poller.Lost != nil {
-		f.poller.Lost(err)
+	if f.failures == 1 {
+		f.poller.Log.Write(logger.PlatformLost, logger.Fields{Reason: f.poller.Kind, Err: err})
+		f.seen(true)
 	}
 	f.poller.Sleep(ctx, Pause(f.failures))
 }
+
+func (f *follower) seen(lost bool) {
+	if f.poller.Seen != nil {
+		f.poller.Seen(lost)
+	}
+}
--- a/internal/subscriber/stream.go
+++ b/internal/subscriber/stream.go
@@ -7,6 +7,8 @@
 	"net"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/encoder"
 	"gentianbarrow.example/internal/linker"
@@ -15,8 +17,14 @@
 	"gentianbarrow.example/internal/wirepb"
 )
 
-// openTimeout bounds the opening of a stream.
-const openTimeout = 1 * time.Second
+const (
+	// openTimeout bounds the opening of a stream.
+	openTimeout = 1 * time.Second
+	// quickTries is how often a lost node is tried about once a second: no longer than longLost.
+	quickTries = 15
+	// longPauses multiplies the time between later tries.
+	longPauses = 5
+)
 
 // MistakenError tells that another node answers at an address.
 type MistakenError struct{ Want, Got string }
@@ -67,8 +75,17 @@
 			b.cfg.Log.Write(logger.NodeMistaken, logger.Fields{Host: e.host, Peer: e.address, Err: err})
 			return
 		}
-		poller.Sleep(ctx, poller.Pause(failures))
+		poller.Sleep(ctx, pause(failures))
+	}
+}
+
+// pause returns how long to wait before a lost node is tried again. One that has
+// been away for long subscribes to this node when it is back, which ends the wait.
+func pause(failures int) time.Duration {
+	if failures > quickTries {
+		return poller.Pause(failures) * longPauses
 	}
+	return poller.Pause(failures)
 }
 
 func (b *Subscriber) replace(host string, s stream) {
@@ -101,10 +118,11 @@
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
 	o, _ := b.own()
-	request := &wirepb.SubscribeRequest{Self: encodeRecord(b.cfg.Self), Host: e.host, Known: encodeRecords(o.known)}
+	request := &wirepb.SubscribeRequest{Self: encodeRecord(b.cfg.Self), Host: e.host, WantsKnown: !o.state.Listed}
 	if err := encoder.Write(s, request, encoder.MaxControlBytes); err != nil {
 		return false, err
 	}
+	var latest blackboard.NodeUpdated
 	for {
 		if err := s.SetReadDeadline(time.Now().Add(silentAfter)); err != nil {
 			return received, err
@@ -113,26 +131,29 @@
 		if err := encoder.Read(s.Reader, &m, encoder.MaxControlBytes); err != nil {
 			return received, err
 		}
-		if m.GetHost() != e.host {
+		switch {
+		case m.GetHost() == e.host:
+			latest = b.decode(&m)
+		case m.GetHost() != "" || !received:
 			return received, &MistakenError{Want: e.host, Got: m.GetHost()}
 		}
 		received = true
-		b.take(&m, post)
+		if known := decodeRecords(m.GetKnown()); len(known) > 0 {
+			post(blackboard.NodesFound{Nodes: known, Now: b.cfg.Now()})
+		}
+		latest.Now = b.cfg.Now()
+		post(latest)
 	}
 }
 
-func (b *Subscriber) take(m *wirepb.NodeUpdate, post blackboard.Post) {
-	now := b.cfg.Now()
-	if known := decodeRecords(m.GetKnown()); len(known) > 0 {
-		post(blackboard.NodesFound{Nodes: known, Now: now})
-	}
-	post(blackboard.NodeUpdated{
+func (b *Subscriber) decode(m *wirepb.NodeUpdate) blackboard.NodeUpdated {
+	return blackboard.NodeUpdated{
 		Host: m.GetHost(), Incarnation: m.GetIncarnation(), Draining: m.GetDraining(), Version: m.GetVersion(),
 		Target: blackboard.TargetRecord{
 			Service: m.GetService(), Phase: phaseOf(m.GetTarget()), Slots: int(m.GetSlots()), Revision: m.GetRevision(),
 		},
-		Now: now,
-	})
+		PlatformLost: m.GetPlatformLost(),
+	}
 }
 
 // Serve sends this node's updates to a subscriber until the stream ends.
@@ -145,48 +166,65 @@
 		return
 	}
 	if request.GetHost() == b.cfg.Self.Host {
-		now := b.cfg.Now()
-		b.cfg.Post(blackboard.NodesFound{Nodes: decodeRecords(request.GetKnown()), Now: now})
-		b.cfg.Post(blackboard.NodesFound{Nodes: decodeRecords([]*wirepb.NodeRecord{request.GetSelf()}), Certain: true, Now: now})
+		itself := decodeRecords([]*wirepb.NodeRecord{request.GetSelf()})
+		b.cfg.Post(blackboard.NodesFound{Nodes: itself, Certain: true, Now: b.cfg.Now()})
 	}
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
-	told := map[string]bool{}
-	for _, n := range request.GetKnown() {
-		told[n.GetHost()] = true
+	var told map[string]bool
+	if request.GetWantsKnown() {
+		told = map[string]bool{request.GetSelf().GetHost(): true}
 	}
 	b.send(ctx, s, told)
 }
 
-// send writes updates until the stream ends. Nodes in told are known to the subscriber.
+// send writes updates until the stream ends. Nodes in told are known to the
+// subscriber; nil means that it wants to hear of none.
 func (b *Subscriber) send(ctx context.Context, s *linker.Stream, told map[string]bool) {
 	ticker := time.NewTicker(updateEvery)
 	defer ticker.Stop()
-	for {
-		o, changed := b.own()
-		if s.SetWriteDeadline(time.Now().Add(silentAfter)) != nil {
-			return
-		}
-		if err := encoder.Write(s, b.encode(o, told), encoder.MaxControlBytes); err != nil {
+	o, changed := b.own()
+	latest := b.encode(o, told)
+	for update := latest; ; {
+		if err := write(s, update); err != nil {
 			return
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
+			o, changed = b.own()
+			update = b.encode(o, told)
+			if proto.Equal(update, latest) {
+				update = nil
+				continue
+			}
+			latest = update
 		case <-ticker.C:
+			update = &wirepb.NodeUpdate{}
 		}
 	}
 }
 
+// write sends an update; nil is none.
+func write(s *linker.Stream, update *wirepb.NodeUpdate) error {
+	if update == nil {
+		return nil
+	}
+	if err := s.SetWriteDeadline(time.Now().Add(silentAfter)); err != nil {
+		return err
+	}
+	return encoder.Write(s, update, encoder.MaxControlBytes)
+}
+
 func (b *Subscriber) encode(o own, told map[string]bool) *wirepb.NodeUpdate {
 	t := &o.state.Target
 	m := &wirepb.NodeUpdate{
 		Host: b.cfg.Self.Host, Incarnation: b.cfg.Incarnation, Draining: o.state.Draining, Version: o.state.Version,
-		Service: t.Service, Target: phases[t.Phase], Slots: uint32(t.Slots), Revision: t.Revision,
+		Service: t.Service, Target: phases[t.Phase], Slots: uint32(t.Slots), Revision: t.Revision, PlatformLost: o.state.PlatformLost,
 	}
 	for _, n := range o.known {
-		if !told[n.Host] {
+		if told != nil && !told[n.Host] {
 			told[n.Host] = true
 			m.Known = append(m.Known, encodeRecord(n))
 		}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -4,8 +4,9 @@
 // and otherwise once a second, so that a change arrives within a round trip
 // and silence is noticed within two seconds and a half.
 //
-// A subscriber tells who it is and whom it knows. A node that restarts while
-// the platform is away is found again that way by those that know its address.
+// A subscriber tells who it is, and is told whom the other knows while it has not
+// read that from the platform. So a node that restarts while the platform is away
+// is found again by those that know its address, and finds the rest.
 package subscriber
 
 import (
@@ -29,10 +30,10 @@
 	updateEvery = 1 * time.Second
 	// silentAfter is how long a node may send no update before it counts as silent.
 	silentAfter = 2500 * time.Millisecond
+	// longLost is how long a node is lost before it is tried more rarely than once a second.
+	longLost = 15 * time.Second
 	// mostMistaken bounds the addresses that are remembered as another node's.
 	mostMistaken = 1024
-	// mostKnown bounds the nodes named in one message.
-	mostKnown = 4096
 )
 
 // Config holds what a subscriber needs.
@@ -132,7 +133,7 @@
 func stateOf(s *blackboard.State) blackboard.NodeState {
 	n := blackboard.NodeState{
 		Draining: !s.Life.TakesPeers(),
-		Target:   s.Target.Record, Known: len(s.Members.Known),
+		Target:   s.Target.Record, Known: len(s.Members.Known), Listed: s.Members.Listed, PlatformLost: s.Config.PlatformLost,
 	}
 	if s.Config.Running != nil {
 		n.Version = s.Config.Running.Version
@@ -140,13 +141,25 @@
 	return n
 }
 
-// found adds nodes, and follows those whose address is new.
+// found adds nodes, and follows those whose address is new. One that has been lost
+// for long and has just said where it is is tried again at once. Others are being
+// tried: to begin anew whenever two nodes meet would never end among many.
 func found(s blackboard.State, msg blackboard.NodesFound) (blackboard.State, []blackboard.Effect) {
 	var effects []blackboard.Effect
+	if msg.Whole {
+		s.Members.Listed = true
+		s, effects = absent(s, msg.Nodes)
+	}
 	var members map[string]blackboard.Member
 	for _, n := range msg.Nodes {
 		old, known := s.Members.ByHost[n.Host]
-		if n.Host == s.Self.Host || n.Address == s.Self.Address || known && old.Address == n.Address {
+		if n.Host == s.Self.Host || n.Address == s.Self.Address {
+			continue
+		}
+		if known && old.Address == n.Address {
+			if msg.Certain && old.Status == blackboard.MemberDead && msg.Now.Sub(old.Changed) >= longLost {
+				effects = append(effects, subscribe{host: n.Host, address: n.Address})
+			}
 			continue
 		}
 		if s.Members.Mistaken[n.Host] == n.Address && !msg.Certain {
@@ -156,7 +169,7 @@
 			members = cloned(s.Members.ByHost)
 		}
 		members[n.Host] = blackboard.Member{
-			Host: n.Host, Address: n.Address, DataCentre: n.DataCentre, Region: n.Region,
+			Host: n.Host, Address: n.Address, DataCentre: n.DataCentre, Region: n.Region, LinkMbit: n.LinkMbit,
 			Status: blackboard.MemberDead, Changed: msg.Now,
 		}
 		effects = append(effects, subscribe{host: n.Host, address: n.Address})
@@ -168,6 +181,22 @@
 	return s, effects
 }
 
+// absent forgets the lost nodes that the platform no longer names. One that lives
+// may have started while the platform was away.
+func absent(s blackboard.State, named []blackboard.NodeRecord) (blackboard.State, []blackboard.Effect) {
+	var effects []blackboard.Effect
+	for host, m := range s.Members.ByHost {
+		isNamed := slices.ContainsFunc(named, func(n blackboard.NodeRecord) bool { return n.Host == host })
+		if isNamed || m.Status == blackboard.MemberAlive {
+			continue
+		}
+		var forgets []blackboard.Effect
+		s, forgets = removed(s, host)
+		effects = append(effects, forgets...)
+	}
+	return s, effects
+}
+
 func cloned(members map[string]blackboard.Member) map[string]blackboard.Member {
 	if members == nil {
 		return map[string]blackboard.Member{}
@@ -179,7 +208,9 @@
 	list := make([]blackboard.NodeRecord, 0, len(members))
 	for _, host := range slices.Sorted(maps.Keys(members)) {
 		m := members[host]
-		list = append(list, blackboard.NodeRecord{Host: m.Host, Address: m.Address, DataCentre: m.DataCentre, Region: m.Region})
+		list = append(list, blackboard.NodeRecord{
+			Host: m.Host, Address: m.Address, DataCentre: m.DataCentre, Region: m.Region, LinkMbit: m.LinkMbit,
+		})
 	}
 	return list
 }
@@ -202,6 +233,7 @@
 	}
 	next := m
 	next.Status, next.Incarnation, next.Target = blackboard.MemberAlive, msg.Incarnation, msg.Target
+	next.PlatformLost = msg.PlatformLost
 	if msg.Draining {
 		next.Target.Phase = blackboard.TargetDraining
 	}
@@ -275,16 +307,8 @@
 	return b.update, b.changed
 }
 
-func encodeRecords(list []blackboard.NodeRecord) []*wirepb.NodeRecord {
-	out := make([]*wirepb.NodeRecord, 0, min(len(list), mostKnown))
-	for _, n := range list[:min(len(list), mostKnown)] {
-		out = append(out, encodeRecord(n))
-	}
-	return out
-}
-
 func encodeRecord(n blackboard.NodeRecord) *wirepb.NodeRecord {
-	return &wirepb.NodeRecord{Host: n.Host, Address: n.Address, DataCentre: n.DataCentre, Region: n.Region}
+	return &wirepb.NodeRecord{Host: n.Host, Address: n.Address, DataCentre: n.DataCentre, Region: n.Region, LinkMbit: uint32(n.LinkMbit)}
 }
 
 func decodeRecords(list []*wirepb.NodeRecord) []blackboard.NodeRecord {
@@ -295,6 +319,7 @@
 		}
 		out = append(out, blackboard.NodeRecord{
 			Host: n.GetHost(), Address: n.GetAddress(), DataCentre: n.GetDataCentre(), Region: n.GetRegion(),
+			LinkMbit: int(n.GetLinkMbit()),
 		})
 	}
 	return out
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -88,6 +88,18 @@
 		b.post(draining)
 		assert.Equal(t, b.state.Members.ByHost[other.Host].Target.Phase, blackboard.TargetDraining)
 	})
+	t.Run("a node that has lost the platform says so", func(t *testing.T) {
+		b := newBench(t)
+		b.state.Config.PlatformLost = true
+		_, effects := b.nodes.reduce(b.state, found)
+		told := effects[len(effects)-1].(publish).update
+		again := b.nodes.decode(b.nodes.encode(told, nil))
+		assert.Assert(t, again.PlatformLost)
+		again.Host = other.Host
+		b.post(found)
+		b.post(again)
+		assert.Assert(t, b.state.Members.ByHost[other.Host].PlatformLost)
+	})
 	t.Run("silence and a closed stream are told apart", func(t *testing.T) {
 		b := newBench(t)
 		b.post(found)
@@ -109,6 +121,26 @@
 		itself.Certain = true
 		assert.Equal(t, len(b.post(itself)), 1, "what it says itself is")
 	})
+	t.Run("a node lost for long is followed again at once when it says where it is", func(t *testing.T) {
+		b := newBench(t)
+		b.post(found)
+		itself := blackboard.NodesFound{Nodes: []blackboard.NodeRecord{other}, Certain: true, Now: start}
+		assert.Equal(t, len(b.post(itself)), 0, "two nodes that meet at their start do not begin anew")
+		itself.Now = start.Add(longLost)
+		assert.DeepEqual(t, b.post(itself)[0].(subscribe).address, other.Address)
+		b.post(ready)
+		assert.Equal(t, len(b.post(itself)), 0, "a living one is followed already")
+	})
+	t.Run("a lost node that the platform no longer names is forgotten, a living one is not", func(t *testing.T) {
+		none := blackboard.NodesFound{Whole: true, Now: start}
+		b := newBench(t)
+		b.post(found)
+		b.post(ready)
+		assert.Equal(t, len(b.post(none)), 0)
+		b.post(blackboard.NodeLost{Host: other.Host, Address: other.Address, Now: start})
+		assert.DeepEqual(t, b.post(none)[0].(forget).host, other.Host)
+		assert.Equal(t, len(b.state.Members.ByHost), 0)
+	})
 	t.Run("and so is one that was removed", func(t *testing.T) {
 		b := newBench(t)
 		b.post(found)
