Take in few bulk bodies at a time over a node's link

Cause: on the larger deployment calls to the service that takes uploads ended at their deadline (238 of about 1,000 at 11 nodes): its hosts have links of 7 Mbit/s, and the bytes of several uploads at once stood in front of the calls. A slot of the target was held while its body came. Ruled out: the target (33 ms of work against waits of 180 ms), slots (2 of 9 in use when calls were late).

Change: the sender of a bulk request holds its body until the target's node asks for it. That takes in two at a time, in order of aim, refuses those that would come too late before a byte is sent, and has the first 512 kB before it asks for a slot. A body that was not asked for proves that its request has not run.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -26,10 +26,13 @@
 	}
 	x := &outgoing{forwarder: f, address: address, ctx: ctx, cancel: cancel, stream: s, request: r}
 	x.stop = context.AfterFunc(ctx, s.Abort)
-	if r.Body != nil {
-		x.uploads.Go(x.upload)
-	} else {
+	switch {
+	case r.Body == nil:
 		x.uploaded.Store(true)
+	case holdsBody(r):
+		x.holding = true
+	default:
+		x.uploads.Go(x.upload)
 	}
 	return x.answer()
 }
@@ -73,6 +76,8 @@
 	stream  *linker.Stream
 	request *exchanger.Request
 	uploads sync.WaitGroup
+	// holding tells that the body waits until the peer asks for it: until then the request has not run.
+	holding bool
 	// uploaded tells that the whole request has been sent.
 	uploaded atomic.Bool
 	closing  sync.Once
@@ -97,6 +102,9 @@
 	if err != nil {
 		reason := lossReason(x.ctx, x.request, err)
 		x.end(false, 0)
+		if x.holding {
+			return exchanger.NotRun(reason, err)
+		}
 		return exchanger.Unknown(reason, err)
 	}
 	if a.Outcome != retrier.OutcomeDone {
@@ -118,6 +126,11 @@
 	if m.GetRequestId() != x.request.ID {
 		return nil, false, &CrossedError{Want: x.request.ID, Got: m.GetRequestId()}
 	}
+	if m.GetSendBody() && x.holding {
+		x.holding = false
+		x.uploads.Go(x.upload)
+		return x.read()
+	}
 	a, err = decodeAnswer(&m, time.Now())
 	return a, m.GetReuse(), err
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,6 +6,14 @@
 //	                               ◀──    ForwardResponse, BodyChunk...
 //	next ForwardRequest, or close  ──▶
 //
+// The body of a bulk request is held back until the target's node asks for it:
+// it takes few of them at a time, so that their bytes do not stand in front of
+// short requests on its link, and what it refuses costs no bytes.
+//
+//	ForwardRequest                 ──▶
+//	                               ◀──    ForwardResponse (send_body)
+//	BodyChunk...                   ──▶
+//
 // A request whose content length is 0 has no chunks. Each other body ends with a chunk that carries its total length, so that a body
 // that was cut short cannot look whole. Closing the stream earlier cancels the
 // request. An answer must carry the id of its request. A stream is used again
@@ -23,6 +31,7 @@
 
 	"gentianbarrow.example/internal/drainer"
 	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/pkg/snapshotter"
@@ -79,12 +88,15 @@
 
 // Forwarder is both ends of the protocol.
 type Forwarder struct {
-	cfg  Config
-	idle *idleStreams
+	cfg    Config
+	idle   *idleStreams
+	intake *limiter.Waiter
 }
 
 // New returns a forwarder. Register Handle with the linker under Kind.
-func New(cfg Config) *Forwarder { return &Forwarder{cfg: cfg, idle: newIdleStreams()} }
+func New(cfg Config) *Forwarder {
+	return &Forwarder{cfg: cfg, idle: newIdleStreams(), intake: limiter.NewWaiter(intakeLimits)}
+}
 
 // trafficOf keeps long bodies off the connections of short requests.
 func trafficOf(c snapshotter.Class) linker.Traffic {
--- /dev/null
+++ b/internal/forwarder/intake.go
@@ -0,0 +1,87 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"gentianbarrow.example/internal/encoder"
+	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/limiter"
+	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/internal/wirepb"
+	"gentianbarrow.example/pkg/snapshotter"
+)
+
+const (
+	// intakeBodies is how many bodies a node takes in at once: one on the link,
+	// and one whose sender is being asked meanwhile.
+	intakeBodies = 2
+	// intakeQueue bounds the requests that wait for that.
+	intakeQueue = 256
+	// intakeTime is how long a body keeps others waiting; a slow sender's goes on beside them.
+	intakeTime = 1 * time.Second
+	// spoolBytes of a body are taken in before its request asks for a slot of the
+	// target, so that no slot is held while bytes come over a slow link.
+	spoolBytes = 512 << 10
+)
+
+var intakeLimits = limiter.Limits{
+	Slots: intakeBodies, Connections: intakeBodies, Queue: intakeQueue, BulkPercent: 100,
+	Order: limiter.OrderAim, FixedSlots: true, NoRamp: true,
+}
+
+// holdsBody tells that the body of a request is sent only when it is asked for.
+func holdsBody(r *exchanger.Request) bool {
+	return r.Class == snapshotter.ClassBulk && r.Body != nil
+}
+
+// takeIn asks for a body that the peer holds and reads its start. It returns an
+// answer when the request ends here, and then no byte of the body has been asked for.
+func (x *incoming) takeIn(ctx context.Context, cancel context.CancelFunc, body io.Reader) *exchanger.Answer {
+	if !x.held || x.request.Body == nil {
+		return nil
+	}
+	var waiting sync.WaitGroup
+	waiting.Go(func() {
+		// The first byte comes when the body has been asked for, the end of the stream at any time.
+		if _, err := x.stream.Reader.Peek(1); err != nil {
+			cancel()
+		}
+	})
+	release, err := x.forwarder.intake.Acquire(ctx, limiter.Request{
+		Class: x.request.Class, Firm: x.request.Firm, Route: x.request.Route, Priority: x.request.Priority,
+		Aim: x.request.Aim, Deadline: x.request.Deadline,
+	})
+	if err != nil {
+		return x.notTaken(err)
+	}
+	expiry := time.AfterFunc(intakeTime, func() { release(limiter.Result{}) })
+	defer expiry.Stop()
+	defer release(limiter.Result{Outcome: retrier.OutcomeDone})
+	ask := &wirepb.ForwardResponse{RequestId: x.request.ID, SendBody: true}
+	if err := encoder.Write(x.stream, ask, encoder.MaxHeaderBytes); err != nil {
+		cancel()
+	}
+	waiting.Wait()
+	spool := bytes.NewBuffer(make([]byte, 0, max(min(x.request.ContentLength, spoolBytes), 0)))
+	if _, err := io.Copy(spool, io.LimitReader(body, spoolBytes)); err != nil {
+		return x.forwarder.cfg.Refuse(x.request, exchanger.ReasonCancelled)
+	}
+	x.request.Body = io.MultiReader(spool, body)
+	return nil
+}
+
+// notTaken refuses a request whose body has not been asked for.
+func (x *incoming) notTaken(err error) *exchanger.Answer {
+	var refused *limiter.RefusedError
+	if !errors.As(err, &refused) {
+		return x.forwarder.cfg.Refuse(x.request, exchanger.ReasonNoTarget)
+	}
+	a := x.forwarder.cfg.Refuse(x.request, exchanger.Reason(refused.Reason))
+	a.RetryAt = refused.RetryAfter
+	return a
+}
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -31,6 +31,7 @@
 		IdempotencyKey: r.IdempotencyKey, Recall: r.Recall,
 		ContentLength: r.ContentLength, ConfigVersion: r.ConfigVersion,
 		CallerService: r.CallerService, Priority: uint32(r.Priority), AimMicro: aimLeft(r), NoWait: r.NoWait,
+		HoldsBody: holdsBody(r),
 	}
 }
 
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -21,12 +21,12 @@
 // Handle serves the exchanges of one stream of a peer.
 func (f *Forwarder) Handle(ctx context.Context, s *linker.Stream) {
 	for {
-		r, err := f.readRequest(s)
+		r, held, err := f.readRequest(s)
 		if err != nil {
 			f.rejected(err)
 			return
 		}
-		x := &incoming{forwarder: f, stream: s, request: r, stop: func() bool { return false }}
+		x := &incoming{forwarder: f, stream: s, request: r, held: held, stop: func() bool { return false }}
 		if !x.handle(ctx) || !x.next() {
 			return
 		}
@@ -45,18 +45,20 @@
 	}
 }
 
-func (f *Forwarder) readRequest(s *linker.Stream) (*exchanger.Request, error) {
+// readRequest also tells whether the peer holds the body until it is asked for.
+func (f *Forwarder) readRequest(s *linker.Stream) (r *exchanger.Request, held bool, err error) {
 	if err := s.SetReadDeadline(time.Now().Add(headerTimeout)); err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	var m wirepb.ForwardRequest
 	if err := encoder.Read(s.Reader, &m, encoder.MaxHeaderBytes); err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	if err := s.SetReadDeadline(time.Time{}); err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	return decodeRequest(&m, time.Now())
+	r, err = decodeRequest(&m, time.Now())
+	return r, m.GetHoldsBody(), err
 }
 
 // incoming is one exchange as the target's node sees it.
@@ -64,7 +66,9 @@
 	forwarder *Forwarder
 	stream    *linker.Stream
 	request   *exchanger.Request
-	watching  sync.WaitGroup
+	// held tells that the peer sends the body when it is asked for it.
+	held     bool
+	watching sync.WaitGroup
 	// received tells that the whole request has come.
 	received atomic.Bool
 	// ending is set before the end of the answer is sent: only then may the
@@ -108,7 +112,10 @@
 	} else {
 		x.request.Body = body
 	}
-	a := x.forwarder.cfg.Execute(ctx, x.request)
+	a := x.takeIn(ctx, cancel, body)
+	if a == nil {
+		a = x.forwarder.cfg.Execute(ctx, x.request)
+	}
 	x.send(a)
 	a.Close()
 	x.stop()
