--- a/internal/forwarder/intake_test.go
+++ b/internal/forwarder/intake_test.go
@@ -104,6 +104,25 @@
 			assert.Equal(t, time.Since(begun), 3*each)
 		})
 	})
+	t.Run("the load that answers tell counts the bodies that come and wait", func(t *testing.T) {
+		inPair(t, func(t *testing.T, p *pair) {
+			p.execute = func(ctx context.Context, r *exchanger.Request) *exchanger.Answer {
+				a := echoID(ctx, r)
+				a.Load = &limiter.Load{Slots: 9, Queued: 1}
+				return a
+			}
+			var group sync.WaitGroup
+			for range intakeBodies + 3 {
+				group.Go(func() { play(t, p, upload("r", slow(200*time.Millisecond, "x"), 1)) })
+			}
+			time.Sleep(time.Millisecond)
+			a, _ := play(t, p, testRequest())
+			assert.Equal(t, a.Load.Queued, 1+intakeBodies+3)
+			group.Wait()
+			a, _ = play(t, p, testRequest())
+			assert.Equal(t, a.Load.Queued, 1)
+		})
+	})
 	t.Run("a slow sender keeps others waiting for a bounded time", func(t *testing.T) {
 		inPair(t, func(t *testing.T, p *pair) {
 			var group sync.WaitGroup
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -173,6 +173,11 @@
 
 func (x *incoming) write(s *sender, a *exchanger.Answer, length int64) error {
 	m := encodeAnswer(x.request, a, x.forwarder.cfg.Incarnation)
+	if m.Load != nil {
+		// Requests whose bodies are awaited stand before a further one as well.
+		intake := x.forwarder.intake.Load()
+		m.Load.Queued += uint32(intake.InFlight + intake.Queued)
+	}
 	done := a.Outcome == retrier.OutcomeDone
 	m.Reuse = !done && x.mayReuse()
 	if err := encoder.Write(s.w, m, encoder.MaxHeaderBytes); err != nil {
--- a/internal/linker/coalescer.go
+++ b/internal/linker/coalescer.go
@@ -22,6 +22,8 @@
 	header []byte
 	// bytes counts what passes.
 	bytes *connCounter
+	// heard is told of each read that brought bytes; nil means nobody.
+	heard func()
 }
 
 func newCoalescer(conn net.Conn, bytes *connCounter) *coalescer {
@@ -32,6 +34,9 @@
 func (c *coalescer) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.bytes.add(DirectionReceived, n)
+	if n > 0 && c.heard != nil {
+		c.heard()
+	}
 	return n, err
 }
 
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// pingEvery is the time between two pings on a session in use.
+	// pingEvery is how long a session in use may bring nothing before it is pinged.
 	pingEvery = 500 * time.Millisecond
-	// silentAfter is how long a session in use may leave pings unanswered
-	// before new streams go to a fresh connection.
+	// silentAfter is how long a session in use may bring nothing, answers to pings
+	// included, before new streams go to a fresh connection.
 	silentAfter = 1500 * time.Millisecond
 	// Control sessions are many, and their protocols have deadlines of their
 	// own, so they are pinged more rarely.
@@ -60,8 +60,8 @@
 type link struct {
 	session *yamux.Session
 	traffic Traffic
-	// answered is when the peer last answered a ping, in Unix nanoseconds.
-	answered atomic.Int64
+	// heard is when bytes last came from the peer, in Unix nanoseconds.
+	heard atomic.Int64
 	// used is when a stream was last opened, in Unix nanoseconds.
 	used atomic.Int64
 }
@@ -72,7 +72,7 @@
 	return time.Since(time.Unix(0, at.Load()))
 }
 
-// pingEvery returns the time between two pings while the session is in use.
+// pingEvery returns how long the session may bring nothing while it is in use.
 func (l *link) pingEvery() time.Duration {
 	if l.traffic == TrafficControl {
 		return controlPingEvery
@@ -80,13 +80,13 @@
 	return pingEvery
 }
 
-// silent tells that the session has left pings unanswered for too long.
+// silent tells that the session has brought nothing for too long.
 func (l *link) silent() bool {
 	limit := silentAfter
 	if l.traffic == TrafficControl {
 		limit = controlSilentAfter
 	}
-	return l.since(&l.answered) > limit
+	return l.since(&l.heard) > limit
 }
 
 // inUse tells that the session is pinged regularly.
@@ -105,11 +105,8 @@
 }
 
 func (l *link) ping() bool {
-	if _, err := l.session.Ping(); err != nil {
-		return false
-	}
-	l.touch(&l.answered)
-	return true
+	_, err := l.session.Ping()
+	return err == nil
 }
 
 func (l *Linker) yamuxConfig() *yamux.Config {
@@ -198,14 +195,15 @@
 	if err != nil {
 		return nil, err
 	}
-	session, err := yamux.Client(newCoalescer(conn, newConnCounter(l.count, key.traffic)), l.yamuxConfig())
-	if err != nil {
+	fresh := &link{traffic: key.traffic}
+	fresh.touch(&fresh.heard)
+	fresh.touch(&fresh.used)
+	counted := newCoalescer(conn, newConnCounter(l.count, key.traffic))
+	counted.heard = func() { fresh.touch(&fresh.heard) }
+	if fresh.session, err = yamux.Client(counted, l.yamuxConfig()); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	fresh := &link{session: session, traffic: key.traffic}
-	fresh.touch(&fresh.answered)
-	fresh.touch(&fresh.used)
 	l.mu.Lock()
 	s.current = fresh
 	l.mu.Unlock()
@@ -243,7 +241,7 @@
 	if empty && watched.since(&watched.used) > idleTimeout {
 		return false
 	}
-	return !watched.inUse() || watched.ping()
+	return !watched.inUse() || watched.since(&watched.heard) < watched.pingEvery() || watched.ping()
 }
 
 func (l *Linker) forget(s *slot, gone *link) {
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -212,6 +212,37 @@
 			assert.Equal(t, e.dials, 1)
 		})
 	})
+	t.Run("a session that brings bytes is not pinged, one that brings none is", func(t *testing.T) {
+		inBubble(t, func(t *testing.T, l *Linker, _ *echo) {
+			var sent atomic.Int64
+			l.count = func(_ Traffic, d Direction, n int) {
+				if d == DirectionSent {
+					sent.Add(int64(n))
+				}
+			}
+			s := open(t, l, TrafficControl)
+			defer s.Abort()
+			const beats = 20
+			exchange := func() {
+				_, err := s.Write([]byte("b"))
+				assert.NilError(t, err)
+				_, err = s.Reader.ReadByte()
+				assert.NilError(t, err)
+			}
+			exchange()
+			time.Sleep(time.Second)
+			before := sent.Load()
+			for range beats {
+				exchange()
+				time.Sleep(time.Second)
+			}
+			answersToPings := int(beats * time.Second / serverPingEvery)
+			assert.Equal(t, sent.Load()-before, int64(beats*(frameHeaderBytes+1)+answersToPings*frameHeaderBytes))
+			before = sent.Load()
+			time.Sleep(beats * time.Second)
+			assert.Assert(t, sent.Load()-before >= beats/4*frameHeaderBytes)
+		})
+	})
 	t.Run("an idle session is closed", func(t *testing.T) {
 		inBubble(t, func(t *testing.T, l *Linker, _ *echo) {
 			open(t, l, TrafficShort).Abort()
