End within the platform's grace when a connection has brought nothing

Cause: http.Server.Shutdown waits up to five seconds for a connection on which nothing has come, and the servers for announcements, readiness and operators were given three seconds for it, after up to 5.2 s of the six that the platform grants. Ruled out: requests under way, which are cut at 85 % of the grace; links and effects, which end with their context.

Change: all servers get the same bound on the users' platform, 300 ms.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -10,6 +10,7 @@
 package composer
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -58,6 +59,8 @@
 	executor  *executor.Executor
 	receiver  *receiver.Receiver
 	callers   *acceptor.Server
+	// closeTimeout bounds the end of the servers.
+	closeTimeout time.Duration
 	// announcements takes what the target on this host says of itself.
 	announcements http.Handler
 	metrics       *prometheus.Registry
@@ -83,6 +86,7 @@
 		metrics:   prometheus.NewRegistry(),
 	}
 	n.self.LinkMbit = adapter.bounds.LinkMbit
+	n.closeTimeout = cmp.Or(adapter.closeTimeout, ownCloseTimeout)
 	n.countTraffic()
 	n.buildRequestPath(adapter)
 	if settings.PlatformAPI == loader.PlatformObjects {
--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -30,7 +30,8 @@
 	// cutShare of the platform's grace is when a stopping node ends with requests in
 	// flight. What follows, directFarewell and directClose, fits in the rest.
 	cutShare = 0.85
-	// directClose is how long answers that were cut off by then may take to go out.
+	// directClose is how long the servers may take to end: for answers that were cut
+	// off by then to go out, and connections on which nothing has come.
 	directClose = 300 * time.Millisecond
 	// lapseBeats is how many announcements a target may miss.
 	lapseBeats = 4
@@ -48,7 +49,7 @@
 	dialect exchanger.Dialect
 	bounds  platform.Bounds
 	blame   time.Duration
-	// closeTimeout of callers' connections; 0 means that of the acceptor.
+	// closeTimeout of all servers' connections; 0 means that of each server.
 	closeTimeout time.Duration
 	order        limiter.Order
 }
--- a/internal/composer/listeners.go
+++ b/internal/composer/listeners.go
@@ -17,9 +17,9 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
-	// closeTimeout bounds how long a server waits for connections to become idle
-	// after the last request has been answered.
-	closeTimeout = 3 * time.Second
+	// ownCloseTimeout bounds how long a server waits for connections to become idle
+	// after the last request has been answered, where the platform sets no grace.
+	ownCloseTimeout = 3 * time.Second
 )
 
 // listeners are the open addresses of a node.
@@ -80,11 +80,11 @@
 	group.Go(func() error {
 		return n.callers.Serve(ctx, newBoundedListener(n.listeners.callers, n.settings.Limits.CallerConnections))
 	})
-	serve(ctx, group, newServer(n.announcements), n.listeners.targets)
+	serve(ctx, group, newServer(n.announcements), n.listeners.targets, n.closeTimeout)
 	if n.listeners.readiness != nil {
-		serve(ctx, group, newServer(platform.Readiness(n.inspect().Ready)), n.listeners.readiness)
+		serve(ctx, group, newServer(platform.Readiness(n.inspect().Ready)), n.listeners.readiness, n.closeTimeout)
 	}
-	serve(ctx, group, newServer(n.inspect().Handler()), n.listeners.admin)
+	serve(ctx, group, newServer(n.inspect().Handler()), n.listeners.admin, n.closeTimeout)
 }
 
 func newServer(h http.Handler) *http.Server {
@@ -92,8 +92,9 @@
 }
 
 // serve runs one server until ctx ends. It then waits a bounded time for
-// connections to become idle, so that the last bytes of an answer are sent.
-func serve(ctx context.Context, group *errgroup.Group, s *http.Server, ln net.Listener) {
+// connections to become idle, so that the last bytes of an answer are sent. A
+// connection on which nothing has come yet is not idle.
+func serve(ctx context.Context, group *errgroup.Group, s *http.Server, ln net.Listener, closeTimeout time.Duration) {
 	group.Go(func() error {
 		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			return err
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -20,9 +20,9 @@
 // stopsThatCut is how many stop requests end the node with requests in flight.
 const stopsThatCut = 3
 
-// settleTime passes between the end of the last request and the end of the
+// SettleTime passes between the end of the last request and the end of the
 // node: peers learn of the drain, and the last bytes of answers arrive.
-const settleTime = 1 * time.Second
+const SettleTime = 1 * time.Second
 
 // Counted reports the requests in flight of a draining node.
 type Counted struct {
@@ -97,7 +97,7 @@
 	switch {
 	case s.Life.StopRequests == 1:
 		s.Life.Phase = blackboard.LifeDraining
-		s.Life.EndAt = now.Add(max(settleTime, d.linger))
+		s.Life.EndAt = now.Add(max(SettleTime, d.linger))
 		if d.linger > 0 {
 			s.Life.LingerUntil, s.Life.PeersUntil = now.Add(d.linger), now.Add(d.peersLinger)
 		}
@@ -151,7 +151,7 @@
 	}
 	s.Life.InFlight = msg.Total
 	if msg.Total > 0 {
-		if end := msg.Now.Add(settleTime); end.After(s.Life.EndAt) {
+		if end := msg.Now.Add(SettleTime); end.After(s.Life.EndAt) {
 			s.Life.EndAt = end
 		}
 		return s, nil
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -60,9 +60,9 @@
 	t.Run("a node without requests ends after it has told its peers", func(t *testing.T) {
 		b := newBench()
 		b.stop()
-		b.tickAfter(settleTime / 2)
+		b.tickAfter(SettleTime / 2)
 		b.assertPhase(t, blackboard.LifeDraining)
-		b.tickAfter(settleTime)
+		b.tickAfter(SettleTime)
 		b.assertPhase(t, blackboard.LifeStopped)
 	})
 	t.Run("a request in flight keeps the node for hours", func(t *testing.T) {
@@ -73,9 +73,9 @@
 		b.assertPhase(t, blackboard.LifeDraining)
 		assert.Equal(t, b.state.Life.InFlight, 1)
 		done()
-		b.tickAfter(settleTime / 2)
+		b.tickAfter(SettleTime / 2)
 		b.assertPhase(t, blackboard.LifeDraining)
-		b.tickAfter(settleTime)
+		b.tickAfter(SettleTime)
 		b.assertPhase(t, blackboard.LifeStopped)
 	})
 	t.Run("a second stop says what it would cut and cuts nothing", func(t *testing.T) {
@@ -147,7 +147,7 @@
 		b.tickAfter(4 * time.Second)
 		b.assertPhase(t, blackboard.LifeDraining)
 		done()
-		b.tickAfter(settleTime)
+		b.tickAfter(SettleTime)
 		b.assertPhase(t, blackboard.LifeStopped)
 	})
 }
