--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -4,6 +4,7 @@
 package poller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -32,6 +33,8 @@
 	// Wait is how long one call may wait for a change. A platform that has
 	// dropped its history may leave a call waiting: the next one is told.
 	Wait time.Duration
+	// SecondWait is the same on the second node of those that watch; 0 means Wait.
+	SecondWait time.Duration
 	// Turn decides when to ask; the zero value asks always.
 	Turn Turn
 	// Changed is told of the objects of a scan, with whole set, and of what changed after it.
@@ -79,14 +82,14 @@
 	revision uint64
 	// scanned tells that revision is one to follow from.
 	scanned bool
-	// watching tells that calls wait for a change; otherwise they ask what has changed so far.
-	watching bool
+	// rank of this node when it last asked.
+	rank     rank
 	failures int
 }
 
 func (f *follower) step(ctx context.Context) {
 	if f.scanned && f.failures == 0 {
-		f.watching = f.poller.Turn.await(ctx, f.poller.Sleep)
+		f.rank = f.poller.Turn.await(ctx, f.poller.Sleep)
 	}
 	changes, err := f.ask(ctx)
 	if ctx.Err() != nil {
@@ -107,11 +110,16 @@
 	}
 	f.failures = 0
 	whole := !f.scanned
+	first := f.rank == ""
 	f.scanned, f.revision = true, changes.Revision
 	if whole || len(changes.Objects)+len(changes.Removed) > 0 {
 		f.poller.Changed(changes, whole)
 		f.poller.Sleep(ctx, gatherFor)
 	}
+	if first {
+		f.rank = rankNone
+		f.poller.Turn.settle(ctx, f.poller.Sleep)
+	}
 }
 
 func (f *follower) ask(ctx context.Context) (storer.Changes, error) {
@@ -121,11 +129,16 @@
 	return f.poller.Client.Follow(ctx, f.poller.Kind, f.revision, f.wait())
 }
 
+// wait is 0 where this node does not watch: then it asks what has changed so far.
 func (f *follower) wait() time.Duration {
-	if !f.watching {
+	switch f.rank {
+	case rankFirst:
+		return f.poller.Wait
+	case rankSecond:
+		return cmp.Or(f.poller.SecondWait, f.poller.Wait)
+	default:
 		return 0
 	}
-	return f.poller.Wait
 }
 
 func (f *follower) failed(ctx context.Context, err error) {
--- a/internal/poller/turn.go
+++ b/internal/poller/turn.go
@@ -13,6 +13,8 @@
 	// substitutes is how many more may watch in place of those that have lost the
 	// platform. While it is away for all, no others ask again and again.
 	substitutes = 3
+	// settleTime is about how long a node takes to reach the others.
+	settleTime = 1 * time.Second
 	// turnEvery is how often a node that does not watch looks whether it is its turn.
 	turnEvery = 250 * time.Millisecond
 )
@@ -26,21 +28,46 @@
 	AskEvery time.Duration
 }
 
-// await returns true when this node is to watch, and false when it has not
-// watched for so long that it is to ask once.
-func (t Turn) await(ctx context.Context, sleep func(context.Context, time.Duration) bool) bool {
-	for waited := time.Duration(0); t.State != nil && !Watches(t.State()); waited += turnEvery {
-		if waited >= t.AskEvery || !sleep(ctx, turnEvery) {
-			return false
+// rank is how a node takes part in watching the platform.
+type rank string
+
+const (
+	// rankFirst watches and asks again soon: a change whose event is lost is found in time.
+	rankFirst rank = "first"
+	// rankSecond watches as well, in case the first is lost.
+	rankSecond rank = "second"
+	// rankNone hears of changes from the others.
+	rankNone rank = "none"
+)
+
+// await returns the rank of this node as soon as it is to ask: at once when it
+// watches, otherwise when it has not asked for long.
+func (t Turn) await(ctx context.Context, sleep func(context.Context, time.Duration) bool) rank {
+	if t.State == nil {
+		return rankFirst
+	}
+	for waited := time.Duration(0); ; waited += turnEvery {
+		if r := rankOf(t.State()); r != rankNone || waited >= t.AskEvery || !sleep(ctx, turnEvery) {
+			return r
 		}
 	}
-	return true
 }
 
-// Watches tells that this node is one of those of its data centre that watch
-// the platform: the living ones with the fastest links, in an order that all
-// nodes agree on, without those that have lost it.
-func Watches(s *blackboard.State) bool {
+// settle lets a node that has just started learn who the others are, so that
+// not every node watches at the start of many.
+func (t Turn) settle(ctx context.Context, sleep func(context.Context, time.Duration) bool) {
+	if t.State != nil {
+		sleep(ctx, settleTime)
+	}
+}
+
+// Watches tells that this node is one of those of its data centre that watch the platform.
+func Watches(s *blackboard.State) bool { return rankOf(s) != rankNone }
+
+// rankOf goes by the living nodes of the data centre, those with the fastest
+// links first, in an order that all nodes agree on. Nodes that have lost the
+// platform are substituted.
+func rankOf(s *blackboard.State) rank {
 	before, lost := 0, 0
 	for host, m := range s.Members.ByHost {
 		if m.DataCentre != s.Self.DataCentre || m.Status != blackboard.MemberAlive || !precedes(host, m.LinkMbit, &s.Self) {
@@ -52,7 +79,14 @@
 		}
 		before++
 	}
-	return before < watchers && before+lost < watchers+substitutes
+	switch {
+	case before >= watchers || before+lost >= watchers+substitutes:
+		return rankNone
+	case before == 0:
+		return rankFirst
+	default:
+		return rankSecond
+	}
 }
 
 // precedes tells that another node stands before this one.
