--- a/internal/forwarder/intake.go
+++ b/internal/forwarder/intake.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"gentianbarrow.example/internal/encoder"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/limiter"
+	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/retrier"
 	"gentianbarrow.example/internal/wirepb"
 	"gentianbarrow.example/pkg/snapshotter"
@@ -81,6 +83,13 @@
 	if !errors.As(err, &refused) {
 		return x.forwarder.cfg.Refuse(x.request, exchanger.ReasonNoTarget)
 	}
+	load := x.forwarder.intake.Load()
+	x.forwarder.cfg.Log.WriteRequest(logger.RequestNotAdmitted, logger.Fields{
+		RequestID: x.request.ID, Service: x.request.Service, Route: x.request.Route, Reason: string(refused.Reason),
+		Version:    x.request.ConfigVersion,
+		Load:       fmt.Sprintf("%d bodies coming, %d awaited", load.InFlight, load.Queued),
+		LeftMillis: max(time.Until(x.request.Deadline).Milliseconds(), 1),
+	})
 	a := x.forwarder.cfg.Refuse(x.request, exchanger.Reason(refused.Reason))
 	a.RetryAt = refused.RetryAfter
 	return a
--- a/internal/logger/events_distribution.go
+++ b/internal/logger/events_distribution.go
@@ -59,9 +59,14 @@
 	}
 	ConfigAskFailed = Event{
 		Number: 225, Name: "config-ask-failed", Level: LevelWarn,
-		Meaning: "The node could not take a greater version of the configuration from the node in the peer field.",
+		Meaning: "The node could not take a greater version of the configuration from the node in the peer field; with the reason delta it asks for the whole of it next.",
 		Action:  "None, unless it repeats; then look at the link between the two hosts.",
 	}
+	PlatformWatch = Event{
+		Number: 226, Name: "platform-watch", Level: LevelInfo,
+		Meaning: "The node's part in watching the objects of the kind in the reason field has changed: first or second of its data centre, or none.",
+		Action:  "None. With none, the node hears of changes from the others.",
+	}
 	RecoveryEnded = Event{
 		Number: 230, Name: "recovery-ended", Level: LevelInfo,
 		Meaning: "The restarted node has evidence for a safe first version.",
@@ -76,5 +81,5 @@
 
 var distributionEvents = []Event{
 	ConfigApplied, ConfigRefused, ConfigFetchedWhole, ConfigUnwitnessed, ParentChanged, ParentSilent,
-	LeaseTaken, LeaseLost, PlatformSilent, PlatformLost, PlatformRegained, ConfigAskFailed, RecoveryEnded, RecoveryBlocked,
+	LeaseTaken, LeaseLost, PlatformSilent, PlatformLost, PlatformRegained, ConfigAskFailed, PlatformWatch, RecoveryEnded, RecoveryBlocked,
 }
--- a/internal/logger/events_request.go
+++ b/internal/logger/events_request.go
@@ -39,7 +39,7 @@
 	}
 	RequestNotAdmitted = Event{
 		Number: 423, Name: "request-not-admitted", Level: LevelWarn,
-		Meaning: "This node did not give the request to the target on its host; load tells the target's slots, running and waiting requests.",
+		Meaning: "This node did not give the request to the target on its host; load tells the target's slots, running and waiting requests, or how many bodies this node was taking in.",
 		Action:  "None, unless the target is failed or draining: then see target-changed.",
 	}
 	RequestPanicked = Event{
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -89,7 +89,7 @@
 
 func (f *follower) step(ctx context.Context) {
 	if f.scanned && f.failures == 0 {
-		f.rank = f.poller.Turn.await(ctx, f.poller.Sleep)
+		f.turn(f.poller.Turn.await(ctx, f.poller.Sleep))
 	}
 	changes, err := f.ask(ctx)
 	if ctx.Err() != nil {
@@ -129,6 +129,13 @@
 	return f.poller.Client.Follow(ctx, f.poller.Kind, f.revision, f.wait())
 }
 
+func (f *follower) turn(r rank) {
+	if f.poller.Turn.State != nil && r != f.rank {
+		f.poller.Log.Write(logger.PlatformWatch, logger.Fields{Reason: f.poller.Kind + " " + string(r)})
+	}
+	f.rank = r
+}
+
 // wait is 0 where this node does not watch: then it asks what has changed so far.
 func (f *follower) wait() time.Duration {
 	switch f.rank {
