--- a/internal/acceptor/exchange.go
+++ b/internal/acceptor/exchange.go
@@ -85,7 +85,7 @@
 	if !x.sent && x.declared < 0 {
 		x.declared = int64(len(x.held))
 	}
-	if err := x.flush(); err != nil {
+	if err := x.begin(); err != nil {
 		return err
 	}
 	if x.declared >= 0 && x.written != x.declared && x.hasBody() {
@@ -149,14 +149,12 @@
 	if x.status == 0 {
 		x.WriteHeader(http.StatusOK)
 	}
-	if err := x.flush(); err != nil {
+	if err := x.begin(); err != nil {
 		return err
 	}
 	return x.conn.w.Flush()
 }
 
-func (x *exchange) flush() error { return x.begin() }
-
 // begin waits for the turn of this answer and writes its header and what is held of its body.
 func (x *exchange) begin() error {
 	x.beginning.Lock()
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -141,9 +141,9 @@
 	return n
 }
 
-// found adds nodes, and follows those whose address is new. One that has been lost
-// for long and has just said where it is is tried again at once. Others are being
-// tried: to begin anew whenever two nodes meet would never end among many.
+// found adds nodes, and follows those whose address is new. A node that was lost
+// for long is tried again at once when it says where it is. Others are being tried
+// already: to begin anew whenever two nodes meet would never end among many.
 func found(s blackboard.State, msg blackboard.NodesFound) (blackboard.State, []blackboard.Effect) {
 	var effects []blackboard.Effect
 	if msg.Whole {
