--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -29,7 +29,7 @@
 	wait = 20 * time.Second
 	// askEvery is how often the nodes ask that do not watch. What they miss until then
 	// is which nodes were taken out for good.
-	askEvery = 15 * time.Second
+	askEvery = 5 * time.Minute
 	// writeTimeout bounds one write.
 	writeTimeout = 2 * time.Second
 	// removeTimeout bounds the removal when a node leaves for good.
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -41,8 +41,10 @@
 	// secondWait is longer: the second node is told of changes too, unless the event is lost.
 	watchWait  = 700 * time.Millisecond
 	secondWait = 10 * time.Second
-	// askEvery is how often the other nodes ask the platform, in case they hear of nothing.
-	askEvery = 10 * time.Second
+	// askEvery is how often the other nodes ask the platform, in case they hear of
+	// nothing. History is gone by then, so an answer is the whole configuration: of
+	// 300 kB it is 1 kB/s, a fifth of what control may take.
+	askEvery = 5 * time.Minute
 	// keptVersions is how many versions a node can make deltas from: those of a few seconds of changes.
 	keptVersions = 16
 	// askTimeout bounds one request to another node.
