Refuse bodies whose answers would come late

Ruled out: slots of the target (0 to 7 of 9 in use while bodies waited).

Change: a body is due by the aim less what answers of its route usually take once the body is there.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -91,6 +91,8 @@
 	cfg    Config
 	idle   *idleStreams
 	intake *limiter.Waiter
+	// answers of bulk requests.
+	answers answerTimes
 }
 
 // New returns a forwarder. Register Handle with the linker under Kind.
--- a/internal/forwarder/intake.go
+++ b/internal/forwarder/intake.go
@@ -31,11 +31,47 @@
 	spoolBytes = 512 << 10
 )
 
+const (
+	// answerWeight is the weight of one request in the smoothed time that answers take.
+	answerWeight = 0.1
+	// maxRoutes bounds the routes whose answers are timed.
+	maxRoutes = 256
+)
+
 var intakeLimits = limiter.Limits{
 	Slots: intakeBodies, Connections: intakeBodies, Queue: intakeQueue, BulkPercent: 100,
 	Order: limiter.OrderAim, FixedSlots: true, NoRamp: true,
 }
 
+// answerTimes says how long the answers to bulk requests take once their bodies have come.
+type answerTimes struct {
+	mu sync.Mutex
+	// byRoute holds smoothed times of at most maxRoutes routes. Guarded by mu.
+	byRoute map[string]time.Duration
+}
+
+func (t *answerTimes) add(route string, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.byRoute == nil {
+		t.byRoute = map[string]time.Duration{}
+	}
+	mean, known := t.byRoute[route]
+	switch {
+	case known:
+		t.byRoute[route] = mean + time.Duration(answerWeight*float64(took-mean))
+	case len(t.byRoute) < maxRoutes:
+		t.byRoute[route] = took
+	}
+}
+
+// expected returns 0 while nothing is known of the route.
+func (t *answerTimes) expected(route string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.byRoute[route]
+}
+
 // holdsBody tells that the body of a request is sent only when it is asked for.
 func holdsBody(r *exchanger.Request) bool {
 	return r.Class == snapshotter.ClassBulk && r.Body != nil
@@ -56,7 +92,7 @@
 	})
 	release, err := x.forwarder.intake.Acquire(ctx, limiter.Request{
 		Class: x.request.Class, Firm: x.request.Firm, Route: x.request.Route, Priority: x.request.Priority,
-		Aim: x.request.Aim, Deadline: x.request.Deadline,
+		Aim: x.bodyDue(), Deadline: x.request.Deadline,
 	})
 	if err != nil {
 		return x.notTaken(err)
@@ -77,6 +113,14 @@
 	return nil
 }
 
+// bodyDue is when the body must have come for the answer to have its full worth; zero when nothing is known of that.
+func (x *incoming) bodyDue() time.Time {
+	if x.request.Aim.IsZero() {
+		return time.Time{}
+	}
+	return x.request.Aim.Add(-x.forwarder.answers.expected(x.request.Route))
+}
+
 // notTaken refuses a request whose body has not been asked for.
 func (x *incoming) notTaken(err error) *exchanger.Answer {
 	var refused *limiter.RefusedError
--- a/internal/forwarder/intake_test.go
+++ b/internal/forwarder/intake_test.go
@@ -153,6 +153,31 @@
 			group.Wait()
 		})
 	})
+	t.Run("a body that would come in time, but not its answer, is refused as well", func(t *testing.T) {
+		inPair(t, func(t *testing.T, p *pair) {
+			const work = 400 * time.Millisecond
+			p.execute = func(ctx context.Context, r *exchanger.Request) *exchanger.Answer {
+				time.Sleep(work)
+				return echoID(ctx, r)
+			}
+			play(t, p, upload("r-first", strings.NewReader("x"), 1))
+			var group sync.WaitGroup
+			for range intakeBodies {
+				group.Go(func() { play(t, p, upload("r", slow(300*time.Millisecond, "x"), 1)) })
+			}
+			time.Sleep(time.Millisecond)
+			r := upload("r-late", strings.NewReader("x"), 1)
+			r.Aim = time.Now().Add(work + 200*time.Millisecond)
+			a, took := play(t, p, r)
+			assert.Equal(t, a.Outcome, retrier.OutcomeNotRun)
+			assert.Assert(t, took <= 200*time.Millisecond)
+			r = upload("r-in-time", strings.NewReader("x"), 1)
+			r.Aim = time.Now().Add(work + 400*time.Millisecond)
+			a, _ = play(t, p, r)
+			assert.Equal(t, a.Outcome, retrier.OutcomeDone)
+			group.Wait()
+		})
+	})
 	t.Run("a caller that leaves while its body is held back is not run", func(t *testing.T) {
 		inPair(t, func(t *testing.T, p *pair) {
 			ran := false
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -114,7 +114,11 @@
 	}
 	a := x.takeIn(ctx, cancel, body)
 	if a == nil {
+		begun := time.Now()
 		a = x.forwarder.cfg.Execute(ctx, x.request)
+		if x.held && a.Outcome == retrier.OutcomeDone {
+			x.forwarder.answers.add(x.request.Route, time.Since(begun))
+		}
 	}
 	x.send(a)
 	a.Close()
