Try a route again that does not run, whatever its estimate

Ruled out: slots, the retry budget (refused before it is asked), knowledge of the nodes (they were chosen).

Change: the estimate counts only while a request of the route itself runs. A test refused 30 of 30 requests to an idle target before.

--- a/internal/limiter/aim_test.go
+++ b/internal/limiter/aim_test.go
@@ -70,6 +70,34 @@
 		r.Deadline = at(140)
 		assert.Equal(t, g.Offer(at(102), r).Verdict, VerdictAdmitted)
 	})
+	t.Run("an estimate from before a standstill does not refuse a route for ever", func(t *testing.T) {
+		l := aimLimits()
+		l.Slots = 3
+		g := New(l)
+		// A request of the route stands still with its host for three seconds.
+		assert.Equal(t, g.Offer(at(0), aimed(1, "call", 1, 400)).Verdict, VerdictAdmitted)
+		g.Done(at(3_000), 1, done())
+		// A long request of another route runs all the while.
+		long := aimed(2, "swap", 1, 60_000)
+		long.Deadline = at(60_000)
+		assert.Equal(t, g.Offer(at(3_000), long).Verdict, VerdictAdmitted)
+		refused := 0
+		for id := range uint64(30) {
+			now := 3_100 + 100*int(id)
+			r := aimed(10+id, "call", 1, now+400)
+			r.Deadline = at(now + 400)
+			if g.Offer(at(now), r).Verdict != VerdictAdmitted {
+				refused++
+				continue
+			}
+			g.Done(at(now+30), r.ID, done())
+		}
+		assert.Equal(t, refused, 0, "the target is idle but for one request")
+		g.Offer(at(7_000), aimed(50, "call", 1, 7_400))
+		r := aimed(51, "call", 1, 7_010)
+		r.Deadline = at(7_010)
+		assert.Equal(t, g.Offer(at(7_000), r).Reason, ReasonLate, "beside another of the route the estimate counts")
+	})
 	t.Run("a request that is less urgent gives up its place", func(t *testing.T) {
 		l := aimLimits()
 		l.Queue = 2
--- a/internal/limiter/patience.go
+++ b/internal/limiter/patience.go
@@ -3,13 +3,23 @@
 import "time"
 
 // late tells whether a request would not end in time even if it started now.
-// While none of its class runs it is tried all the same, so that an estimate
-// that has become wrong does not stand for ever.
+// While none of its route runs it is tried all the same, so that an estimate
+// that has become wrong, as by a host that stood still, does not stand for ever.
 func (g *Gate) late(now time.Time, r Request, c class) bool {
 	if !now.Before(r.Deadline) {
 		return true
 	}
-	return g.tally.classes[c] > 0 && now.Add(g.pace.expectedOn(c, r.Route)).After(r.Deadline)
+	return now.Add(g.pace.expectedOn(c, r.Route)).After(r.Deadline) && g.runs(c, r.Route)
+}
+
+// runs tells that a request of the class and route holds a slot.
+func (g *Gate) runs(c class, route string) bool {
+	for _, run := range g.running {
+		if run.class == c && run.route == route {
+			return true
+		}
+	}
+	return false
 }
 
 func (g *Gate) enqueue(now time.Time, r Request, c class) Decision {
