Let both watchers of a data centre ask again after 0.7 s

Not seen in a log: the fault is the one that the longer wait allowed for.

Change: both wait at most 0.7 s; there is no first and second any more. It costs 1.4 calls a second a data centre.

--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -36,11 +36,9 @@
 	askFarAfter = 300 * time.Millisecond
 	// askAgainAfter a failure the same version is asked for again.
 	askAgainAfter = 500 * time.Millisecond
-	// watchWait bounds one call of the first node that watches in a data centre. With
-	// askFarAfter, it leaves half of the two seconds within which a version is in force.
-	// secondWait is longer: the second node is told of changes too, unless the event is lost.
-	watchWait  = 700 * time.Millisecond
-	secondWait = 10 * time.Second
+	// watchWait bounds one call of a node that watches. With askFarAfter, it leaves
+	// half of the two seconds within which a version is in force.
+	watchWait = 700 * time.Millisecond
 	// askEvery is how often the other nodes ask the platform, in case they hear of
 	// nothing. History is gone by then, so an answer is the whole configuration: of
 	// 300 kB it is 1 kB/s, a fifth of what control may take.
@@ -209,8 +207,7 @@
 
 func (cfg Config) follow(ctx context.Context, post blackboard.Post) {
 	p := poller.Poller{
-		Kind: cfg.Kind, Client: cfg.Platform, Wait: watchWait, SecondWait: secondWait,
-		Turn: poller.Turn{State: cfg.State, AskEvery: askEvery},
+		Kind: cfg.Kind, Client: cfg.Platform, Wait: watchWait, Turn: poller.Turn{State: cfg.State, AskEvery: askEvery},
 		Changed: func(c storer.Changes, _ bool) {
 			for _, o := range c.Objects {
 				cfg.decode(o, post)
--- a/internal/logger/events_distribution.go
+++ b/internal/logger/events_distribution.go
@@ -64,8 +64,8 @@
 	}
 	PlatformWatch = Event{
 		Number: 226, Name: "platform-watch", Level: LevelInfo,
-		Meaning: "The node's part in watching the objects of the kind in the reason field has changed: first or second of its data centre, or none.",
-		Action:  "None. With none, the node hears of changes from the others.",
+		Meaning: "The node has begun or ceased to watch the objects of the kind in the reason field for its data centre.",
+		Action:  "None. A node that does not watch hears of changes from the others.",
 	}
 	RecoveryEnded = Event{
 		Number: 230, Name: "recovery-ended", Level: LevelInfo,
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -4,7 +4,6 @@
 package poller
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -33,8 +32,6 @@
 	// Wait is how long one call may wait for a change. A platform that has
 	// dropped its history may leave a call waiting: the next one is told.
 	Wait time.Duration
-	// SecondWait is the same on the second node of those that watch; 0 means Wait.
-	SecondWait time.Duration
 	// Turn decides when to ask; the zero value asks always.
 	Turn Turn
 	// Changed is told of the objects of a scan, with whole set, and of what changed after it.
@@ -82,8 +79,10 @@
 	revision uint64
 	// scanned tells that revision is one to follow from.
 	scanned bool
-	// rank of this node when it last asked.
-	rank     rank
+	// watching tells that calls wait for a change; otherwise they ask what has changed so far.
+	watching bool
+	// settled tells that this node has had time to learn who the others are.
+	settled  bool
 	failures int
 }
 
@@ -110,14 +109,13 @@
 	}
 	f.failures = 0
 	whole := !f.scanned
-	first := f.rank == ""
 	f.scanned, f.revision = true, changes.Revision
 	if whole || len(changes.Objects)+len(changes.Removed) > 0 {
 		f.poller.Changed(changes, whole)
 		f.poller.Sleep(ctx, gatherFor)
 	}
-	if first {
-		f.rank = rankNone
+	if !f.settled {
+		f.settled = true
 		f.poller.Turn.settle(ctx, f.poller.Sleep)
 	}
 }
@@ -129,23 +127,22 @@
 	return f.poller.Client.Follow(ctx, f.poller.Kind, f.revision, f.wait())
 }
 
-func (f *follower) turn(r rank) {
-	if f.poller.Turn.State != nil && r != f.rank {
-		f.poller.Log.Write(logger.PlatformWatch, logger.Fields{Reason: f.poller.Kind + " " + string(r)})
+func (f *follower) turn(watching bool) {
+	if f.poller.Turn.State != nil && watching != f.watching {
+		reason := "not watched here"
+		if watching {
+			reason = "watched here"
+		}
+		f.poller.Log.Write(logger.PlatformWatch, logger.Fields{Reason: f.poller.Kind + " " + reason})
 	}
-	f.rank = r
+	f.watching = watching
 }
 
-// wait is 0 where this node does not watch: then it asks what has changed so far.
 func (f *follower) wait() time.Duration {
-	switch f.rank {
-	case rankFirst:
-		return f.poller.Wait
-	case rankSecond:
-		return cmp.Or(f.poller.SecondWait, f.poller.Wait)
-	default:
+	if !f.watching {
 		return 0
 	}
+	return f.poller.Wait
 }
 
 func (f *follower) failed(ctx context.Context, err error) {
--- a/internal/poller/turn.go
+++ b/internal/poller/turn.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// watchers is how many nodes of a data centre watch the platform, so that one may be lost.
+	// watchers is how many nodes of a data centre watch the platform, so that one may be
+	// lost. Both ask again soon: one may stand still while the other's event is lost.
 	watchers = 2
 	// substitutes is how many more may watch in place of those that have lost the
 	// platform. While it is away for all, no others ask again and again.
@@ -28,27 +29,16 @@
 	AskEvery time.Duration
 }
 
-// rank is how a node takes part in watching the platform.
-type rank string
-
-const (
-	// rankFirst watches and asks again soon: a change whose event is lost is found in time.
-	rankFirst rank = "first"
-	// rankSecond watches as well, in case the first is lost.
-	rankSecond rank = "second"
-	// rankNone hears of changes from the others.
-	rankNone rank = "none"
-)
-
-// await returns the rank of this node as soon as it is to ask: at once when it
-// watches, otherwise when it has not asked for long.
-func (t Turn) await(ctx context.Context, sleep func(context.Context, time.Duration) bool) rank {
+// await returns true as soon as this node is to watch, and false when it has not
+// asked for so long that it is to ask once.
+func (t Turn) await(ctx context.Context, sleep func(context.Context, time.Duration) bool) bool {
 	if t.State == nil {
-		return rankFirst
+		return true
 	}
 	for waited := time.Duration(0); ; waited += turnEvery {
-		if r := rankOf(t.State()); r != rankNone || waited >= t.AskEvery || !sleep(ctx, turnEvery) {
-			return r
+		watches := Watches(t.State())
+		if watches || waited >= t.AskEvery || !sleep(ctx, turnEvery) {
+			return watches
 		}
 	}
 }
@@ -61,13 +51,10 @@
 	}
 }
 
-// Watches tells that this node is one of those of its data centre that watch the platform.
-func Watches(s *blackboard.State) bool { return rankOf(s) != rankNone }
-
-// rankOf goes by the living nodes of the data centre, those with the fastest
-// links first, in an order that all nodes agree on. Nodes that have lost the
-// platform are substituted.
-func rankOf(s *blackboard.State) rank {
+// Watches tells that this node is one of those of its data centre that watch
+// the platform: the living ones with the fastest links, in an order that all
+// nodes agree on. Those that have lost the platform are substituted.
+func Watches(s *blackboard.State) bool {
 	before, lost := 0, 0
 	for host, m := range s.Members.ByHost {
 		if m.DataCentre != s.Self.DataCentre || m.Status != blackboard.MemberAlive || !precedes(host, m.LinkMbit, &s.Self) {
@@ -79,14 +66,7 @@
 		}
 		before++
 	}
-	switch {
-	case before >= watchers || before+lost >= watchers+substitutes:
-		return rankNone
-	case before == 0:
-		return rankFirst
-	default:
-		return rankSecond
-	}
+	return before < watchers && before+lost < watchers+substitutes
 }
 
 // precedes tells that another node stands before this one.
--- a/internal/poller/turn_test.go
+++ b/internal/poller/turn_test.go
@@ -30,7 +30,7 @@
 	return m
 }
 
-func TestRanks(t *testing.T) {
+func TestWatches(t *testing.T) {
 	dead := func(m *blackboard.Member) { m.Status = blackboard.MemberDead }
 	suspect := func(m *blackboard.Member) { m.Status = blackboard.MemberSuspect }
 	slow := func(m *blackboard.Member) { m.LinkMbit = 7 }
@@ -40,56 +40,56 @@
 	one, two, six := member("a-1"), member("a-2"), member("a-6")
 	for name, c := range map[string]struct {
 		members []blackboard.Member
-		want    rank
+		want    bool
 	}{
-		"a node that knows no other":                   {nil, rankFirst},
-		"the second":                                   {[]blackboard.Member{one, six}, rankSecond},
-		"the third":                                    {[]blackboard.Member{one, two}, rankNone},
-		"the third, with one gone":                     {[]blackboard.Member{one, with(two, dead)}, rankSecond},
-		"the third, with one silent":                   {[]blackboard.Member{one, with(two, suspect)}, rankSecond},
-		"the third by name, whose link is faster":      {[]blackboard.Member{one, with(two, slow)}, rankSecond},
-		"the first by name, whose link is slower":      {[]blackboard.Member{with(six, fast), with(member("a-7"), fast)}, rankNone},
-		"nodes of other data centres do not count":     {[]blackboard.Member{one, with(two, far)}, rankSecond},
-		"nodes that lost the platform are substituted": {[]blackboard.Member{with(one, lost), with(two, lost)}, rankFirst},
+		"a node that knows no other":                   {nil, true},
+		"the second":                                   {[]blackboard.Member{one, six}, true},
+		"the third":                                    {[]blackboard.Member{one, two}, false},
+		"the third, with one gone":                     {[]blackboard.Member{one, with(two, dead)}, true},
+		"the third, with one silent":                   {[]blackboard.Member{one, with(two, suspect)}, true},
+		"the third by name, whose link is faster":      {[]blackboard.Member{one, with(two, slow)}, true},
+		"the first by name, whose link is slower":      {[]blackboard.Member{with(six, fast), with(member("a-7"), fast)}, false},
+		"nodes of other data centres do not count":     {[]blackboard.Member{one, with(two, far)}, true},
+		"nodes that lost the platform are substituted": {[]blackboard.Member{with(one, lost), with(two, lost)}, true},
 		"but by few nodes": {[]blackboard.Member{
 			with(one, lost), with(two, lost), with(member("a-3"), lost), with(member("a-4"), lost), with(member("a-0"), lost),
-		}, rankNone},
+		}, false},
 	} {
-		t.Run(name, func(t *testing.T) { assert.Equal(t, rankOf(dataCentre(c.members...)), c.want) })
+		t.Run(name, func(t *testing.T) { assert.Equal(t, Watches(dataCentre(c.members...)), c.want) })
 	}
 }
 
 func TestTurn(t *testing.T) {
-	waits := func(turn Turn, whenSlept func(n int)) (got rank, slept time.Duration) {
+	waits := func(turn Turn, whenSlept func(n int)) (watch bool, slept time.Duration) {
 		n := 0
-		got = turn.await(t.Context(), func(_ context.Context, d time.Duration) bool {
+		watch = turn.await(t.Context(), func(_ context.Context, d time.Duration) bool {
 			slept += d
 			n++
 			whenSlept(n)
 			return true
 		})
-		return got, slept
+		return watch, slept
 	}
 	third := dataCentre(member("a-1"), member("a-2"))
 	t.Run("without a state a node always watches", func(t *testing.T) {
-		got, slept := waits(Turn{}, func(int) {})
-		assert.Equal(t, got, rankFirst)
+		watch, slept := waits(Turn{}, func(int) {})
+		assert.Assert(t, watch)
 		assert.Equal(t, slept, time.Duration(0))
 	})
 	t.Run("a node that does not watch asks rarely", func(t *testing.T) {
-		got, slept := waits(Turn{State: func() *blackboard.State { return third }, AskEvery: 10 * time.Second}, func(int) {})
-		assert.Equal(t, got, rankNone)
+		watch, slept := waits(Turn{State: func() *blackboard.State { return third }, AskEvery: 10 * time.Second}, func(int) {})
+		assert.Assert(t, !watch)
 		assert.Equal(t, slept, 10*time.Second)
 	})
 	t.Run("and watches soon after another has gone", func(t *testing.T) {
 		now := third
 		turn := Turn{State: func() *blackboard.State { return now }, AskEvery: 10 * time.Second}
-		got, slept := waits(turn, func(n int) {
+		watch, slept := waits(turn, func(n int) {
 			if n == 4 {
 				now = dataCentre(member("a-1"))
 			}
 		})
-		assert.Equal(t, got, rankSecond)
+		assert.Assert(t, watch)
 		assert.Equal(t, slept, 4*turnEvery)
 	})
 }
