Pass a body that comes slowly on to the target

Cause: TestDrainOfTarget (an upload under way ends whole) failed since bodies are taken in before their requests ask for a slot: one that came over ten seconds was still being taken in when its target began to drain, and was refused.

Change: after a second the request goes on with what has come, and the rest is passed on as it comes.

--- a/internal/forwarder/intake.go
+++ b/internal/forwarder/intake.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -24,7 +23,8 @@
 	intakeBodies = 2
 	// intakeQueue bounds the requests that wait for that.
 	intakeQueue = 256
-	// intakeTime is how long a body keeps others waiting; a slow sender's goes on beside them.
+	// intakeTime is how long a body keeps others waiting and its own request from the
+	// target; a slow sender's is passed on as it comes.
 	intakeTime = 1 * time.Second
 	// spoolBytes of a body are taken in before its request asks for a slot of the
 	// target, so that no slot is held while bytes come over a slow link.
@@ -78,7 +78,7 @@
 }
 
 // takeIn asks for a body that the peer holds and reads its start. It returns an
-// answer when the request ends here, and then no byte of the body has been asked for.
+// answer when the request ends here: the target has seen nothing of it then.
 func (x *incoming) takeIn(ctx context.Context, cancel context.CancelFunc, body io.Reader) *exchanger.Answer {
 	if !x.held || x.request.Body == nil {
 		return nil
@@ -97,19 +97,28 @@
 	if err != nil {
 		return x.notTaken(err)
 	}
-	expiry := time.AfterFunc(intakeTime, func() { release(limiter.Result{}) })
-	defer expiry.Stop()
 	defer release(limiter.Result{Outcome: retrier.OutcomeDone})
 	ask := &wirepb.ForwardResponse{RequestId: x.request.ID, SendBody: true}
 	if err := encoder.Write(x.stream, ask, encoder.MaxHeaderBytes); err != nil {
-		cancel()
+		return x.forwarder.cfg.Refuse(x.request, exchanger.ReasonCancelled)
+	}
+	taken := newSpool()
+	x.watching.Go(func() {
+		waiting.Wait()
+		taken.fill(body)
+	})
+	timer := time.NewTimer(intakeTime)
+	defer timer.Stop()
+	select {
+	case <-taken.ready:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	waiting.Wait()
-	spool := bytes.NewBuffer(make([]byte, 0, max(min(x.request.ContentLength, spoolBytes), 0)))
-	if _, err := io.Copy(spool, io.LimitReader(body, spoolBytes)); err != nil {
+	if ctx.Err() != nil {
+		taken.close()
 		return x.forwarder.cfg.Refuse(x.request, exchanger.ReasonCancelled)
 	}
-	x.request.Body = io.MultiReader(spool, body)
+	x.request.Body = taken
 	return nil
 }
 
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -122,6 +122,9 @@
 	}
 	x.send(a)
 	a.Close()
+	if taken, ok := x.request.Body.(*spool); ok {
+		taken.close()
+	}
 	x.stop()
 }
 
