--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -124,7 +124,7 @@
 		DataCentre:  settings.DataCentre,
 		Region:      settings.Region,
 		Rack:        settings.Rack,
-		Address:     settings.Listen.Nodes,
+		Address:     cmp.Or(settings.Listen.Advertised, settings.Listen.Nodes),
 		Incarnation: uint64(time.Now().UnixMicro()),
 	}
 }
--- a/internal/loader/check.go
+++ b/internal/loader/check.go
@@ -50,6 +50,9 @@
 		}
 		taken[entry.address] = entry.key
 	}
+	if l.Advertised != "" {
+		checkAddress(d, "listen.advertised", l.Advertised)
+	}
 }
 
 // checkObjects checks what only the platform API objects needs.
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -48,7 +48,9 @@
 type Listen struct {
 	Callers string `yaml:"callers" doc:"Address for callers' HTTP requests."`
 	Nodes   string `yaml:"nodes" doc:"Address for other nodes, TCP and UDP."`
-	Targets string `yaml:"targets" doc:"Address for announcements of this host's target."`
+	// Advertised is empty where other nodes reach Nodes itself.
+	Advertised string `yaml:"advertised,omitempty" doc:"Address that other nodes are told, where they reach this one by another than nodes."`
+	Targets    string `yaml:"targets" doc:"Address for announcements of this host's target."`
 	// Readiness is empty where the platform does not ask.
 	Readiness string `yaml:"readiness,omitempty" doc:"Address for the platform's question whether the node takes requests. Required with the platform API objects."`
 	Admin     string `yaml:"admin" doc:"Address for metrics, health and debugging, apart from callers' traffic."`
