Tell near nodes the load of a target once a second, and believe it where own answers are old

Eleven targets of a data centre differ in speed by three, and a node sends each of them less than a request a second: what it learns of a target fades before the next request. The node beside a target has seen all of its requests and says so only with its answers.

Change: updates to nodes of the same data centre, one a second as before, carry the load. A target is as slow as its node reports, or slower where this node's own answers of the last second say so; without own answers the report stands. Not told across data centres, where bytes are dear.

Tests: TestSlowness (reports of targets that were not asked for long), TestFindsBack (loads within a data centre); both failed before.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -57,6 +57,7 @@
 	tracker   *drainer.Tracker
 	explainer *explainer.Ring
 	executor  *executor.Executor
+	forwarder *forwarder.Forwarder
 	receiver  *receiver.Receiver
 	callers   *acceptor.Server
 	// closeTimeout bounds the end of the servers.
--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -79,6 +79,7 @@
 	nodes := subscriber.New(subscriber.Config{
 		Self: n.record(), Incarnation: n.self.Incarnation, Open: open(subscriber.StreamKind),
 		Post: func(m blackboard.Msg) { n.board.Post(m) }, Log: n.log,
+		Load: n.load, Loaded: n.receiver.Reported,
 	})
 	reader := platform.ConfigReader{RetryPercent: a.bounds.RetryPercent}
 	state := blackboard.State{
@@ -120,6 +121,13 @@
 	n.links.Handle(fetcher.StreamKind, fetcher.Handler(n.board.Read))
 }
 
+// load returns the load of this host's target, with the requests whose bodies are awaited.
+func (n *Node) load() (limiter.Load, bool) {
+	l, known := n.executor.Load()
+	l.Queued += n.forwarder.Awaited()
+	return l, known
+}
+
 func (n *Node) farewellTime() time.Duration {
 	if n.settings.PlatformAPI == loader.PlatformObjects {
 		return directFarewell
--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -33,7 +33,7 @@
 		},
 		FixedSlots: a.direct, NoRamp: a.direct, Blame: a.blame, Order: a.order,
 	})
-	f := forwarder.New(forwarder.Config{
+	n.forwarder = forwarder.New(forwarder.Config{
 		Open:    n.links.OpenWith,
 		Execute: n.executor.Execute,
 		Refuse:  n.executor.Refuse,
@@ -42,12 +42,12 @@
 		Incarnation: n.self.Incarnation,
 		Log:         n.log,
 	})
-	n.links.Handle(forwarder.Kind, f.Handle)
+	n.links.Handle(forwarder.Kind, n.forwarder.Handle)
 	n.receiver = receiver.New(receiver.Config{
 		State:        func() *blackboard.State { return n.board.Read() },
 		Match:        snapshotter.Match,
 		Execute:      n.executor.Execute,
-		Forward:      f.Forward,
+		Forward:      n.forwarder.Forward,
 		Tracker:      n.tracker,
 		Explanations: n.explainer,
 		Meter:        m,
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
+	"gentianbarrow.example/internal/encoder"
 	"gentianbarrow.example/internal/exchanger"
-	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/retrier"
 	"gentianbarrow.example/internal/wirepb"
 	"gentianbarrow.example/pkg/snapshotter"
@@ -131,10 +131,7 @@
 		m.RetryAfterMicro = remaining(a.RetryAt)
 	}
 	if a.Load != nil {
-		m.Load = &wirepb.TargetLoad{
-			Slots: uint32(a.Load.Slots), InFlight: uint32(a.Load.InFlight), Queued: uint32(a.Load.Queued),
-			Draining: a.Load.Draining, Incarnation: incarnation, ServiceMicro: a.Load.Service.Microseconds(),
-		}
+		m.Load = encoder.Load(*a.Load, incarnation)
 	}
 	if a.Outcome == retrier.OutcomeDone {
 		m.Status = int32(a.Status)
@@ -150,7 +147,7 @@
 func decodeAnswer(m *wirepb.ForwardResponse, now time.Time) (*exchanger.Answer, error) {
 	a := &exchanger.Answer{
 		Outcome: retrier.Outcome(m.GetOutcome()), Reason: exchanger.Reason(m.GetReason()),
-		Target: m.GetTarget(), Load: decodeLoad(m.GetLoad()),
+		Target: m.GetTarget(), Load: encoder.LoadOf(m.GetLoad()),
 	}
 	if after := m.GetRetryAfterMicro(); after > 0 && after < maxRemaining.Microseconds() {
 		a.RetryAt = now.Add(time.Duration(after) * time.Microsecond)
@@ -173,13 +170,3 @@
 	a.ContentLength = m.GetContentLength()
 	return a, nil
 }
-
-func decodeLoad(m *wirepb.TargetLoad) *limiter.Load {
-	if m == nil {
-		return nil
-	}
-	return &limiter.Load{
-		Slots: int(m.GetSlots()), InFlight: int(m.GetInFlight()), Queued: int(m.GetQueued()),
-		Draining: m.GetDraining(), Service: time.Duration(m.GetServiceMicro()) * time.Microsecond,
-	}
-}
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -178,12 +178,16 @@
 	})
 }
 
+// Awaited counts the requests whose bodies are awaited: they stand before a further one as well.
+func (f *Forwarder) Awaited() int {
+	intake := f.intake.Load()
+	return intake.InFlight + intake.Queued
+}
+
 func (x *incoming) write(s *sender, a *exchanger.Answer, length int64) error {
 	m := encodeAnswer(x.request, a, x.forwarder.cfg.Incarnation)
 	if m.Load != nil {
-		// Requests whose bodies are awaited stand before a further one as well.
-		intake := x.forwarder.intake.Load()
-		m.Load.Queued += uint32(intake.InFlight + intake.Queued)
+		m.Load.Queued += uint32(x.forwarder.Awaited())
 	}
 	done := a.Outcome == retrier.OutcomeDone
 	m.Reuse = !done && x.mayReuse()
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -22,6 +22,7 @@
 	"gentianbarrow.example/internal/drainer"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/explainer"
+	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/meter"
 	"gentianbarrow.example/internal/retrier"
@@ -103,6 +104,13 @@
 	c.reply(a)
 }
 
+// Reported takes in what another node says of the load of its target.
+func (rc *Receiver) Reported(host, service string, l limiter.Load) {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	rc.table.Reported(time.Now(), service, host, l)
+}
+
 // budget returns the retry budget of a service. The caller holds mu.
 func (rc *Receiver) budget(now time.Time, s snapshotter.Service) *retrier.Budget {
 	b := rc.budgets[s.Name]
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -188,6 +188,21 @@
 		slow(table, "near-0")
 		assert.Assert(t, share(table, at(10_000), roster(), near(5), isHost("near-0")) > 0)
 	})
+	t.Run("what nodes report counts where this one has asked nothing for long", func(t *testing.T) {
+		table := usual()
+		for _, c := range near(5) {
+			l := limiter.Load{Slots: 10, Service: 10 * time.Millisecond}
+			switch c.Host {
+			case "near-0":
+				l.Service = 6 * time.Millisecond
+			case "near-1":
+				l.Service = 30 * time.Millisecond
+			}
+			table.Reported(at(20_000), "roster", c.Host, l)
+		}
+		assert.Equal(t, share(table, at(20_100), roster(), near(5), isHost("near-1")), 0)
+		assert.Assert(t, share(table, at(20_100), roster(), near(5), isHost("near-0")) > 500)
+	})
 	t.Run("most of a service is never avoided", func(t *testing.T) {
 		table := usual()
 		for i := range 4 {
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/pkg/snapshotter"
 )
 
@@ -62,14 +63,14 @@
 // Started counts a request that is being sent to a target.
 func (t *Table) Started(now time.Time, host string) { t.target(host).started(now) }
 
+// Reported takes in what a target's node says of its load without being asked.
+func (t *Table) Reported(now time.Time, service, host string, l limiter.Load) {
+	t.target(host).report(now, t.level(service), l)
+}
+
 // Finished records what became of a request that Started counted.
 func (t *Table) Finished(now time.Time, service, host string, r Result) {
-	l := t.services[service]
-	if l == nil {
-		l = &level{}
-		t.services[service] = l
-	}
-	t.target(host).finished(now, l, r)
+	t.target(host).finished(now, t.level(service), r)
 }
 
 // Forget drops what is known of idle targets that were not used since before.
@@ -90,6 +91,15 @@
 	return x
 }
 
+func (t *Table) level(service string) *level {
+	l := t.services[service]
+	if l == nil {
+		l = &level{}
+		t.services[service] = l
+	}
+	return l
+}
+
 // endOfDistance returns the index after the last candidate as near as the one at low.
 func endOfDistance(candidates []Candidate, low int) int {
 	if last := len(candidates); candidates[last-1].Distance == candidates[low].Distance {
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -131,9 +131,7 @@
 
 func (x *target) finished(now time.Time, l *level, r Result) {
 	if r.Load != nil {
-		x.load, x.reported = *r.Load, now
-		x.others = max(r.Load.InFlight+r.Load.Queued-x.inFlight, 0)
-		l.service = smooth(l.service, float64(r.Load.Service), levelWeight)
+		x.report(now, l, *r.Load)
 	}
 	x.inFlight = max(x.inFlight-1, 0)
 	x.progressed = now
@@ -150,6 +148,15 @@
 	}
 }
 
+// report takes in what the target's node says of its load.
+func (x *target) report(now time.Time, l *level, load limiter.Load) {
+	x.load, x.reported = load, now
+	x.others = max(load.InFlight+load.Queued-x.inFlight, 0)
+	if load.Service > 0 {
+		l.service = smooth(l.service, float64(load.Service), levelWeight)
+	}
+}
+
 // judge follows how often the target fails what it is given. A refusal by its node does not count.
 func (x *target) judge(now time.Time, r Result) {
 	if r.Cancelled || r.Outcome == retrier.OutcomeNotRun && !r.Failed {
@@ -228,19 +235,18 @@
 	return x != nil && x.load.Draining && now.Before(x.reported.Add(drainTrusted))
 }
 
-// slowness returns how much slower the target is than its service, by its
-// answers, by the service time that its node reports, and by how long it owes
-// an answer. What was seen fades, so that a recovered target is soon tried again.
+// slowness returns how much slower the target is than its service: by the service
+// time that its node reports, by this node's own answers where they were slower or
+// nothing is reported, and by how long it owes an answer. What was seen fades, so
+// that a recovered target is soon tried again.
 func (x *target) slowness(now time.Time, l *level) float64 {
 	if x == nil || l == nil || l.latency == 0 {
 		return 1
 	}
-	slow := 1.0
-	if x.ratio > 0 {
-		slow = faded(x.ratio, now.Sub(x.answered), slownessFades)
-	}
-	if l.service > 0 {
-		slow = max(slow, faded(float64(x.load.Service)/l.service, now.Sub(x.reported), slownessFades))
+	slow := x.answeredSlowness(now, 1)
+	if l.service > 0 && x.load.Service > 0 {
+		told := faded(float64(x.load.Service)/l.service, now.Sub(x.reported), slownessFades)
+		slow = max(told, x.answeredSlowness(now, told))
 	}
 	if x.inFlight > 0 {
 		slow = max(slow, float64(now.Sub(x.progressed))/l.latency)
@@ -248,6 +254,14 @@
 	return min(max(slow, leastSlowness), slownessClip)
 }
 
+// answeredSlowness is what this node's own answers show, which fades towards what else is known.
+func (x *target) answeredSlowness(now time.Time, otherwise float64) float64 {
+	if x.ratio == 0 {
+		return otherwise
+	}
+	return otherwise + (x.ratio-otherwise)*fade(now.Sub(x.answered), slownessFades)
+}
+
 // aversion returns the factor by which slowness raises the cost: itself up to
 // avoidFrom, and more than itself beyond, so that a straggler is left to the
 // requests that find the others full.
--- a/internal/subscriber/stream.go
+++ b/internal/subscriber/stream.go
@@ -141,6 +141,9 @@
 		if known := decodeRecords(m.GetKnown()); len(known) > 0 {
 			post(blackboard.NodesFound{Nodes: known, Now: b.cfg.Now()})
 		}
+		if l := encoder.LoadOf(m.GetLoad()); l != nil {
+			b.cfg.Loaded(e.host, latest.Target.Service, *l)
+		}
 		latest.Now = b.cfg.Now()
 		post(latest)
 	}
@@ -175,12 +178,14 @@
 	if request.GetWantsKnown() {
 		told = map[string]bool{request.GetSelf().GetHost(): true}
 	}
-	b.send(ctx, s, told)
+	near := request.GetSelf().GetDataCentre() == b.cfg.Self.DataCentre
+	b.send(ctx, s, told, near)
 }
 
 // send writes updates until the stream ends. Nodes in told are known to the
-// subscriber; nil means that it wants to hear of none.
-func (b *Subscriber) send(ctx context.Context, s *linker.Stream, told map[string]bool) {
+// subscriber; nil means that it wants to hear of none. A near subscriber is told
+// of the load as well: bytes between data centres are dear.
+func (b *Subscriber) send(ctx context.Context, s *linker.Stream, told map[string]bool, near bool) {
 	ticker := time.NewTicker(updateEvery)
 	defer ticker.Stop()
 	o, changed := b.own()
@@ -201,11 +206,20 @@
 			}
 			latest = update
 		case <-ticker.C:
-			update = &wirepb.NodeUpdate{}
+			update = &wirepb.NodeUpdate{Load: b.load(near)}
 		}
 	}
 }
 
+// load returns what a subscriber is told of the target's load; nil is nothing.
+func (b *Subscriber) load(near bool) *wirepb.TargetLoad {
+	l, known := b.cfg.Load()
+	if !near || !known {
+		return nil
+	}
+	return encoder.Load(l, b.cfg.Incarnation)
+}
+
 // write sends an update; nil is none.
 func write(s *linker.Stream, update *wirepb.NodeUpdate) error {
 	if update == nil {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/wirepb"
@@ -44,6 +45,10 @@
 	Open func(ctx context.Context, address string) (*linker.Stream, error)
 	// Post hands messages of the serving side to the board.
 	Post blackboard.Post
+	// Load returns the load of this host's target, if it has one.
+	Load func() (limiter.Load, bool)
+	// Loaded is told of the load of the target of a host in this data centre, within updateEvery.
+	Loaded func(host, service string, l limiter.Load)
 	// Now returns the time of messages.
 	Now func() time.Time
 	Log *logger.Logger
@@ -82,6 +87,12 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Load == nil {
+		cfg.Load = func() (limiter.Load, bool) { return limiter.Load{}, false }
+	}
+	if cfg.Loaded == nil {
+		cfg.Loaded = func(string, string, limiter.Load) {}
+	}
 	return &Subscriber{cfg: cfg, changed: make(chan struct{}), following: map[string]stream{}}
 }
 
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/linker"
 )
 
@@ -156,6 +157,26 @@
 	mu    sync.Mutex
 	// links by address. Guarded by mu.
 	links map[string]*linker.Linker
+	// loads that nodes were told, by the hosts of both. Guarded by mu.
+	loads map[string]limiter.Load
+}
+
+var toldLoad = limiter.Load{Slots: 9, InFlight: 4, Service: time.Second}
+
+func (m *mesh) assertLoads(t *testing.T, want map[string]limiter.Load) {
+	t.Helper()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	assert.DeepEqual(t, m.loads, want)
+}
+
+func (m *mesh) loaded(host, service string, l limiter.Load) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.loads == nil {
+		m.loads = map[string]limiter.Load{}
+	}
+	m.loads[host+" "+service] = l
 }
 
 func (m *mesh) dial(_ context.Context, address string) (net.Conn, error) {
@@ -181,6 +202,10 @@
 			return links.Open(ctx, address, linker.TrafficControl, StreamKind)
 		},
 		Post: func(msg blackboard.Msg) { board.Post(msg) },
+		Load: func() (limiter.Load, bool) { return toldLoad, true },
+		Loaded: func(host, service string, l limiter.Load) {
+			m.loaded(self.Host+" by "+host, service, l)
+		},
 	})
 	links.Handle(StreamKind, nodes.Serve)
 	state := blackboard.State{
@@ -206,7 +231,9 @@
 }
 
 // TestFindsBack shows that a node which restarts while the platform is away is
-// found by those that know its address, and learns of all others from them.
+// found by those that know its address, and learns of all others from them; and
+// that nodes of a data centre tell each other their loads, and no others. It is one
+// test, since yamux keeps timers that do not leave the bubble they were made in.
 func TestFindsBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -214,7 +241,11 @@
 		one, two, three := node("reyk-a-1", "1"), node("reyk-a-2", "2"), node("reyk-a-3", "3")
 		first := m.start(one, two, three)
 		second := m.start(two, one, three)
+		elsewhere := node("hafn-c-1", "4")
+		elsewhere.DataCentre = "hafn-c"
+		m.start(elsewhere, one, two)
 		time.Sleep(2 * time.Second)
+		m.assertLoads(t, map[string]limiter.Load{"reyk-a-1 by reyk-a-2 booking": toldLoad, "reyk-a-2 by reyk-a-1 booking": toldLoad})
 		assert.Assert(t, alive(first, "reyk-a-2") && alive(second, "reyk-a-1"))
 		assert.Assert(t, !alive(first, "reyk-a-3"))
 		restarted := m.start(three)
