Hold callers to the limits of the configuration; one smoothed mean for each route

The acceptor asks for what is in force before each request; the node's own bound on headers stays above it. TestLimits: a connection may be idle for four fifths of its time, is closed at its end; headers that are too long or too slow.

Read again: the smoothed time by route stood four times (forwarder, limiter, router, receiver), each with a bound of its own or none. It is internal/smoother now. subscriber.absent copied the members once a host that was gone; spool kept a flag that its channel already was. Behaviour stays as it was.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -41,12 +41,10 @@
 // Server serves callers. The zero values of its fields stand for defaults.
 type Server struct {
 	Handler http.Handler
-	// MaxHeaderBytes bounds the headers of a request.
+	// MaxHeaderBytes bounds the headers of a request, whatever Limits say.
 	MaxHeaderBytes int
-	// HeaderTimeout bounds the time from the first byte of a request to the end of its headers.
-	HeaderTimeout time.Duration
-	// IdleTimeout bounds how long a connection carries no request.
-	IdleTimeout time.Duration
+	// Limits returns what callers may do at this moment; nil leaves it to the defaults.
+	Limits func() Limits
 	// CloseTimeout bounds how long Serve waits for requests after its context has ended.
 	CloseTimeout time.Duration
 	// Panicked is told of a panic of the handler other than http.ErrAbortHandler; nil means nobody.
@@ -59,6 +57,29 @@
 	group sync.WaitGroup
 }
 
+// Limits bound what callers may do. The zero values of its fields stand for defaults.
+type Limits struct {
+	// HeaderBytes of a request, at most.
+	HeaderBytes int
+	// HeaderTimeout bounds the time from the first byte of a request to the end of its headers.
+	HeaderTimeout time.Duration
+	// IdleTimeout bounds how long a connection carries no request.
+	IdleTimeout time.Duration
+}
+
+// limits returns those in force, without zero values.
+func (s *Server) limits() Limits {
+	var l Limits
+	if s.Limits != nil {
+		l = s.Limits()
+	}
+	most := orDefault(s.MaxHeaderBytes, defaultHeaderBytes)
+	l.HeaderBytes = min(orDefault(l.HeaderBytes, most), most)
+	l.HeaderTimeout = orDefault(l.HeaderTimeout, defaultHeaderTimeout)
+	l.IdleTimeout = orDefault(l.IdleTimeout, defaultIdleTimeout)
+	return l
+}
+
 // Drain makes every further answer close its connection. New connections are still taken.
 func (s *Server) Drain() { s.draining.Store(true) }
 
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +20,8 @@
 type bench struct {
 	t      *testing.T
 	server *Server
+	// limits that are in force.
+	limits *atomic.Pointer[Limits]
 	near   net.Conn
 	r      *bufio.Reader
 }
@@ -28,12 +31,14 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
-		s := &Server{Handler: handler, MaxHeaderBytes: 8 << 10}
+		var limits atomic.Pointer[Limits]
+		limits.Store(&Limits{})
+		s := &Server{Handler: handler, MaxHeaderBytes: 8 << 10, Limits: func() Limits { return *limits.Load() }}
 		c := newConn(s, far)
 		s.add(c)
 		var group sync.WaitGroup
 		group.Go(c.serve)
-		f(t, &bench{t: t, server: s, near: near, r: bufio.NewReader(near)})
+		f(t, &bench{t: t, server: s, limits: &limits, near: near, r: bufio.NewReader(near)})
 		_ = near.Close()
 		group.Wait()
 	})
@@ -60,6 +65,15 @@
 	return resp.Close
 }
 
+func (b *bench) assertStatus(status int) {
+	b.t.Helper()
+	resp, err := http.ReadResponse(b.r, nil) //nolint:bodyclose // net.Pipe holds nothing back
+	assert.NilError(b.t, err)
+	defer resp.Body.Close()
+	assert.Equal(b.t, resp.StatusCode, status)
+	_, _ = io.Copy(io.Discard, resp.Body)
+}
+
 func (b *bench) assertClosed() {
 	b.t.Helper()
 	_, err := b.r.Peek(1)
@@ -185,6 +199,57 @@
 	})
 }
 
+func TestLimits(t *testing.T) {
+	strict := Limits{HeaderBytes: 1 << 10, HeaderTimeout: time.Second, IdleTimeout: 15 * time.Second}
+	limited := func(t *testing.T, f func(t *testing.T, b *bench)) {
+		t.Helper()
+		play(t, echoPath, func(t *testing.T, b *bench) {
+			// The first request comes under the defaults: limits may change between two requests.
+			b.get("/a")
+			b.assertAnswer(http.StatusOK, "/a")
+			b.limits.Store(&strict)
+			f(t, b)
+		})
+	}
+	t.Run("a connection may be idle for most of its time", func(t *testing.T) {
+		limited(t, func(t *testing.T, b *bench) {
+			b.get("/b")
+			b.assertAnswer(http.StatusOK, "/b")
+			time.Sleep(strict.IdleTimeout * 4 / 5)
+			b.get("/c")
+			b.assertAnswer(http.StatusOK, "/c")
+			begun := time.Now()
+			b.assertClosed()
+			assert.Equal(t, time.Since(begun).Round(time.Second), strict.IdleTimeout)
+		})
+	})
+	t.Run("headers that are too long", func(t *testing.T) {
+		limited(t, func(_ *testing.T, b *bench) {
+			b.get("/b")
+			b.assertAnswer(http.StatusOK, "/b")
+			var sending sync.WaitGroup
+			sending.Go(func() { _, _ = io.WriteString(b.near, "GET / HTTP/1.1\r\nHost: a\r\nX: "+strings.Repeat("x", 8<<10)) })
+			b.assertStatus(http.StatusRequestHeaderFieldsTooLarge)
+			_ = b.near.Close()
+			sending.Wait()
+		})
+	})
+	t.Run("headers that are too slow", func(t *testing.T) {
+		limited(t, func(t *testing.T, b *bench) {
+			b.get("/b")
+			b.assertAnswer(http.StatusOK, "/b")
+			begun := time.Now()
+			b.send("GET / HTTP/1.1\r\nHo")
+			b.assertStatus(http.StatusRequestTimeout)
+			assert.Equal(t, time.Since(begun), strict.HeaderTimeout)
+		})
+	})
+	t.Run("what the node itself allows is not raised", func(t *testing.T) {
+		s := &Server{MaxHeaderBytes: 2 << 10, Limits: func() Limits { return Limits{HeaderBytes: 1 << 20} }}
+		assert.Equal(t, s.limits(), Limits{HeaderBytes: 2 << 10, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout})
+	})
+}
+
 func TestMalformedRequests(t *testing.T) {
 	for name, c := range map[string]struct {
 		request string
@@ -196,14 +261,10 @@
 		"a slow sender":       {"GET / HTTP/1.1\r\nHo", http.StatusRequestTimeout},
 	} {
 		t.Run(name, func(t *testing.T) {
-			play(t, echoPath, func(t *testing.T, b *bench) {
+			play(t, echoPath, func(_ *testing.T, b *bench) {
 				var sending sync.WaitGroup
 				sending.Go(func() { _, _ = io.WriteString(b.near, c.request) })
-				resp, err := http.ReadResponse(b.r, nil) //nolint:bodyclose // net.Pipe holds nothing back
-				assert.NilError(t, err)
-				defer resp.Body.Close()
-				assert.Equal(t, resp.StatusCode, c.status)
-				_, _ = io.Copy(io.Discard, resp.Body)
+				b.assertStatus(c.status)
 				_ = b.near.Close()
 				sending.Wait()
 			})
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -96,7 +96,7 @@
 	if !c.armIdle() {
 		return false
 	}
-	c.source.allow(orDefault(c.server.MaxHeaderBytes, defaultHeaderBytes))
+	c.source.allow(c.server.limits().HeaderBytes)
 	if _, err := c.r.Peek(1); err != nil {
 		c.gone()
 		return false
@@ -119,7 +119,7 @@
 	}
 	deadline := time.Time{}
 	if c.pending == 0 {
-		deadline = time.Now().Add(orDefault(c.server.IdleTimeout, defaultIdleTimeout))
+		deadline = time.Now().Add(c.server.limits().IdleTimeout)
 	}
 	return c.nc.SetReadDeadline(deadline) == nil
 }
@@ -136,7 +136,7 @@
 }
 
 func (c *conn) readRequest() (*http.Request, error) {
-	if err := c.nc.SetReadDeadline(time.Now().Add(orDefault(c.server.HeaderTimeout, defaultHeaderTimeout))); err != nil {
+	if err := c.nc.SetReadDeadline(time.Now().Add(c.server.limits().HeaderTimeout)); err != nil {
 		return nil, err
 	}
 	r, err := http.ReadRequest(c.r)
@@ -225,7 +225,7 @@
 	}
 	if idle {
 		// The reading goroutine waits without a bound since a request was running.
-		_ = c.nc.SetReadDeadline(time.Now().Add(orDefault(c.server.IdleTimeout, defaultIdleTimeout)))
+		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout))
 	}
 }
 
--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -57,8 +57,22 @@
 	})
 	n.callers = &acceptor.Server{
 		Handler: n.receiver, MaxHeaderBytes: n.settings.Limits.HeaderBytes, CloseTimeout: a.closeTimeout,
+		Limits: func() acceptor.Limits { return callerLimits(n.board.Read().Config.Running) },
 		Panicked: func(value any) {
 			n.log.Write(logger.RequestPanicked, logger.Fields{Reason: fmt.Sprint(value), Stack: string(debug.Stack())})
 		},
 	}
 }
+
+// callerLimits returns what the configuration in force lets callers do.
+func callerLimits(running *snapshotter.Snapshot) acceptor.Limits {
+	if running == nil {
+		return acceptor.Limits{}
+	}
+	c := running.Callers
+	return acceptor.Limits{
+		HeaderBytes:   c.HeaderBytes,
+		HeaderTimeout: time.Duration(c.HeaderTimeoutMs) * time.Millisecond,
+		IdleTimeout:   time.Duration(c.IdleTimeoutMs) * time.Millisecond,
+	}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -92,12 +92,12 @@
 	idle   *idleStreams
 	intake *limiter.Waiter
 	// answers of bulk requests.
-	answers answerTimes
+	answers *answerTimes
 }
 
 // New returns a forwarder. Register Handle with the linker under Kind.
 func New(cfg Config) *Forwarder {
-	return &Forwarder{cfg: cfg, idle: newIdleStreams(), intake: limiter.NewWaiter(intakeLimits)}
+	return &Forwarder{cfg: cfg, idle: newIdleStreams(), intake: limiter.NewWaiter(intakeLimits), answers: newAnswerTimes()}
 }
 
 // trafficOf keeps long bodies off the connections of short requests.
--- a/internal/forwarder/intake.go
+++ b/internal/forwarder/intake.go
@@ -13,6 +13,7 @@
 	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/internal/smoother"
 	"gentianbarrow.example/internal/wirepb"
 	"gentianbarrow.example/pkg/snapshotter"
 )
@@ -31,12 +32,8 @@
 	spoolBytes = 512 << 10
 )
 
-const (
-	// answerWeight is the weight of one request in the smoothed time that answers take.
-	answerWeight = 0.1
-	// maxRoutes bounds the routes whose answers are timed.
-	maxRoutes = 256
-)
+// answerWeight is the weight of one request in the smoothed time that answers take.
+const answerWeight = 0.1
 
 var intakeLimits = limiter.Limits{
 	Slots: intakeBodies, Connections: intakeBodies, Queue: intakeQueue, BulkPercent: 100,
@@ -46,30 +43,26 @@
 // answerTimes says how long the answers to bulk requests take once their bodies have come.
 type answerTimes struct {
 	mu sync.Mutex
-	// byRoute holds smoothed times of at most maxRoutes routes. Guarded by mu.
-	byRoute map[string]time.Duration
+	// byRoute holds the times in nanoseconds. Guarded by mu.
+	byRoute smoother.ByRoute
+}
+
+func newAnswerTimes() *answerTimes {
+	return &answerTimes{byRoute: smoother.ByRoute{Weight: answerWeight}}
 }
 
 func (t *answerTimes) add(route string, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.byRoute == nil {
-		t.byRoute = map[string]time.Duration{}
-	}
-	mean, known := t.byRoute[route]
-	switch {
-	case known:
-		t.byRoute[route] = mean + time.Duration(answerWeight*float64(took-mean))
-	case len(t.byRoute) < maxRoutes:
-		t.byRoute[route] = took
-	}
+	t.byRoute.Add(route, float64(took))
 }
 
 // expected returns 0 while nothing is known of the route.
 func (t *answerTimes) expected(route string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.byRoute[route]
+	mean, _ := t.byRoute.Of(route)
+	return time.Duration(mean)
 }
 
 // holdsBody tells that the body of a request is sent only when it is asked for.
--- a/internal/forwarder/spool.go
+++ b/internal/forwarder/spool.go
@@ -9,7 +9,8 @@
 // spool holds the part of a body that has come and is not read yet, at most about spoolBytes.
 type spool struct {
 	// ready is closed once the spool is full or the body has ended.
-	ready chan struct{}
+	ready     chan struct{}
+	readyOnce sync.Once
 
 	mu sync.Mutex
 	// changed is signalled with each change of the fields below.
@@ -18,8 +19,6 @@
 	held bytes.Buffer
 	// err ended the body, io.EOF when it is whole; nil while it goes on. Guarded by mu.
 	err error
-	// full has been reached once. Guarded by mu.
-	full bool
 	// closed tells that nobody reads any more. Guarded by mu.
 	closed bool
 }
@@ -52,9 +51,8 @@
 	}
 	s.held.Write(b)
 	s.err = err
-	if !s.full && (err != nil || s.held.Len() >= spoolBytes) {
-		s.full = true
-		close(s.ready)
+	if err != nil || s.held.Len() >= spoolBytes {
+		s.readyOnce.Do(func() { close(s.ready) })
 	}
 	s.changed.Broadcast()
 	return err == nil && !s.closed
--- a/internal/limiter/adapter.go
+++ b/internal/limiter/adapter.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/internal/smoother"
 )
 
 const (
@@ -126,20 +127,20 @@
 		a.usual[c] = ran
 	}
 	ratio := min(ran/max(a.usual[c], 1), ratioClip)
-	a.ratio = smooth(a.ratio, ratio, ratioWeight)
+	a.ratio = smoother.Smooth(a.ratio, ratio, ratioWeight)
 	if !answered {
 		return
 	}
 	if a.samples[c] < usualSamples {
 		a.samples[c]++
-		a.usual[c] = smooth(a.usual[c], ran, 1/float64(a.samples[c]))
+		a.usual[c] = smoother.Smooth(a.usual[c], ran, 1/float64(a.samples[c]))
 		return
 	}
 	weight := usualDownWeight
 	if ran > a.usual[c] {
 		weight = usualUpWeight
 	}
-	a.usual[c] = smooth(a.usual[c], min(ran, usualClip*a.usual[c]), weight)
+	a.usual[c] = smoother.Smooth(a.usual[c], min(ran, usualClip*a.usual[c]), weight)
 }
 
 // change ends a round in which so many requests ended a second.
--- a/internal/limiter/gate.go
+++ b/internal/limiter/gate.go
@@ -44,6 +44,7 @@
 		tally:   newTally(),
 		queue:   newQueue(l),
 		adapter: newAdapter(l),
+		pace:    newPace(),
 	}
 }
 
--- a/internal/limiter/pace.go
+++ b/internal/limiter/pace.go
@@ -1,6 +1,10 @@
 package limiter
 
-import "time"
+import (
+	"time"
+
+	"gentianbarrow.example/internal/smoother"
+)
 
 const (
 	// serviceWeight is the weight of one sample in a smoothed service time.
@@ -13,33 +17,26 @@
 type pace struct {
 	// mean service time of each class in nanoseconds; 0 before the first sample.
 	mean [classes]float64
-	// byRoute is the same for each route, of at most maxRoutes; nil before the first.
-	byRoute map[string]float64
+	// byRoute is the same for each route.
+	byRoute smoother.ByRoute
 	// starts is the sum of the start times of each class's running requests, in microseconds since 1970.
 	starts [classes]int64
 	// lastFreed is when a slot last came free or the target went from idle to busy.
 	lastFreed time.Time
 }
 
-// maxRoutes bounds the routes whose service times are kept apart.
-const maxRoutes = 256
+func newPace() pace { return pace{byRoute: smoother.ByRoute{Weight: serviceWeight}} }
 
 func (p *pace) add(c class, route string, service time.Duration) {
-	p.mean[c] = smooth(p.mean[c], float64(service), serviceWeight)
-	if route == "" {
-		return
-	}
-	if p.byRoute == nil {
-		p.byRoute = map[string]float64{}
-	}
-	if before, known := p.byRoute[route]; known || len(p.byRoute) < maxRoutes {
-		p.byRoute[route] = smooth(before, float64(service), serviceWeight)
+	p.mean[c] = smoother.Smooth(p.mean[c], float64(service), serviceWeight)
+	if route != "" {
+		p.byRoute.Add(route, float64(service))
 	}
 }
 
 // expectedOn returns how long a request of the route runs, as far as that is known.
 func (p *pace) expectedOn(c class, route string) time.Duration {
-	if mean, known := p.byRoute[route]; known {
+	if mean, known := p.byRoute.Of(route); known {
 		return time.Duration(mean)
 	}
 	return p.expected(c)
@@ -84,11 +81,3 @@
 	}
 	return stalled + time.Duration(ahead)*gap
 }
-
-// smooth moves a mean towards a sample; the first sample is the mean.
-func smooth(mean, sample, weight float64) float64 {
-	if mean == 0 {
-		return sample
-	}
-	return mean + weight*(sample-mean)
-}
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -187,7 +187,7 @@
 	})
 	if b := rc.budgets[r.Service]; b != nil && a.Outcome == retrier.OutcomeDone {
 		b.Observed(took)
-		smooth(&rc.stat(r.Route).latency, float64(took))
+		rc.stats.latency.Add(r.Route, float64(took))
 	}
 }
 
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -69,8 +69,8 @@
 	budgets map[string]*retrier.Budget
 	// splits by route. Guarded by mu.
 	splits map[string]*split
-	// stats by route; cleared with the table. Guarded by mu.
-	stats map[string]*routeStats
+	// stats are begun anew when old entries of the table are dropped. Guarded by mu.
+	stats *routeStats
 	// forgetAt is when the table is next cleared of old entries. Guarded by mu.
 	forgetAt time.Time
 }
@@ -89,7 +89,7 @@
 	}
 	return &Receiver{
 		cfg: cfg, table: router.New(), rnd: rand.New(rand.NewPCG(seed, seed)),
-		budgets: map[string]*retrier.Budget{}, splits: map[string]*split{}, stats: map[string]*routeStats{},
+		budgets: map[string]*retrier.Budget{}, splits: map[string]*split{}, stats: newRouteStats(),
 	}
 }
 
@@ -136,5 +136,5 @@
 	}
 	rc.forgetAt = now.Add(forgetAfter)
 	rc.table.Forget(now.Add(-forgetAfter))
-	clear(rc.stats)
+	rc.stats = newRouteStats()
 }
--- a/internal/receiver/stats.go
+++ b/internal/receiver/stats.go
@@ -1,59 +1,51 @@
 package receiver
 
-import "time"
+import (
+	"time"
 
-// routeStats are smoothed figures of a route's requests.
-type routeStats struct {
-	// requestBytes and answerBytes of whole exchanges.
-	requestBytes, answerBytes float64
-	// latency of attempts with an answer, in nanoseconds; 0 before the first.
-	latency float64
-}
+	"gentianbarrow.example/internal/smoother"
+)
 
 // statsWeight is the weight of one sample.
 const statsWeight = 0.05
 
-func smooth(mean *float64, sample float64) {
-	if *mean == 0 {
-		*mean = sample
-		return
-	}
-	*mean += statsWeight * (sample - *mean)
+// routeStats are smoothed figures of each route's requests.
+type routeStats struct {
+	// requestBytes and answerBytes of whole exchanges.
+	requestBytes, answerBytes smoother.ByRoute
+	// latency of attempts with an answer, in nanoseconds.
+	latency smoother.ByRoute
 }
 
-// stat returns the figures of a route. The caller holds mu.
-func (rc *Receiver) stat(route string) *routeStats {
-	s := rc.stats[route]
-	if s == nil {
-		s = &routeStats{}
-		rc.stats[route] = s
-	}
-	return s
+func newRouteStats() *routeStats {
+	byRoute := smoother.ByRoute{Weight: statsWeight}
+	return &routeStats{requestBytes: byRoute, answerBytes: byRoute, latency: byRoute}
 }
 
 // expectedBytes returns how many bytes the request and its answer are likely to have.
 func (rc *Receiver) expectedBytes(route string, requestLength int64) int {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
-	s := rc.stat(route)
-	if requestLength >= 0 {
-		return int(float64(requestLength) + s.answerBytes)
+	request := float64(requestLength)
+	if requestLength < 0 {
+		request, _ = rc.stats.requestBytes.Of(route)
 	}
-	return int(s.requestBytes + s.answerBytes)
+	answer, _ := rc.stats.answerBytes.Of(route)
+	return int(request + answer)
 }
 
 // expectedLatency returns how long an attempt usually takes; 0 when that is not known.
 func (rc *Receiver) expectedLatency(route string) time.Duration {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
-	return time.Duration(rc.stat(route).latency)
+	latency, _ := rc.stats.latency.Of(route)
+	return time.Duration(latency)
 }
 
 // sized records the bytes of a finished exchange.
 func (rc *Receiver) sized(route string, request, answer int64) {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
-	s := rc.stat(route)
-	smooth(&s.requestBytes, float64(request))
-	smooth(&s.answerBytes, float64(answer))
+	rc.stats.requestBytes.Add(route, float64(request))
+	rc.stats.answerBytes.Add(route, float64(answer))
 }
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -94,7 +94,7 @@
 func (t *Table) level(service string) *level {
 	l := t.services[service]
 	if l == nil {
-		l = &level{}
+		l = newLevel()
 		t.services[service] = l
 	}
 	return l
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -6,6 +6,7 @@
 
 	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/internal/smoother"
 	"gentianbarrow.example/pkg/snapshotter"
 )
 
@@ -69,32 +70,26 @@
 type level struct {
 	// latency and service time in nanoseconds; 0 before the first sample.
 	latency, service float64
-	// byRoute holds the latency of each route, of at most maxRoutes; nil before the first.
-	byRoute map[string]float64
+	// byRoute holds the latency of each route.
+	byRoute smoother.ByRoute
 }
 
-// maxRoutes bounds the routes whose latency is kept apart.
-const maxRoutes = 256
+func newLevel() *level { return &level{byRoute: smoother.ByRoute{Weight: levelWeight}} }
 
 // usual returns the usual latency of a route, in nanoseconds; 0 when nothing is known.
 func (l *level) usual(route string) float64 {
 	if l == nil {
 		return 0
 	}
-	if latency, known := l.byRoute[route]; known {
+	if latency, known := l.byRoute.Of(route); known {
 		return latency
 	}
 	return l.latency
 }
 
 func (l *level) sample(route string, latency float64) {
-	l.latency = smooth(l.latency, latency, levelWeight)
-	if l.byRoute == nil {
-		l.byRoute = map[string]float64{}
-	}
-	if before, known := l.byRoute[route]; known || len(l.byRoute) < maxRoutes {
-		l.byRoute[route] = smooth(before, latency, levelWeight)
-	}
+	l.latency = smoother.Smooth(l.latency, latency, levelWeight)
+	l.byRoute.Add(route, latency)
 }
 
 // target is what this node has seen of one target. A nil target is one that nothing is known of.
@@ -153,7 +148,7 @@
 	x.load, x.reported = load, now
 	x.others = max(load.InFlight+load.Queued-x.inFlight, 0)
 	if load.Service > 0 {
-		l.service = smooth(l.service, float64(load.Service), levelWeight)
+		l.service = smoother.Smooth(l.service, float64(load.Service), levelWeight)
 	}
 }
 
@@ -192,7 +187,7 @@
 	if sample > x.ratio {
 		weight = upWeight
 	}
-	x.ratio = smooth(x.ratio, sample, weight)
+	x.ratio = smoother.Smooth(x.ratio, sample, weight)
 	x.answered = now
 	l.sample(r.Route, latency)
 }
@@ -278,11 +273,3 @@
 func fade(age, fades time.Duration) float64 {
 	return math.Exp(-float64(max(age, 0)) / float64(fades))
 }
-
-// smooth moves a mean towards a sample; the first sample is the mean.
-func smooth(mean, sample, weight float64) float64 {
-	if mean == 0 {
-		return sample
-	}
-	return mean + weight*(sample-mean)
-}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -195,17 +195,14 @@
 // absent forgets the lost nodes that the platform no longer names. One that lives
 // may have started while the platform was away.
 func absent(s blackboard.State, named []blackboard.NodeRecord) (blackboard.State, []blackboard.Effect) {
-	var effects []blackboard.Effect
+	var gone []string
 	for host, m := range s.Members.ByHost {
 		isNamed := slices.ContainsFunc(named, func(n blackboard.NodeRecord) bool { return n.Host == host })
-		if isNamed || m.Status == blackboard.MemberAlive {
-			continue
+		if !isNamed && m.Status != blackboard.MemberAlive {
+			gone = append(gone, host)
 		}
-		var forgets []blackboard.Effect
-		s, forgets = removed(s, host)
-		effects = append(effects, forgets...)
 	}
-	return s, effects
+	return removed(s, gone...)
 }
 
 func cloned(members map[string]blackboard.Member) map[string]blackboard.Member {
@@ -226,14 +223,24 @@
 	return list
 }
 
-func removed(s blackboard.State, host string) (blackboard.State, []blackboard.Effect) {
-	if _, known := s.Members.ByHost[host]; !known {
-		return s, nil
+// removed takes out those of the hosts that are known.
+func removed(s blackboard.State, hosts ...string) (blackboard.State, []blackboard.Effect) {
+	var effects []blackboard.Effect
+	var members map[string]blackboard.Member
+	for _, host := range hosts {
+		if _, known := s.Members.ByHost[host]; !known {
+			continue
+		}
+		if members == nil {
+			members = cloned(s.Members.ByHost)
+		}
+		delete(members, host)
+		effects = append(effects, forget{host: host})
 	}
-	members := cloned(s.Members.ByHost)
-	delete(members, host)
-	s.Members.ByHost, s.Members.Known = members, records(members)
-	return s, []blackboard.Effect{forget{host: host}}
+	if members != nil {
+		s.Members.ByHost, s.Members.Known = members, records(members)
+	}
+	return s, effects
 }
 
 // updated takes in what a node says of itself.
