--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -24,9 +24,12 @@
 	// lingerTime is how long a stopping node takes callers' requests: the platform
 	// asks once a second and needs two answers.
 	lingerTime = 2300 * time.Millisecond
-	// peersLinger is how long it takes requests of other nodes: the rest of
-	// lingerTime is enough for almost all of them to end.
-	peersLinger = 1300 * time.Millisecond
+	// peersLinger is how long it takes requests of other nodes, which learn of its end
+	// within a round trip: its target is missed from then until the node is back.
+	peersLinger = 2 * time.Second
+	// settleTime is what passes after the last request: its answer is on the way, and
+	// directFarewell follows. Each tenth of a second is one more without the target.
+	settleTime = 200 * time.Millisecond
 	// cutShare of the platform's grace is when a stopping node ends with requests in
 	// flight. What follows, directFarewell and directClose, fits in the rest.
 	cutShare = 0.85
@@ -93,6 +96,7 @@
 	n.board = blackboard.New(state, []blackboard.Controller{
 		drainer.New(n.tracker, n.log,
 			drainer.WithLinger(lingerTime, peersLinger),
+			drainer.WithSettle(settleTime),
 			drainer.WithCutAfter(time.Duration(float64(a.bounds.Grace)*cutShare)),
 			drainer.WithClosing(n.callers.Drain)),
 		fetcher.New(fetcher.Config{
--- a/internal/composer/listeners_test.go
+++ b/internal/composer/listeners_test.go
@@ -12,7 +12,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"gentianbarrow.example/internal/drainer"
 	"gentianbarrow.example/internal/loader"
 )
 
@@ -78,7 +77,7 @@
 	cut := time.Duration(float64(grace) * cutShare)
 	end := directFarewell + a.closeTimeout + endMargin
 	assert.Assert(t, cut+end < grace)
-	assert.Assert(t, lingerTime+drainer.SettleTime+end < grace)
+	assert.Assert(t, lingerTime+settleTime+end < grace)
 }
 
 // TestPartThatHangs shows that a part which does not end holds up the node no longer than the others may take.
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -21,7 +21,8 @@
 const stopsThatCut = 3
 
 // SettleTime passes between the end of the last request and the end of the
-// node: peers learn of the drain, and the last bytes of answers arrive.
+// node: peers learn of the drain, and the last bytes of answers arrive. WithSettle
+// replaces it.
 const SettleTime = 1 * time.Second
 
 // Counted reports the requests in flight of a draining node.
@@ -52,6 +53,10 @@
 	return func(c *drainer) { c.linger, c.peersLinger = callers, peers }
 }
 
+// WithSettle sets what passes between the end of the last request and the end of
+// the node. Its target serves nobody meanwhile.
+func WithSettle(d time.Duration) Option { return func(c *drainer) { c.settle = d } }
+
 // WithClosing is told of the first stop request.
 func WithClosing(f func()) Option { return func(c *drainer) { c.closing = f } }
 
@@ -64,13 +69,15 @@
 	linger time.Duration
 	// peersLinger is the same for other nodes.
 	peersLinger time.Duration
+	// settle is added to the time of the latest request that was seen in flight.
+	settle time.Duration
 	// closing is nil when nobody is told.
 	closing func()
 }
 
 // New returns the controller.
 func New(t *Tracker, log *logger.Logger, options ...Option) blackboard.Controller {
-	d := &drainer{tracker: t, log: log}
+	d := &drainer{tracker: t, log: log, settle: SettleTime}
 	for _, o := range options {
 		o(d)
 	}
@@ -84,7 +91,7 @@
 	case blackboard.Tick:
 		return d.tick(s, msg.Now)
 	case Counted:
-		return counted(s, msg)
+		return d.counted(s, msg)
 	}
 	return s, nil
 }
@@ -97,7 +104,7 @@
 	switch {
 	case s.Life.StopRequests == 1:
 		s.Life.Phase = blackboard.LifeDraining
-		s.Life.EndAt = now.Add(max(SettleTime, d.linger))
+		s.Life.EndAt = now.Add(max(d.settle, d.linger))
 		if d.linger > 0 {
 			s.Life.LingerUntil, s.Life.PeersUntil = now.Add(d.linger), now.Add(d.peersLinger)
 		}
@@ -145,13 +152,13 @@
 	return s, effects
 }
 
-func counted(s blackboard.State, msg Counted) (blackboard.State, []blackboard.Effect) {
+func (d *drainer) counted(s blackboard.State, msg Counted) (blackboard.State, []blackboard.Effect) {
 	if s.Life.Phase != blackboard.LifeDraining {
 		return s, nil
 	}
 	s.Life.InFlight = msg.Total
 	if msg.Total > 0 {
-		if end := msg.Now.Add(SettleTime); end.After(s.Life.EndAt) {
+		if end := msg.Now.Add(d.settle); end.After(s.Life.EndAt) {
 			s.Life.EndAt = end
 		}
 		return s, nil
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -150,6 +150,17 @@
 		b.tickAfter(SettleTime)
 		b.assertPhase(t, blackboard.LifeStopped)
 	})
+	t.Run("the node ends soon after its last request", func(t *testing.T) {
+		b := newBench(WithLinger(2*time.Second, 2*time.Second), WithSettle(200*time.Millisecond))
+		b.stop()
+		done, _ := b.tracker.Begin(snapshotter.ClassShort)
+		b.tickAfter(3 * time.Second)
+		done()
+		b.tickAfter(199 * time.Millisecond)
+		b.assertPhase(t, blackboard.LifeDraining)
+		b.tickAfter(time.Millisecond)
+		b.assertPhase(t, blackboard.LifeStopped)
+	})
 }
 
 func TestTracker(t *testing.T) {
