--- a/internal/follower/fleet_test.go
+++ b/internal/follower/fleet_test.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
-	"gotest.tools/v3/assert"
 
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/elector"
@@ -375,81 +372,3 @@
 	}
 	return byHost
 }
-
-// kill ends a process at once.
-func (fl *fleet) kill(host string) {
-	fl.mu.Lock()
-	n := fl.nodes[host]
-	n.up = false
-	fl.mu.Unlock()
-	if n.stop != nil {
-		n.stop()
-	}
-	fl.gossip()
-}
-
-// publish accepts the next version at the platform.
-func (fl *fleet) publish() uint64 {
-	fl.t.Helper()
-	version := fl.head.Version + 1
-	name := fmt.Sprintf("service-%d", version%7)
-	next, err := snapshotter.Apply(fl.head, snapshotter.Change{Services: []snapshotter.Service{{
-		Name: name, Firm: "frothvik", Slots: 20, Connections: 110, Queue: int(version % 100), BulkPercent: 50,
-	}}}, version)
-	assert.NilError(fl.t, err)
-	fl.store(next)
-	return version
-}
-
-func (fl *fleet) store(next *snapshotter.Snapshot) {
-	fl.t.Helper()
-	client := fl.fake.Client()
-	shards := snapshotter.EncodeShards(next)
-	digests := snapshotter.Digests(next)
-	for i, d := range snapshotter.Digests(fl.head) {
-		if d != digests[i] || fl.head.Version == 0 {
-			_, _ = client.Put(fl.ctx, ticketer.ShardKey(digests[i]), shards[i], 0)
-		}
-	}
-	head := ticketer.Head{Version: next.Version, Digest: next.Digest(), RemovedFloor: next.RemovedFloor, Shards: digests[:]}
-	fl.mu.Lock()
-	fl.head = next
-	fl.accepted[next.Version] = next.Digest()
-	fl.published[next.Version] = time.Now()
-	fl.mu.Unlock()
-	obj, err := client.Put(fl.ctx, ticketer.HeadKey, head.Encode(), fl.revision)
-	var lost *storer.UnknownOutcomeError
-	if errors.As(err, &lost) {
-		obj, err = client.Get(fl.ctx, ticketer.HeadKey)
-	}
-	assert.NilError(fl.t, err)
-	fl.revision = obj.Revision
-}
-
-func (fl *fleet) running(host string) uint64 {
-	return number(fl.nodes[host].board.Load().Read().Config.Running)
-}
-
-// assertRunning checks that every node that is up runs a version.
-func (fl *fleet) assertRunning(version uint64) {
-	fl.t.Helper()
-	synctest.Wait()
-	for host, n := range fl.nodes {
-		if n.up {
-			assert.Equal(fl.t, fl.running(host), version, "%s: %+v", host, n.board.Load().Read().Config.Stage)
-		}
-	}
-}
-
-func (fl *fleet) assertNoViolations() {
-	fl.t.Helper()
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	assert.DeepEqual(fl.t, fl.violations, []string(nil))
-}
-
-// inForceLimit is how long an accepted version may take to be in force everywhere.
-const inForceLimit = 17 * time.Second
-
-// frameOverheadBytes stands for the headers of a frame below protobuf: length, yamux, TCP and IP.
-const frameOverheadBytes = 3 + 12 + 20 + 20
