Do not run a request whose caller had gone before it was read

So the request and the end of its stream came out of the link together, 0.9 s late; the goroutine that watches the stream looked only after the request had gone to the target.

Ruled out: a wait in the gate or for bodies: there the end of the stream is seen. Why the link was late is not traced.

Change: the target's node looks at the stream before it runs a request without a body. Test: TestHandleRejects, a request whose caller has gone before it was read; it was executed before. handle now keeps the stream open behind the request, as a caller that waits does, so that the other cases test what they did.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -162,7 +162,17 @@
 }
 
 // handle feeds bytes to the serving side and tells whether a request was executed.
+// The stream stays open behind them.
 func handle(data []byte) (executed bool) {
+	return handleStream(func(open io.Reader) io.Reader { return io.MultiReader(bytes.NewReader(data), open) })
+}
+
+// handleEnded does the same with a stream that ends after the bytes.
+func handleEnded(data []byte) (executed bool) {
+	return handleStream(func(io.Reader) io.Reader { return bytes.NewReader(data) })
+}
+
+func handleStream(source func(open io.Reader) io.Reader) (executed bool) {
 	near, far := net.Pipe()
 	f := New(Config{
 		Tracker: drainer.NewTracker(),
@@ -171,12 +181,14 @@
 			if r.Body != nil {
 				_, _ = io.Copy(io.Discard, r.Body)
 			}
+			// Nothing follows: the peer is not waited for.
+			_ = near.Close()
 			return exchanger.NotRun(exchanger.ReasonNoTarget, nil)
 		},
 	})
 	var group sync.WaitGroup
 	group.Go(func() { _, _ = io.Copy(io.Discard, near) })
-	s := &linker.Stream{Conn: far, Reader: bufio.NewReader(bytes.NewReader(data))}
+	s := &linker.Stream{Conn: far, Reader: bufio.NewReader(source(far))}
 	f.Handle(context.Background(), s)
 	_ = far.Close()
 	group.Wait()
@@ -208,6 +220,9 @@
 	t.Run("nothing of a valid request", func(t *testing.T) {
 		assert.Assert(t, handle(encoded(encodeRequest(testRequest()))))
 	})
+	t.Run("a request whose caller has gone before it was read", func(t *testing.T) {
+		assert.Assert(t, !handleEnded(encoded(encodeRequest(testRequest()))))
+	})
 	for field, f := range change {
 		t.Run(field, func(t *testing.T) {
 			m := encodeRequest(testRequest())
@@ -245,7 +260,7 @@
 	f.Add(encoded(m, &wirepb.BodyChunk{Data: []byte("half")}, &wirepb.BodyChunk{End: true, Total: 4}))
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		allocated := testing.AllocsPerRun(1, func() { handle(data) })
+		allocated := testing.AllocsPerRun(1, func() { handleEnded(data) })
 		assert.Assert(t, allocated < float64(2000+len(data)))
 	})
 }
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,6 +109,10 @@
 		x.watching.Go(func() { x.watch(cancel) })
 	}
 	if x.request.ContentLength == 0 {
+		if x.gone() {
+			x.stop()
+			return
+		}
 		body.onEnd()
 	} else {
 		x.request.Body = body
@@ -128,6 +133,20 @@
 	x.stop()
 }
 
+// gone tells that the stream has ended already: the request and the end of its
+// caller may have waited together on a busy link. It is not to run then.
+func (x *incoming) gone() bool {
+	_ = x.stream.SetReadDeadline(longAgo)
+	_, err := x.stream.Reader.Peek(1)
+	_ = x.stream.SetReadDeadline(time.Time{})
+	var timeout net.Error
+	open := err == nil || errors.As(err, &timeout) && timeout.Timeout()
+	return !open
+}
+
+// longAgo makes a read return what is there.
+var longAgo = time.Unix(1, 0)
+
 // watch waits for the first byte after the request. One that comes before the
 // end of the answer breaks the protocol; like the end of the stream it cancels
 // the request.
