--- a/internal/composer/listeners_test.go
+++ b/internal/composer/listeners_test.go
@@ -96,12 +96,13 @@
 			return nil
 		})
 		cancel()
-		begun, finished := time.Now(), false
-		left, err := p.wait(limit, func() { finished = true })
+		begun, finished := time.Now(), make(chan struct{})
+		left, err := p.wait(limit, func() { close(finished) })
 		assert.NilError(t, err)
 		assert.Equal(t, left, "board")
 		assert.Equal(t, time.Since(begun), limit)
-		time.Sleep(hangs)
-		assert.Assert(t, finished, "what is left goes on until the process ends")
+		// What is left goes on until the process ends.
+		<-finished
+		assert.Equal(t, time.Since(begun), hangs)
 	})
 }
