Keep the bound on a request's headers when an answer ends meanwhile

Cause: TestLimits failed once in two runs with the race detector: the headers had 15 s in place of 1 s. The end of an answer sets the deadline of an idle connection, also when the first bytes of the next request have come and its header's deadline stands; older than the test, with 2 min in place of 10 s. Change: it is set only while the reading goroutine waits for a request, under the lock that tells so. Test: TestLimits 60 times with the race detector, no failure (one of two before).

--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -37,6 +37,8 @@
 	started int
 	// closing stops the reading of further requests. Guarded by mu.
 	closing bool
+	// awaiting tells that the reading goroutine waits for the first byte of a request. Guarded by mu.
+	awaiting bool
 	// room is signalled when pending falls.
 	room chan struct{}
 	// last is closed when the answer of the latest request is complete.
@@ -117,6 +119,7 @@
 	if c.closing {
 		return false
 	}
+	c.awaiting = true
 	deadline := time.Time{}
 	if c.pending == 0 {
 		deadline = time.Now().Add(c.server.limits().IdleTimeout)
@@ -124,6 +127,15 @@
 	return c.nc.SetReadDeadline(deadline) == nil
 }
 
+// armHeader bounds the time of a request's headers. An answer that ends meanwhile
+// does not replace it.
+func (c *conn) armHeader() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaiting = false
+	return c.nc.SetReadDeadline(time.Now().Add(c.server.limits().HeaderTimeout))
+}
+
 // gone ends the requests of a caller that has closed its end. A connection
 // that this side closes lets its requests finish.
 func (c *conn) gone() {
@@ -136,7 +148,7 @@
 }
 
 func (c *conn) readRequest() (*http.Request, error) {
-	if err := c.nc.SetReadDeadline(time.Now().Add(c.server.limits().HeaderTimeout)); err != nil {
+	if err := c.armHeader(); err != nil {
 		return nil, err
 	}
 	r, err := http.ReadRequest(c.r)
@@ -217,16 +229,15 @@
 func (c *conn) end() {
 	c.mu.Lock()
 	c.pending--
-	idle := c.pending == 0 && !c.closing
+	if c.pending == 0 && !c.closing && c.awaiting {
+		// The reading goroutine waits without a bound since a request was running.
+		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout))
+	}
 	c.mu.Unlock()
 	select {
 	case c.room <- struct{}{}:
 	default:
 	}
-	if idle {
-		// The reading goroutine waits without a bound since a request was running.
-		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout))
-	}
 }
 
 // mayClose tells whether the answer to the numbered request can be the last
