Log and count what a target states of itself, and what is sent to it

Neither logs nor metrics could tell why a target got more requests than the rate that it named.

GB0312 logs each change of the limit, GB0313 one that cannot be read. gentian_target_rate_limit holds the limit, gentian_target_requests_total the first and the repeated requests that the target's node sends to it. Nothing is decided by the report yet.

--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -22,13 +22,15 @@
 	m := meter.New(n.metrics, func() int { return n.tracker.Count().Total })
 	o := &observer{post: func(msg blackboard.Msg) { n.board.Post(msg) }, now: time.Now}
 	n.executor = executor.New(executor.Config{
-		Host:         n.settings.Host,
-		Target:       func() blackboard.Target { return n.board.Read().Target },
-		Service:      n.service,
-		Client:       dispatcher.NewHTTP(dispatcher.WithDialect(a.dialect)),
-		Observe:      m.RecordService,
-		ReportHealth: o.observe,
-		Log:          n.log,
+		Host:             n.settings.Host,
+		Target:           func() blackboard.Target { return n.board.Read().Target },
+		Service:          n.service,
+		Client:           dispatcher.NewHTTP(dispatcher.WithDialect(a.dialect)),
+		Observe:          m.RecordService,
+		ObserveSent:      m.RecordSent,
+		ObserveRateLimit: m.RecordRateLimit,
+		ReportHealth:     o.observe,
+		Log:              n.log,
 		ReportWrongTarget: func(id string) {
 			n.board.Post(blackboard.TargetMismatched{ID: id, Now: time.Now()})
 		},
--- a/internal/dispatcher/dialect_test.go
+++ b/internal/dispatcher/dialect_test.go
@@ -21,6 +21,9 @@
 	d := exchanger.DefaultDialect()
 	d.RequestID, d.CallerService, d.ExpectTarget = "X-Id", "X-Caller", "X-Expect"
 	d.Signature, d.TargetID, d.WrongTargetStatus = "X-Signature", "X-Target", http.StatusMisdirectedRequest
+	d.ReadTargetReport = func(h http.Header) exchanger.TargetReport {
+		return exchanger.TargetReport{IsLimited: h.Get("X-Limit") == "7", RateLimit: 7}
+	}
 	return d
 }
 
@@ -83,3 +86,24 @@
 		})
 	})
 }
+
+// TestTargetReport guards against a report that is taken from an answer of another
+// process than the one that was expected to run the request.
+func TestTargetReport(t *testing.T) {
+	for name, c := range map[string]struct {
+		head string
+		want *exchanger.TargetReport
+	}{
+		"an answer":                     {"200 OK\r\nX-Signature: s", &exchanger.TargetReport{IsLimited: true, RateLimit: 7}},
+		"a request that was not run":    {"503 Busy\r\nGentian-Shed: not-run", &exchanger.TargetReport{IsLimited: true, RateLimit: 7}},
+		"an answer of another process":  {"421 Other\r\nX-Target: i-2", nil},
+		"an answer without a signature": {"200 OK", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := "HTTP/1.1 " + c.head + "\r\nX-Id: r-1\r\nX-Limit: 7\r\nContent-Length: 0\r\n\r\n"
+			dispatchSigned(t, text, func(t *testing.T, a *exchanger.Answer, _ http.Header) {
+				assert.DeepEqual(t, a.Report, c.want)
+			})
+		})
+	}
+}
--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -150,7 +150,7 @@
 	}
 	header := exchanger.EndToEndHeaders(resp.Header)
 	return &exchanger.Answer{
-		Outcome: retrier.OutcomeDone, Status: resp.StatusCode, Header: header,
+		Outcome: retrier.OutcomeDone, Status: resp.StatusCode, Header: header, Report: d.TargetReport(resp.Header),
 		ContentLength: resp.ContentLength, Body: &answerBody{ReadCloser: resp.Body, exchange: x, closesConnection: resp.Close},
 	}
 }
@@ -166,6 +166,9 @@
 	case d.IsRetryDecided(resp.Header):
 		a.Reason = exchanger.ReasonShedBelow
 	}
+	if a.Reason != exchanger.ReasonWrongTarget {
+		a.Report = d.TargetReport(resp.Header)
+	}
 	a.RetryAt = d.ParseRetryAfter(resp.Header, time.Now())
 	x.finish(discardAnswer(resp))
 	return a
--- a/internal/exchanger/dialect.go
+++ b/internal/exchanger/dialect.go
@@ -38,6 +38,9 @@
 	// Signature is present on every answer that a target made. An answer without it
 	// was made by something else. Empty means that answers are not signed.
 	Signature string
+	// ReadTargetReport returns what the headers of an answer say of the target's process;
+	// nil means that targets report nothing in answers.
+	ReadTargetReport func(h http.Header) TargetReport
 	// ReportsOutcome is set if nodes add headers that report the outcome to callers.
 	ReportsOutcome bool
 	// Status returns the HTTP status of an answer that a node gives in place of a target.
@@ -92,6 +95,16 @@
 	return value != "" && (d.NotRunValue == "" || value == d.NotRunValue)
 }
 
+// TargetReport returns what the headers of an answer say of the target's process, or
+// nil if targets report nothing in answers.
+func (d *Dialect) TargetReport(h http.Header) *TargetReport {
+	if d.ReadTargetReport == nil {
+		return nil
+	}
+	report := d.ReadTargetReport(h)
+	return &report
+}
+
 // IsRetryDecided reports whether a node has already decided on retries of the
 // failure that an answer reports.
 func (d *Dialect) IsRetryDecided(h http.Header) bool {
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -128,6 +128,9 @@
 	Body io.ReadCloser
 	// TargetID is the id of the process that answered in place of the expected one; empty otherwise.
 	TargetID string
+	// Report is what the process that was expected to run the request reports of itself;
+	// nil when the answer is not its own or is not from this node's target.
+	Report *TargetReport
 	// TargetHost is the host whose target the request was sent to; empty when not known.
 	TargetHost string
 	// Load is the load of that target as counted by its own node; nil when not known.
@@ -138,6 +141,20 @@
 	Err error
 }
 
+// TargetReport is what a target's process reports of itself in an answer.
+type TargetReport struct {
+	// IsLimited reports whether the target states a RateLimit.
+	IsLimited bool
+	// RateLimit is how many requests a second the target accepts from all nodes
+	// together; not negative, and 0 unless IsLimited.
+	RateLimit float64
+	// Leaving reports whether the process is about to exit and takes no new work.
+	Leaving bool
+	// Malformed is a rate limit that could not be read; IsLimited is false then. Empty
+	// if there is none.
+	Malformed string
+}
+
 // maxTimerSkew is how far apart the timers of hosts and targets may fire when each
 // of them ends a request at its deadline.
 const maxTimerSkew = 50 * time.Millisecond
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -46,6 +46,11 @@
 	// BlameAfter is how long the target must have held a request that reached its
 	// deadline for this to count against the target; 0 means defaultBlameAfter.
 	BlameAfter time.Duration
+	// ObserveSent is called with each request that is sent to the target; nil means no call.
+	ObserveSent func(r *exchanger.Request)
+	// ObserveRateLimit is called when the target states another limit on the requests a
+	// second that it accepts, or none; nil means no call.
+	ObserveRateLimit func(perSecond float64, isLimited bool)
 	// FixedSlots and NoRamp are copied to the limits of the target.
 	FixedSlots, NoRamp bool
 	// Order is the order of waiting requests; empty means the limiter's default.
@@ -74,6 +79,9 @@
 	// draining and readySince are the values that gate was last set to. Guarded by mu.
 	draining   bool
 	readySince time.Time
+	// process is the process of the target that limit is of. Guarded by mu.
+	process process
+	limit   statedLimit
 }
 
 // New returns an executor.
@@ -192,7 +200,11 @@
 	}
 	started := time.Now()
 	r.TargetID = t.ID
+	if e.cfg.ObserveSent != nil {
+		e.cfg.ObserveSent(r)
+	}
 	a := e.cfg.Client.Dispatch(ctx, t.Address, r)
+	e.recordReport(t, started, a.Report)
 	if a.Reason == exchanger.ReasonWrongTarget && e.cfg.ReportWrongTarget != nil {
 		e.cfg.ReportWrongTarget(a.TargetID)
 	}
@@ -277,6 +289,7 @@
 		e.limits = limits
 	}
 	e.syncPhase(t)
+	e.setProcess(t)
 	return e.gate
 }
 
--- a/internal/logger/events_membership.go
+++ b/internal/logger/events_membership.go
@@ -57,6 +57,16 @@
 		Meaning: "The phase of the target on this host has changed. The reason field holds the old and the new phase, the count field the number of consecutive failed requests.",
 		Action:  "If the phase is failed, the target receives no requests: read the log of the target.",
 	}
+	TargetLimitChanged = Event{
+		Number: 312, Name: "target-limit-changed", Level: LevelInfo,
+		Meaning: "The target on this host states in its answers another limit on the requests a second that it accepts, or no longer states one. The reason field holds the old and the new limit, the load field what the target was doing.",
+		Action:  "None, if it is short. Otherwise read the log of the target. The metric gentian_target_requests_total tells what this node sends to it.",
+	}
+	TargetReportRefused = Event{
+		Number: 313, Name: "target-report-refused", Level: LevelWarn,
+		Meaning: "An answer of the target on this host states a limit that is not a number of requests a second. The reason field holds its value. The limit before it stays in force.",
+		Action:  "Correct the target.",
+	}
 	SummaryFailed = Event{
 		Number: 320, Name: "summary-fetch-failed", Level: LevelInfo,
 		Meaning: "The summaries of other data centres could not be fetched from a peer.",
@@ -71,5 +81,6 @@
 
 var membershipEvents = []Event{
 	PacketRefused, SyncFailed, PeersNotFound, AnnouncementRefused,
-	Enrolled, EnrolFailed, EnrolmentRefused, NodeChanged, NodeGone, NodeMistaken, TargetChanged, SummaryFailed, RelaysNotFound,
+	Enrolled, EnrolFailed, EnrolmentRefused, NodeChanged, NodeGone, NodeMistaken, TargetChanged, TargetLimitChanged, TargetReportRefused,
+	SummaryFailed, RelaysNotFound,
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -51,6 +51,14 @@
 		Name: "gentian_attempts_total", Labels: []string{"why"},
 		Help: "Attempts to send a request to a target, by the reason for the choice of the target.",
 	}
+	targetRequests = Metric{
+		Name: "gentian_target_requests_total", Labels: []string{"attempt"},
+		Help: "Requests that this node sent to the target on its host. The attempt is first, or repeat for retries and hedges.",
+	}
+	targetRateLimit = Metric{
+		Name: "gentian_target_rate_limit",
+		Help: "Requests a second that the target on this host states that it accepts from all nodes together; -1 when it states no limit.",
+	}
 	inFlight = Metric{
 		Name: "gentian_requests_in_flight",
 		Help: "Unfinished requests of callers and peers at this node.",
@@ -60,7 +68,7 @@
 // Metrics lists the metrics that Meter and Traffic register.
 func Metrics() []Metric {
 	return []Metric{
-		latency, queueWait, serviceTime, outcomes, attempts, inFlight,
+		latency, queueWait, serviceTime, outcomes, attempts, targetRequests, targetRateLimit, inFlight,
 		linkBytes, linkTransfers, packetBytes, packets,
 	}
 }
@@ -77,6 +85,9 @@
 	serviceTime *prometheus.HistogramVec
 	outcomes    *prometheus.CounterVec
 	attempts    *prometheus.CounterVec
+	// targetRequests counts by attempt; targetRateLimit is noRateLimit without a limit.
+	targetRequests  *prometheus.CounterVec
+	targetRateLimit prometheus.Gauge
 
 	firms   boundedLabels
 	reasons boundedLabels
@@ -88,13 +99,17 @@
 	m := &Meter{
 		latency: newHistogram(latency), queueWait: newHistogram(queueWait), serviceTime: newHistogram(serviceTime),
 		outcomes: newCounter(outcomes), attempts: newCounter(attempts),
+		targetRequests:  newCounter(targetRequests),
+		targetRateLimit: prometheus.NewGauge(prometheus.GaugeOpts{Name: targetRateLimit.Name, Help: targetRateLimit.Help}),
+
 		firms: boundedLabels{limit: maxFirms}, reasons: boundedLabels{limit: maxReasons},
 	}
 	gauge := prometheus.NewGaugeFunc(
 		prometheus.GaugeOpts{Name: inFlight.Name, Help: inFlight.Help},
 		func() float64 { return float64(countInFlight()) },
 	)
-	registry.MustRegister(m.latency, m.queueWait, m.serviceTime, m.outcomes, m.attempts, gauge)
+	registry.MustRegister(m.latency, m.queueWait, m.serviceTime, m.outcomes, m.attempts, m.targetRequests, m.targetRateLimit, gauge)
+	m.targetRateLimit.Set(noRateLimit)
 	return m
 }
 
@@ -133,6 +148,32 @@
 	}
 }
 
+// noRateLimit is the value of the gauge while the target states no rate limit.
+const noRateLimit = -1
+
+// RecordSent records a request that is sent to the target on this host.
+func (m *Meter) RecordSent(r *exchanger.Request) {
+	if m == nil {
+		return
+	}
+	attempt := "first"
+	if r.Attempt > 1 || r.RetriedAbove {
+		attempt = "repeat"
+	}
+	m.targetRequests.WithLabelValues(attempt).Inc()
+}
+
+// RecordRateLimit records the limit that the target on this host states, if any.
+func (m *Meter) RecordRateLimit(perSecond float64, isLimited bool) {
+	if m == nil {
+		return
+	}
+	if !isLimited {
+		perSecond = noRateLimit
+	}
+	m.targetRateLimit.Set(perSecond)
+}
+
 func classLabel(c snapshotter.Class) string {
 	known := []snapshotter.Class{snapshotter.ClassUrgent, snapshotter.ClassShort, snapshotter.ClassBulk}
 	if slices.Contains(known, c) {
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -22,6 +22,8 @@
 	}
 	m.RecordService(&exchanger.Request{Firm: "paza", Class: "no-such-class"}, time.Millisecond, time.Millisecond)
 	m.RecordAttempt("cost")
+	m.RecordSent(&exchanger.Request{Attempt: 1})
+	m.RecordSent(&exchanger.Request{Attempt: 2})
 	traffic := NewTraffic(registry)
 	traffic.CountTransfer(linker.TrafficControl, linker.DirectionSent, 1)
 	traffic.CountPacket(linker.DirectionSent, 1)
