Keep the rate limit that a target states in its answers

Cause: admission counts what runs and waits and knew no rate.

Change: a token bucket in the gate, set from what the target's process states. The gate is the only way to the target, so no nodes have to agree. Requests that cannot start in time at the rate are refused at once, hedges do not start, the reported slots shrink so that others choose the target less, and refused callers are named times one after the other. Until the first answer of a process it gets few requests at a time, which bounds what a restarted node sends before it knows.

--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -74,6 +74,14 @@
 	return adapter{isDirect: true, dialect: platform.Dialect(), bounds: bounds, blameAfter: directBlameAfter, order: limiter.OrderSoftDeadline, closeTimeout: directCloseTimeout}, err
 }
 
+// initialRate returns the state of the rate limit of a target before its first answer.
+func (a adapter) initialRate() limiter.RateState {
+	if a.dialect.ReadTargetReport == nil {
+		return limiter.RateUnlimited
+	}
+	return limiter.RateUnknown
+}
+
 func (n *Node) nodeRecord() blackboard.NodeRecord {
 	return blackboard.NodeRecord{
 		Host: n.self.Host, Address: n.self.Address, DataCentre: n.self.DataCentre, Region: n.self.Region,
--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -34,7 +34,8 @@
 		ReportWrongTarget: func(id string) {
 			n.board.Post(blackboard.TargetMismatched{ID: id, Now: time.Now()})
 		},
-		FixedSlots: a.isDirect, NoRamp: a.isDirect, BlameAfter: a.blameAfter, Order: a.order,
+		InitialRate: a.initialRate(),
+		FixedSlots:  a.isDirect, NoRamp: a.isDirect, BlameAfter: a.blameAfter, Order: a.order,
 	})
 	n.forwarder = forwarder.New(forwarder.Config{
 		Open:    n.links.OpenWith,
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -46,6 +46,9 @@
 	// BlameAfter is how long the target must have held a request that reached its
 	// deadline for this to count against the target; 0 means defaultBlameAfter.
 	BlameAfter time.Duration
+	// InitialRate is the state of the rate limit of a process of the target before its
+	// first answer: unknown where targets state limits in their answers, else unlimited.
+	InitialRate limiter.RateState
 	// ObserveSent is called with each request that is sent to the target; nil means no call.
 	ObserveSent func(r *exchanger.Request)
 	// ObserveRateLimit is called when the target states another limit on the requests a
@@ -79,9 +82,9 @@
 	// draining and readySince are the values that gate was last set to. Guarded by mu.
 	draining   bool
 	readySince time.Time
-	// process is the process of the target that limit is of. Guarded by mu.
+	// process is the process of the target that rate is of. Guarded by mu.
 	process process
-	limit   statedLimit
+	rate    statedRate
 }
 
 // New returns an executor.
@@ -222,8 +225,8 @@
 	now := time.Now()
 	e.cfg.Log.WriteRequest(logger.RequestNotAdmitted, logger.Fields{
 		RequestID: r.ID, Service: r.Service, Route: r.Route, Reason: string(reason), Version: r.ConfigVersion, Target: t.ID,
-		Load: fmt.Sprintf("%d running, %d waiting, %d slots, %s a request; %s, announced %s ago", load.InFlight, load.Queued,
-			load.Slots, load.Service.Round(time.Millisecond), t.Record.Phase, now.Sub(t.AnnouncedAt).Round(time.Millisecond)),
+		Load: fmt.Sprintf("%d running, %d waiting, %d slots, %s a request, limit %s; %s, announced %s ago", load.InFlight, load.Queued,
+			load.Slots, load.Service.Round(time.Millisecond), e.formatRate(), t.Record.Phase, now.Sub(t.AnnouncedAt).Round(time.Millisecond)),
 		DurationMillis: 0, RemainingMillis: max(r.Deadline.Sub(now).Milliseconds(), 1),
 	})
 }
@@ -283,6 +286,7 @@
 		e.gate = limiter.NewSyncGate(limits)
 		e.service, e.limits = s.Name, limits
 		e.draining, e.readySince = false, time.Time{}
+		e.process, e.rate = process{}, statedRate{}
 	}
 	if e.limits != limits {
 		e.gate.SetLimits(limits)
--- a/internal/executor/rate_test.go
+++ b/internal/executor/rate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -98,8 +99,9 @@
 		Service: func(name string) (snapshotter.Service, bool) {
 			return snapshotter.Service{Name: name, Slots: 110, Connections: 110, Queue: 110, BulkPercent: 100}, true
 		},
-		Client:     dispatcher.Client{Dispatch: target.dispatch, Close: func() {}},
-		FixedSlots: true, NoRamp: true, Order: limiter.OrderSoftDeadline,
+		Client:      dispatcher.Client{Dispatch: target.dispatch, Close: func() {}},
+		InitialRate: limiter.RateUnknown,
+		FixedSlots:  true, NoRamp: true, Order: limiter.OrderSoftDeadline,
 	})
 }
 
@@ -137,3 +139,45 @@
 		target.assertLimitKept(t, begun.Add(limitGrace), limit)
 	})
 }
+
+// TestLimitUnderFailure plays what may happen to a target with a limit and its node.
+func TestLimitUnderFailure(t *testing.T) {
+	for _, limit := range []float64{0, 2.5, 7, 50} {
+		t.Run(fmt.Sprintf("a restarted node keeps a limit of %v that it has not read yet", limit), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				target := &limitedTarget{limit: limit, work: 100 * time.Millisecond}
+				begun := time.Now()
+				for range 3 {
+					offer(newTestExecutor(target), 150, 4*time.Second)
+				}
+				target.assertLimitKept(t, begun.Add(limitGrace), limit)
+			})
+		})
+	}
+	t.Run("the target gets all it can run once it states no limit", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			target := &limitedTarget{limit: 0, work: 100 * time.Millisecond}
+			e := newTestExecutor(target)
+			offer(e, 100, 6*time.Second)
+			target.setLimit(-1)
+			offer(e, 100, 5*time.Second)
+			begun := time.Now()
+			answers := offer(e, 100, 4*time.Second)
+			assert.Equal(t, target.countSince(begun), len(answers))
+		})
+	})
+	t.Run("what cannot be served is refused at once and named a time to return", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			e := newTestExecutor(&limitedTarget{limit: 5, work: 100 * time.Millisecond})
+			offer(e, 50, 4*time.Second)
+			begun := time.Now()
+			a := e.Execute(context.Background(), &exchanger.Request{
+				ID: "late", Method: http.MethodGet, Service: "roster", Class: snapshotter.ClassShort, Attempt: 1,
+				SoftDeadline: begun.Add(50 * time.Millisecond), Deadline: begun.Add(time.Second),
+			})
+			assert.Equal(t, a.Reason, exchanger.Reason(limiter.ReasonRateLimited))
+			assert.Equal(t, time.Since(begun), time.Duration(0))
+			assert.Assert(t, a.RetryAt.After(begun))
+		})
+	})
+}
--- a/internal/executor/report.go
+++ b/internal/executor/report.go
@@ -7,47 +7,55 @@
 
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/logger"
 )
 
 // process identifies a process of the target.
 type process struct {
 	id string
-	// started is as in blackboard.Target.
+	// started is when it started, as in blackboard.Target.
 	started int64
 }
 
 func processOf(t blackboard.Target) process { return process{id: t.ID, started: t.Started} }
 
-// statedLimit is the rate limit that the target's process states in its answers.
-type statedLimit struct {
-	// isSet reports whether a limit is in force.
-	isSet bool
-	// perSecond is the limit in requests a second.
-	perSecond float64
-	// statedAt is when an answer last stated the limit.
+// statedRate is the rate limit that the target's process states in its answers.
+type statedRate struct {
+	rate limiter.Rate
+	// statedAt is when an answer last stated a limit; zero unless rate is limited.
 	statedAt time.Time
 }
 
-// next returns the limit after an answer that arrived at now, to a request that was
+// next returns the rate after an answer that arrived at now, to a request that was
 // sent at sent. An answer without a limit ends it only if its request was sent after
 // the limit was last stated, since answers may overtake each other.
-func (l statedLimit) next(report *exchanger.TargetReport, sent, now time.Time) statedLimit {
+func (s statedRate) next(report *exchanger.TargetReport, sent, now time.Time) statedRate {
 	switch {
 	case report.IsLimited:
-		return statedLimit{isSet: true, perSecond: report.RateLimit, statedAt: now}
-	case report.Malformed != "" || sent.Before(l.statedAt):
-		return l
+		return statedRate{rate: limiter.Rate{State: limiter.RateLimited, PerSecond: report.RateLimit}, statedAt: now}
+	case report.Malformed != "" || sent.Before(s.statedAt):
+		return s
 	default:
-		return statedLimit{}
+		return statedRate{}
 	}
 }
 
-func (l statedLimit) String() string {
-	if !l.isSet {
+func formatRate(r limiter.Rate) string {
+	switch r.State {
+	case limiter.RateLimited:
+		return strconv.FormatFloat(r.PerSecond, 'f', 1, 64) + " a second"
+	case limiter.RateUnlimited:
 		return "none"
 	}
-	return strconv.FormatFloat(l.perSecond, 'f', 1, 64) + " a second"
+	return string(r.State)
+}
+
+// formatRate describes the current limit for logs.
+func (e *Executor) formatRate() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return formatRate(e.rate.rate)
 }
 
 // recordReport applies what the target's process t reports in the answer to a request
@@ -62,7 +70,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if processOf(t) == e.process {
-		e.setLimit(t, e.limit.next(report, sent, time.Now()))
+		e.setRate(t, e.rate.next(report, sent, time.Now()))
 	}
 }
 
@@ -70,23 +78,28 @@
 func (e *Executor) setProcess(t blackboard.Target) {
 	if current := processOf(t); current != e.process {
 		e.process = current
-		e.setLimit(t, statedLimit{})
+		e.setRate(t, statedRate{rate: limiter.Rate{State: e.cfg.InitialRate}})
 	}
 }
 
-// setLimit logs and records a change of the limit. The caller holds mu.
-func (e *Executor) setLimit(t blackboard.Target, next statedLimit) {
-	before := e.limit
-	e.limit = next
-	if before.isSet == next.isSet && before.perSecond == next.perSecond {
+// setRate applies a change of the rate limit. The caller holds mu.
+func (e *Executor) setRate(t blackboard.Target, next statedRate) {
+	before := e.rate.rate
+	e.rate = next
+	if before == next.rate {
+		return
+	}
+	e.gate.SetRate(next.rate)
+	isLimited := next.rate.State == limiter.RateLimited
+	if e.cfg.ObserveRateLimit != nil {
+		e.cfg.ObserveRateLimit(next.rate.PerSecond, isLimited)
+	}
+	if !isLimited && before.State != limiter.RateLimited {
 		return
 	}
 	load := e.gate.Load()
 	e.cfg.Log.Write(logger.TargetLimitChanged, logger.Fields{
-		Service: t.Record.Service, Target: t.ID, Reason: before.String() + " to " + next.String(),
+		Service: t.Record.Service, Target: t.ID, Reason: formatRate(before) + " to " + formatRate(next.rate),
 		Load: fmt.Sprintf("%d running, %d waiting, %d slots", load.InFlight, load.Queued, load.Slots),
 	})
-	if e.cfg.ObserveRateLimit != nil {
-		e.cfg.ObserveRateLimit(next.perSecond, next.isSet)
-	}
 }
--- a/internal/limiter/estimator.go
+++ b/internal/limiter/estimator.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"cmp"
 	"time"
 
 	"gentianbarrow.example/internal/smoother"
@@ -61,6 +62,12 @@
 	return e.expectedForClass(short)
 }
 
+// serviceTime returns the expected service time of requests that are not bulk, or
+// of bulk ones if that is unknown; 0 if neither is known.
+func (e *estimator) serviceTime() time.Duration {
+	return cmp.Or(e.nonBulkServiceTime(), e.expectedForClass(bulk))
+}
+
 // addRunning and removeRunning maintain the sums of the start times of running requests.
 func (e *estimator) addRunning(c class, at time.Time) { e.startTimeSums[c] += at.UnixMicro() }
 
--- a/internal/limiter/gate.go
+++ b/internal/limiter/gate.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"math"
 	"time"
 
 	"gentianbarrow.example/internal/retrier"
@@ -30,6 +31,7 @@
 	estimator     estimator
 	adaptiveLimit adaptiveLimit
 	ramp          ramp
+	bucket        tokenBucket
 	draining      bool
 	// changes is returned to the caller and reused by the next call.
 	changes Changes
@@ -62,7 +64,7 @@
 	if g.missesDeadline(now, r, c) {
 		return g.refuse(now, r, ReasonMissesDeadline)
 	}
-	if g.capacity(now).admits(c, g.runningCounts) {
+	if g.mayStart(now, r, c) {
 		g.start(now, r.ID, runningRequest{class: c, firm: r.Firm, route: r.Route})
 		return Decision{Verdict: VerdictAdmitted, Changes: g.changes}
 	}
@@ -129,6 +131,28 @@
 // SetReadySince sets when the target last became ready; the ramp-up starts then.
 func (g *Gate) SetReadySince(t time.Time) { g.ramp = newRamp(t) }
 
+// SetRate changes the rate limit of the target. Requests in flight are not affected;
+// waiting ones that can no longer start in time are dropped.
+func (g *Gate) SetRate(now time.Time, r Rate) Changes {
+	g.resetChanges()
+	g.bucket.set(now, r)
+	g.processQueue(now)
+	for c := range classCount {
+		g.dropUnservable(now, c)
+	}
+	return g.changes
+}
+
+// NextStart returns when the rate limit lets the next waiting request start; false
+// if none waits for it.
+func (g *Gate) NextStart(now time.Time) (time.Time, bool) {
+	if !g.bucket.isLimited() || g.queue.len() == 0 {
+		return time.Time{}, false
+	}
+	at := g.bucket.availableAt(now, 0)
+	return at, at.After(now)
+}
+
 // SetLimits changes the limits. Requests in flight keep their slots; waiting
 // ones that exceed the new queue limits are dropped.
 func (g *Gate) SetLimits(now time.Time, l Limits) Changes {
@@ -145,7 +169,7 @@
 // Load returns the current state of the target.
 func (g *Gate) Load(now time.Time) Load {
 	return Load{
-		Slots:    g.slots(now),
+		Slots:    g.usableSlots(now),
 		InFlight: len(g.running),
 		Queued:   g.queue.len(),
 		Draining: g.draining,
@@ -171,9 +195,33 @@
 	if !g.limits.NoRamp {
 		ramped = g.ramp.slots(now, g.limits)
 	}
+	if g.bucket.rate.State == RateUnknown {
+		ramped = min(ramped, minSlots(g.limits))
+	}
 	return min(g.adaptiveLimit.slots(), ramped, g.limits.Connections)
 }
 
+// usableSlots returns how many slots requests hold at the same time if they start at
+// the rate of the limit; all slots without a limit.
+func (g *Gate) usableSlots(now time.Time) int {
+	all := g.slots(now)
+	serviceTime := g.estimator.serviceTime()
+	if !g.bucket.isLimited() || serviceTime == 0 {
+		return all
+	}
+	return min(int(math.Ceil(g.bucket.perSecond()*serviceTime.Seconds())), all)
+}
+
+// mayStart reports whether a new request starts at once. While the target states a
+// rate limit, one that must not wait does not start: it would take the place of
+// another request's first attempt.
+func (g *Gate) mayStart(now time.Time, r Request, c class) bool {
+	if r.NoWait && g.bucket.isLimited() {
+		return false
+	}
+	return g.capacity(now).admits(c, g.runningCounts) && g.bucket.admits(now)
+}
+
 func (g *Gate) capacity(now time.Time) capacity { return newCapacity(g.limits, g.slots(now)) }
 
 // processQueue drops the waiting requests that have expired and starts those
@@ -185,13 +233,13 @@
 			break
 		}
 		g.queue.remove(w.id)
-		g.drop(now, w, g.expiryReason(w.class, w.route, w.startBy, w.deadline))
+		g.drop(now, w, g.expiryReason(now, w.class, w.route, w.startBy, w.deadline))
 	}
 	if g.draining {
 		return
 	}
 	available := g.capacity(now)
-	for {
+	for g.bucket.admits(now) {
 		w, ok := g.queue.next(available, &g.runningCounts)
 		if !ok {
 			return
@@ -202,9 +250,13 @@
 	}
 }
 
-// expiryReason returns why a request that can't start by startBy ends: because
-// it exceeds its wait limit, or because it would miss its deadline.
-func (g *Gate) expiryReason(c class, route string, startBy, deadline time.Time) Reason {
+// expiryReason returns why a request that can't start by startBy ends: because of
+// the rate limit, because it exceeds its wait limit, or because it would miss its
+// deadline.
+func (g *Gate) expiryReason(now time.Time, c class, route string, startBy, deadline time.Time) Reason {
+	if !g.bucket.admits(now) {
+		return ReasonRateLimited
+	}
 	if startBy.Add(g.estimator.expectedForRoute(c, route)).Before(deadline) {
 		return ReasonWaitedTooLong
 	}
@@ -216,17 +268,18 @@
 		g.estimator.recordFreedSlot(now)
 	}
 	run.started = now
+	g.bucket.take(now)
 	g.running[id] = run
 	g.runningCounts.add(run.class, run.firm)
 	g.estimator.addRunning(run.class, now)
 }
 
 func (g *Gate) refuse(now time.Time, r Request, reason Reason) Decision {
-	retryAfter := g.expectedStart(now, classOf(r.Class), r.toWaiting())
+	retryAfter := g.retryAfter(now, classOf(r.Class), r.toWaiting(), reason)
 	return Decision{Verdict: VerdictRefused, Reason: reason, RetryAfter: retryAfter, Changes: g.changes}
 }
 
 func (g *Gate) drop(now time.Time, w waitingRequest, reason Reason) {
-	retryAfter := g.expectedStart(now, w.class, w)
+	retryAfter := g.retryAfter(now, w.class, w, reason)
 	g.changes.Dropped = append(g.changes.Dropped, Drop{ID: w.id, Reason: reason, RetryAfter: retryAfter})
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -114,6 +114,9 @@
 	ReasonMissesDeadline Reason = "too-late"
 	// ReasonWaitedTooLong means that the request exceeded, or would exceed, its wait limit.
 	ReasonWaitedTooLong Reason = "waited-too-long"
+	// ReasonRateLimited means that the rate limit of the target does not let the request
+	// start in time, or that the request must not wait.
+	ReasonRateLimited Reason = "rate-limited"
 	// ReasonDraining means that the target accepts no new requests.
 	ReasonDraining Reason = "draining"
 	// ReasonCancelled means that the caller went away while the request waited.
@@ -127,7 +130,8 @@
 	Verdict Verdict
 	// Reason is set with VerdictRefused.
 	Reason Reason
-	// RetryAfter is when the gate expects a free slot. Set with VerdictRefused unless draining.
+	// RetryAfter is when the gate expects that it can start the request. Set with
+	// VerdictRefused unless draining.
 	RetryAfter time.Time
 	// StartBy is when the request is dropped unless it has started. Set with VerdictQueued.
 	StartBy time.Time
@@ -147,7 +151,7 @@
 type Drop struct {
 	ID     uint64
 	Reason Reason
-	// RetryAfter is when the gate expects a free slot; zero when draining.
+	// RetryAfter is when the gate expects that it can start the request; zero when draining.
 	RetryAfter time.Time
 }
 
@@ -160,7 +164,8 @@
 
 // Load is the exact state of a target as its gate counts it.
 type Load struct {
-	// Slots is how many requests may run now; fewer than configured while the target is slow or cold.
+	// Slots is how many requests may run now; fewer than configured while the target is
+	// slow or cold, or states a rate limit.
 	Slots    int
 	InFlight int
 	Queued   int
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -197,6 +197,27 @@
 	return n
 }
 
+// inStartOrder returns the waiting requests of a class by priority and, within one,
+// in the queue's order.
+func (q *queue) inStartOrder(c class) []waitingRequest {
+	list := slices.Clone(q.byClass[c])
+	if q.order == OrderLIFO {
+		slices.Reverse(list)
+	}
+	slices.SortStableFunc(list, func(a, b waitingRequest) int {
+		switch {
+		case a.priority != b.priority:
+			return a.priority - b.priority
+		case q.startsBefore(&a, &b):
+			return -1
+		case q.startsBefore(&b, &a):
+			return 1
+		}
+		return 0
+	})
+	return list
+}
+
 // nextOfFirm returns the firm's request of the top priority that comes first in
 // the queue's order.
 func (q *queue) nextOfFirm(c class, firm string) waitingRequest {
--- a/internal/limiter/sync_gate.go
+++ b/internal/limiter/sync_gate.go
@@ -29,6 +29,9 @@
 	gate *Gate
 	// waiters holds a channel for each queued request. Guarded by mu.
 	waiters map[uint64]chan waitResult
+	// nextStart starts waiting requests when the rate limit lets them; nil before one
+	// has waited for it. Guarded by mu.
+	nextStart *time.Timer
 	// lastID is the ID of the latest request. Guarded by mu.
 	lastID uint64
 }
@@ -132,6 +135,12 @@
 	})
 }
 
+// SetRate changes the rate limit of the target. Waiting requests that can no longer
+// start in time are dropped.
+func (s *SyncGate) SetRate(r Rate) {
+	s.update(func(now time.Time) Changes { return s.gate.SetRate(now, r) })
+}
+
 // SetLimits changes the limits. Requests in flight keep their slots; waiting
 // ones that exceed the new queue limits are dropped.
 func (s *SyncGate) SetLimits(l Limits) {
@@ -151,8 +160,10 @@
 	s.deliver(f(time.Now()))
 }
 
-// deliver passes changes to the waiting requests they are about. The caller holds mu.
+// deliver passes changes to the waiting requests they are about and wakes the gate
+// when the rate limit lets another one start. The caller holds mu.
 func (s *SyncGate) deliver(c Changes) {
+	defer s.scheduleNextStart(time.Now())
 	for _, id := range c.Started {
 		s.notify(id, waitResult{})
 	}
@@ -161,6 +172,17 @@
 	}
 }
 
+func (s *SyncGate) scheduleNextStart(now time.Time) {
+	at, waiting := s.gate.NextStart(now)
+	switch {
+	case !waiting:
+	case s.nextStart == nil:
+		s.nextStart = time.AfterFunc(at.Sub(now), s.Expire)
+	default:
+		s.nextStart.Reset(at.Sub(now))
+	}
+}
+
 func (s *SyncGate) notify(id uint64, result waitResult) {
 	if ch, ok := s.waiters[id]; ok {
 		delete(s.waiters, id)
--- a/internal/limiter/wait.go
+++ b/internal/limiter/wait.go
@@ -27,11 +27,15 @@
 // another waiting request if the queue is full and the new one takes precedence.
 func (g *Gate) enqueue(now time.Time, r Request, c class) Decision {
 	startBy := g.startBy(now, r, c)
-	if r.NoWait {
+	switch {
+	case r.NoWait && g.bucket.isLimited():
+		return g.refuse(now, r, ReasonRateLimited)
+	case r.NoWait:
 		return g.refuse(now, r, ReasonQueueFull)
-	}
-	if g.queue.order != OrderLIFO && g.expectedStart(now, c, r.toWaiting()).After(startBy) {
-		return g.refuse(now, r, g.expiryReason(c, r.Route, startBy, r.Deadline))
+	case g.rateStart(now, c, r.toWaiting()).After(startBy):
+		return g.refuse(now, r, ReasonRateLimited)
+	case g.queue.order != OrderLIFO && g.expectedStart(now, c, r.toWaiting()).After(startBy):
+		return g.refuse(now, r, g.expiryReason(now, c, r.Route, startBy, r.Deadline))
 	}
 	if !g.queue.hasSpace(c) {
 		victim, ok := g.queue.victim(c, r.Firm, r.Priority)
@@ -44,11 +48,52 @@
 	w := r.toWaiting()
 	w.class, w.startBy = c, startBy
 	g.queue.push(w)
+	g.dropUnservable(now, c)
 	return Decision{Verdict: VerdictQueued, StartBy: startBy, Changes: g.changes}
 }
 
+// dropUnservable drops the waiting requests of a class that the rate limit no longer
+// lets start in time, because the limit has changed or others go before them.
+func (g *Gate) dropUnservable(now time.Time, c class) {
+	if !g.bucket.isLimited() {
+		return
+	}
+	aheadByFirm := map[string]int{}
+	for _, w := range g.queue.inStartOrder(c) {
+		ahead := aheadByFirm[w.firm] * g.queue.countFirms(c, w.firm)
+		if g.bucket.availableAt(now, ahead).After(w.startBy) {
+			g.queue.remove(w.id)
+			g.drop(now, w, ReasonRateLimited)
+			continue
+		}
+		aheadByFirm[w.firm]++
+	}
+}
+
+// rateStart returns when the rate limit lets a further request start.
+func (g *Gate) rateStart(now time.Time, c class, w waitingRequest) time.Time {
+	ahead := g.queue.countAhead(c, &w) * g.queue.countFirms(c, w.firm)
+	if c != urgent {
+		ahead += g.queue.len() - len(g.queue.byClass[c])
+	}
+	return g.bucket.availableAt(now, ahead)
+}
+
+// retryAfter returns when a request that was not run should come back. Under a rate
+// limit the refused requests come back one after the other, and each in the first
+// half of the time to its deadline, so that it can still be served then.
+func (g *Gate) retryAfter(now time.Time, c class, w waitingRequest, reason Reason) time.Time {
+	expected := g.expectedStart(now, c, w)
+	if reason != ReasonRateLimited {
+		return expected
+	}
+	latest := now.Add(w.deadline.Sub(now) / 2)
+	return g.bucket.reserveReturn(w.priority, expected, laterTime(latest, expected))
+}
+
 // expectedStart returns when a further request of the firm would start: after
-// the firm's own waiting requests, at the rate of its fair share of the slots.
+// the firm's own waiting requests, at the rate of its fair share of the slots and
+// within the rate limit.
 func (g *Gate) expectedStart(now time.Time, c class, w waitingRequest) time.Time {
 	available := g.capacity(now)
 	slots := available.nonUrgentSlots
@@ -57,7 +102,7 @@
 	}
 	serviceTime := g.estimator.currentServiceTime(now, c, g.runningCounts.byClass[c])
 	ahead := g.queue.countAhead(c, &w) * g.queue.countFirms(c, w.firm)
-	return now.Add(g.estimator.expectedWait(now, ahead, slots, serviceTime))
+	return laterTime(now.Add(g.estimator.expectedWait(now, ahead, slots, serviceTime)), g.rateStart(now, c, w))
 }
 
 // toWaiting returns the request as a queue entry, without its class and startBy.
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -211,7 +211,8 @@
 // isFull reports whether a node refused the request because its target has no capacity for it.
 func isFull(reason exchanger.Reason) bool {
 	switch reason {
-	case exchanger.Reason(limiter.ReasonQueueFull), exchanger.Reason(limiter.ReasonWaitedTooLong), exchanger.Reason(limiter.ReasonMissesDeadline):
+	case exchanger.Reason(limiter.ReasonQueueFull), exchanger.Reason(limiter.ReasonWaitedTooLong), exchanger.Reason(limiter.ReasonMissesDeadline),
+		exchanger.Reason(limiter.ReasonRateLimited):
 		return true
 	default:
 		return false
