Tell a target's process from an earlier one with the same id

Found while looking for what else of a target's reports is lost or applied to the wrong process. A process may start again under the id that it had.

A leave of the earlier process that came late ended the new one.

Cause: evidence was bound to the id alone, the start time only ordered announcements. Evidence now starts anew with each process, and a leave with an earlier start time is ignored.

TestProcesses failed before in both new cases: phase failed and draining, each in place of ready.

--- a/internal/announcer/process_test.go
+++ b/internal/announcer/process_test.go
@@ -61,6 +61,23 @@
 		h.announceProcess("i-1", 200, 1, blackboard.TargetReady)
 		h.assertProcess("i-1", blackboard.TargetReady)
 	})
+	t.Run("a process that restarts with the id of one that left stays ready", func(t *testing.T) {
+		h := newHarness(t)
+		h.announceProcess("i-1", 100, 1, blackboard.TargetReady)
+		h.post(blackboard.TargetLeft{ID: "i-1", Started: 100, Now: h.now})
+		for sequence := range uint64(10) {
+			h.announceProcess("i-1", 200, 1+sequence, blackboard.TargetReady)
+			h.advance(time.Second, nil)
+		}
+		h.assertProcess("i-1", blackboard.TargetReady)
+	})
+	t.Run("a late leave of an earlier process does not end the one with its id", func(t *testing.T) {
+		h := newHarness(t)
+		h.announceProcess("i-1", 100, 7, blackboard.TargetReady)
+		h.announceProcess("i-1", 200, 1, blackboard.TargetReady)
+		h.post(blackboard.TargetLeft{ID: "i-1", Started: 100, Now: h.now})
+		h.assertProcess("i-1", blackboard.TargetReady)
+	})
 	t.Run("another process at the address gets no work before its own announcement", func(t *testing.T) {
 		h := newHarness(t)
 		h.announceProcess("i-1", 100, 1, blackboard.TargetReady)
--- a/internal/announcer/rules.go
+++ b/internal/announcer/rules.go
@@ -18,7 +18,7 @@
 		return t
 	}
 	switch {
-	case t.ID != m.ID:
+	case t.ID != m.ID, t.Started != 0 && t.Started != m.Started:
 		t.Evidence = blackboard.TargetEvidence{}
 	case t.Address != m.Address:
 		t.Evidence = blackboard.TargetEvidence{HoldDownUntil: t.Evidence.HoldDownUntil, Flaps: t.Evidence.Flaps}
@@ -56,9 +56,9 @@
 }
 
 // applyLeave records that the target's process is about to exit. A message of a process
-// other than the current one is ignored.
+// other than the current one is ignored, as is one of an earlier process with its id.
 func applyLeave(t blackboard.Target, m blackboard.TargetLeft) blackboard.Target {
-	if t.ID != "" && t.ID != m.ID {
+	if t.ID != "" && t.ID != m.ID || m.Started != 0 && m.Started < t.Started {
 		return t
 	}
 	t.ID = m.ID
