Stop work for a target whose answers say that it leaves

A target that leaves now says so in all its answers. The node read only its announcements, which may come seconds late, and went on sending requests until then.

The first answer of a process that says so now counts like its leave, once, for that process alone.

TestLeavingTargetGetsRequestsUntilItsAnnouncement failed before: no leave was reported.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -4,8 +4,8 @@
 // requests outrank those of health checks. These rules decide its phase, in
 // order of precedence:
 //
-//  1. An announcement that the target drains, and missing announcements, take
-//     effect at once.
+//  1. An announcement that the target drains, an answer of the target that says so,
+//     and missing announcements take effect at once.
 //  2. Consecutive failed requests with no success for minTimeSinceSuccess make
 //     the target failed, whatever its health checks show.
 //  3. Consecutive failed health checks make it failed, unless a request has
--- a/internal/blackboard/message_membership.go
+++ b/internal/blackboard/message_membership.go
@@ -57,7 +57,8 @@
 	Now     time.Time
 }
 
-// TargetLeft reports that the target's process is about to exit.
+// TargetLeft reports that the target's process is about to exit, by its own message
+// or by its answer to a request.
 type TargetLeft struct {
 	ID string
 	// Started is when the process started, in milliseconds since the Unix epoch; 0 when it did not send it.
--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -34,6 +34,9 @@
 		ReportWrongTarget: func(id string) {
 			n.board.Post(blackboard.TargetMismatched{ID: id, Now: time.Now()})
 		},
+		ReportLeaving: func(t blackboard.Target) {
+			n.board.Post(blackboard.TargetLeft{ID: t.ID, Started: t.Started, Now: time.Now()})
+		},
 		InitialRate: a.initialRate(),
 		FixedSlots:  a.isDirect, NoRamp: a.isDirect, BlameAfter: a.blameAfter, Order: a.order,
 	})
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -46,6 +46,9 @@
 	// BlameAfter is how long the target must have held a request that reached its
 	// deadline for this to count against the target; 0 means defaultBlameAfter.
 	BlameAfter time.Duration
+	// ReportLeaving is called when the process of the target answers that it is about to
+	// exit; nil means no call.
+	ReportLeaving func(t blackboard.Target)
 	// InitialRate is the state of the rate limit of a process of the target before its
 	// first answer: unknown where targets state limits in their answers, else unlimited.
 	InitialRate limiter.RateState
@@ -85,6 +88,8 @@
 	// process is the process of the target that rate is of. Guarded by mu.
 	process process
 	rate    statedRate
+	// leavingReported is set once process has stated that it leaves. Guarded by mu.
+	leavingReported bool
 }
 
 // New returns an executor.
@@ -286,7 +291,7 @@
 		e.gate = limiter.NewSyncGate(limits)
 		e.service, e.limits = s.Name, limits
 		e.draining, e.readySince = false, time.Time{}
-		e.process, e.rate = process{}, statedRate{}
+		e.process, e.rate, e.leavingReported = process{}, statedRate{}, false
 	}
 	if e.limits != limits {
 		e.gate.SetLimits(limits)
--- a/internal/executor/rate_test.go
+++ b/internal/executor/rate_test.go
@@ -38,6 +38,8 @@
 	mu sync.Mutex
 	// limit in requests a second; negative means that none is stated. Guarded by mu.
 	limit float64
+	// leaving is set if the target states that it leaves. Guarded by mu.
+	leaving bool
 	// arrivals holds the time of each request that arrived. Guarded by mu.
 	arrivals []time.Time
 	work     time.Duration
@@ -56,7 +58,7 @@
 	defer l.mu.Unlock()
 	return &exchanger.Answer{
 		Outcome: retrier.OutcomeDone, Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("")),
-		Report: &exchanger.TargetReport{IsLimited: l.limit >= 0, RateLimit: max(l.limit, 0)},
+		Report: &exchanger.TargetReport{IsLimited: l.limit >= 0, RateLimit: max(l.limit, 0), Leaving: l.leaving},
 	}
 }
 
--- a/internal/executor/report.go
+++ b/internal/executor/report.go
@@ -67,17 +67,29 @@
 	if report.Malformed != "" {
 		e.cfg.Log.Write(logger.TargetReportRefused, logger.Fields{Service: t.Record.Service, Target: t.ID, Reason: report.Malformed})
 	}
+	if e.applyReport(t, sent, report) && e.cfg.ReportLeaving != nil {
+		e.cfg.ReportLeaving(t)
+	}
+}
+
+// applyReport applies a report and returns whether it is the first by which the
+// current process states that it leaves.
+func (e *Executor) applyReport(t blackboard.Target, sent time.Time, report *exchanger.TargetReport) (leaves bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if processOf(t) == e.process {
-		e.setRate(t, e.rate.next(report, sent, time.Now()))
+	if processOf(t) != e.process {
+		return false
 	}
+	e.setRate(t, e.rate.next(report, sent, time.Now()))
+	leaves = report.Leaving && !e.leavingReported
+	e.leavingReported = e.leavingReported || report.Leaving
+	return leaves
 }
 
 // setProcess forgets what an earlier process of the target stated. The caller holds mu.
 func (e *Executor) setProcess(t blackboard.Target) {
 	if current := processOf(t); current != e.process {
-		e.process = current
+		e.process, e.leavingReported = current, false
 		e.setRate(t, statedRate{rate: limiter.Rate{State: e.cfg.InitialRate}})
 	}
 }
--- a/internal/executor/report_test.go
+++ b/internal/executor/report_test.go
@@ -1,13 +1,18 @@
 package executor
 
 import (
+	"context"
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/limiter"
+	"gentianbarrow.example/pkg/snapshotter"
 )
 
 func TestStatedRate(t *testing.T) {
@@ -28,3 +33,21 @@
 		})
 	}
 }
+
+// TestLeavingTargetGetsRequestsUntilItsAnnouncement guards against a node that sends
+// requests to a target whose answers state that it leaves, until an announcement of
+// the target says so too. Announcements may be seconds late.
+func TestLeavingTargetGetsRequestsUntilItsAnnouncement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestExecutor(&limitedTarget{limit: -1, leaving: true})
+		left := make(map[string]int)
+		e.cfg.ReportLeaving = func(t blackboard.Target) { left[t.ID]++ }
+		for range 3 {
+			a := e.Execute(context.Background(), &exchanger.Request{
+				Method: http.MethodGet, Service: "roster", Class: snapshotter.ClassShort, Attempt: 1, Deadline: time.Now().Add(time.Second),
+			})
+			a.Close()
+		}
+		assert.DeepEqual(t, left, map[string]int{"i-1": 1})
+	})
+}
