Bound the head of an answer that a target sends

A target in trouble may send bytes that are no answer without end, in a head or a body, until the caller closes.

One such target would have ended its node, with all requests of that host.

Cause: net/http.ReadResponse reads a line into memory whatever its length, and any number of headers. The connection now stops after 64 KiB of a head, and the answer counts as malformed. Health checks get the same bound; they had the 10 MB of net/http's transport. Bodies were bounded already: what is discarded by 1 MB, what is passed on by the deadline, and neither looks complete.

--- a/internal/dispatcher/health.go
+++ b/internal/dispatcher/health.go
@@ -17,6 +17,9 @@
 	return fmt.Sprintf("health check failed with status %d", e.Status)
 }
 
+// healthClient makes health checks. It bounds the head of an answer as requests do.
+var healthClient = &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}}
+
 // CheckHealth runs a health check of the target at the address over a new
 // connection. An empty path means HealthPath.
 func CheckHealth(ctx context.Context, address, path string) error {
@@ -25,7 +28,7 @@
 		return err
 	}
 	req.Close = true
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := healthClient.Do(req)
 	if err != nil {
 		return err
 	}
--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -95,7 +95,7 @@
 	requestMethod := &http.Request{Method: x.request.Method}
 	var crossed error
 	for range maxStaleAnswers + 1 {
-		resp, err := http.ReadResponse(x.conn.r, requestMethod) //nolint:bodyclose // the answer's body closes it
+		resp, err := x.conn.readHead(requestMethod) //nolint:bodyclose // the answer's body closes it
 		if err != nil {
 			return x.fail(err, crossed)
 		}
@@ -192,6 +192,7 @@
 	var opErr *net.OpError
 	var timeout net.Error
 	var unsigned *UnsignedError
+	var headTooLarge *HeadTooLargeError
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || r.IsDeadlineReached(time.Now()):
 		return exchanger.ReasonDeadline
@@ -201,7 +202,7 @@
 		return exchanger.ReasonTargetFailed
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return exchanger.ReasonSilentConnection
-	case errors.As(err, &unsigned):
+	case errors.As(err, &unsigned), errors.As(err, &headTooLarge):
 		return exchanger.ReasonMalformedAnswer
 	default:
 		return exchanger.ReasonConnectionLost
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -40,7 +40,9 @@
 // conn is a connection to a target. It carries one exchange at a time.
 type conn struct {
 	net.Conn
-	r *bufio.Reader
+	// r reads through head.
+	r    *bufio.Reader
+	head *headLimiter
 	// written counts the bytes handed to the operating system.
 	written atomic.Int64
 	// expiresAt is the end of the idle timeout. After that, put closes the connection.
@@ -203,7 +205,8 @@
 		if d.err != nil {
 			return nil, d.err
 		}
-		return &conn{Conn: d.conn, r: bufio.NewReaderSize(d.conn, bufferBytes), idleTimeout: defaultIdleTimeout}, nil
+		head := &headLimiter{r: d.conn, remaining: noHeadLimit}
+		return &conn{Conn: d.conn, r: bufio.NewReaderSize(head, bufferBytes), head: head, idleTimeout: defaultIdleTimeout}, nil
 	case <-ctx.Done():
 		p.dials.Go(func() {
 			if d := <-result; d.err == nil {
