Return a target's refusal without waiting for its body

A target that turns a request away may send the body of that answer slowly, or without end. The node read up to 1 MB of it before it returned the refusal, so a request that could have run elsewhere at once was held until its deadline.

Cause: the body was read so that the connection could be used again. It is now read only if it has arrived with the head; else the connection is closed. Also, a body of over 1 MB counted as read to its end.

--- a/internal/dispatcher/endless_test.go
+++ b/internal/dispatcher/endless_test.go
@@ -99,8 +99,10 @@
 		})
 	}
 	for name, target := range map[string]*endlessTarget{
-		"in the body of a refusal":         {start: notRun + "\r\n", piece: block},
-		"in the chunked body of a refusal": {start: notRun + chunked, piece: "8000\r\n" + block + "\r\n"},
+		"in the body of a refusal":                {start: notRun + "\r\n", piece: block},
+		"in the chunked body of a refusal":        {start: notRun + chunked, piece: "8000\r\n" + block + "\r\n"},
+		"slowly in the chunked body of a refusal": {start: notRun + chunked, piece: "1\r\nx\r\n", pause: 100 * time.Millisecond},
+		"slowly in the long body of a refusal":    {start: notRun + "Content-Length: 1000000\r\n\r\n", piece: "x", pause: 100 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			took := target.dispatch(t, assertOutcome(retrier.OutcomeNotRun))
--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -120,8 +120,13 @@
 	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return false
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBodyBytes))
-	return err == nil
+	_, err := io.CopyN(io.Discard, resp.Body, maxStaleBodyBytes+1)
+	return errors.Is(err, io.EOF)
+}
+
+// hasArrived reports whether the whole body of an answer can be read without waiting.
+func (x *exchange) hasArrived(resp *http.Response) bool {
+	return resp.ContentLength >= 0 && resp.ContentLength <= int64(x.conn.r.Buffered())
 }
 
 // fail ends an exchange without an answer.
@@ -170,7 +175,8 @@
 		a.Report = d.TargetReport(resp.Header)
 	}
 	a.RetryAt = d.ParseRetryAfter(resp.Header, time.Now())
-	x.finish(discardAnswer(resp))
+	// A body that has not arrived yet is not waited for: the request goes elsewhere at once.
+	x.finish(x.hasArrived(resp) && discardAnswer(resp))
 	return a
 }
 
