Play targets with a rate limit, and leaving told by answers, in the soak

The emulator's targets state a limit and that they leave in their answers, and the ledger judges both: no more than one and a half times the limit and 5 requests in any 4 s, and no request that a caller sent later than the drain time after an answer said so.

--- a/internal/soaker/faults_test.go
+++ b/internal/soaker/faults_test.go
@@ -106,6 +106,22 @@
 		target.SetFaults(false, 500*time.Millisecond)
 		return func() { target.SetFaults(false, 0) }
 	}},
+	{"target-states-limit", func(_ *mesh, h *host, r *rand.Rand) func() {
+		target := h.currentTarget()
+		target.SetLimit(1 + 20*r.Float64())
+		return func() {
+			// The limit outlasts the time in which it need not be kept yet.
+			time.Sleep(limitGrace)
+			target.SetLimit(0)
+		}
+	}},
+	{"target-states-leaving", func(m *mesh, h *host, _ *rand.Rand) func() {
+		h.currentTarget().StateLeaving()
+		return func() {
+			h.crashTarget()
+			m.startTarget(h)
+		}
+	}},
 }
 
 func storeFault(f emulator.Faults) func(m *mesh, _ *host, _ *rand.Rand) func() {
@@ -166,7 +182,7 @@
 			begins: upTo(rnd, faultsFor), lasts: shortestFault + upTo(rnd, longestFault-shortestFault),
 			rnd: rand.New(rand.NewPCG(rnd.Uint64(), seed)),
 		}
-		if name := e.fault.name; name == "target-crash" || name == "target-leaves" {
+		if name := e.fault.name; name == "target-crash" || name == "target-leaves" || name == "target-states-leaving" {
 			if taken[e.host.name] {
 				continue
 			}
--- a/internal/soaker/mesh_test.go
+++ b/internal/soaker/mesh_test.go
@@ -21,6 +21,8 @@
 const (
 	// drainTime is how long after the acknowledgement of its leaving a target may be reached.
 	drainTime = 2 * time.Second
+	// limitGrace is how long after a target states a rate limit it may still get more requests.
+	limitGrace = 3 * time.Second
 	// announceEvery is the time between two announcements of a target.
 	announceEvery = 300 * time.Millisecond
 	// targetWork is how long a request runs.
@@ -156,7 +158,7 @@
 	h.targets++
 	h.target = emulator.NewTarget(emulator.TargetConfig{
 		ID: fmt.Sprintf("%s-%d", h.name, h.targets), Service: h.service, Address: h.ip + ":7605", Control: h.ip + ":7602",
-		Zone: h.dataCentre, Slots: targetSlots, Work: targetWork, AnnounceEvery: announceEvery, Drain: drainTime,
+		Zone: h.dataCentre, Slots: targetSlots, Work: targetWork, AnnounceEvery: announceEvery, Drain: drainTime, LimitGrace: limitGrace,
 	}, m.ledger)
 	if err := h.target.Start(m.ctx); err != nil {
 		m.t.Errorf("start of a target: %v", err)
