--- a/internal/logger/events_distribution.go
+++ b/internal/logger/events_distribution.go
@@ -67,6 +67,16 @@
 		Meaning: "The node has started or stopped watching the objects of the kind in the reason field for its data centre.",
 		Action:  "None. A node that does not watch learns of changes from other nodes.",
 	}
+	PlatformRestored = Event{
+		Number: 227, Name: "platform-restored", Level: LevelWarn,
+		Meaning: "The platform was restored from a copy, so what was written after the copy was made is gone until it is written again. The reason field holds the kind of objects that were followed, the count field the new era.",
+		Action:  "Check with gentianctl that the version in force is the one that was accepted last. A node does not go back to an earlier version.",
+	}
+	PlatformScanned = Event{
+		Number: 228, Name: "platform-scanned", Level: LevelInfo,
+		Meaning: "All objects of the kind in the reason field were read again, because their changes could not be followed further. The count field holds their number.",
+		Action:  "None.",
+	}
 	RecoveryEnded = Event{
 		Number: 230, Name: "recovery-ended", Level: LevelInfo,
 		Meaning: "The restarted node has determined the minimum version of the configuration that it may run.",
@@ -81,5 +91,6 @@
 
 var distributionEvents = []Event{
 	ConfigApplied, ConfigRefused, ConfigFetchedWhole, ConfigUnwitnessed, ParentChanged, ParentSilent,
-	LeaseTaken, LeaseLost, PlatformSilent, PlatformLost, PlatformRegained, ConfigAskFailed, PlatformWatch, RecoveryEnded, RecoveryBlocked,
+	LeaseTaken, LeaseLost, PlatformSilent, PlatformLost, PlatformRegained, ConfigAskFailed, PlatformWatch, PlatformRestored, PlatformScanned,
+	RecoveryEnded, RecoveryBlocked,
 }
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -82,6 +82,10 @@
 	revision uint64
 	// hasScanned is true while revision is valid to follow from.
 	hasScanned bool
+	// scans counts the full scans.
+	scans int
+	// era of the platform in the latest answer; 0 before the first.
+	era uint64
 	// isWatching is true if calls wait for a change; otherwise they return the
 	// changes so far at once.
 	isWatching bool
@@ -112,6 +116,7 @@
 		f.reportReachability(false)
 	}
 	f.failures = 0
+	f.logHistory(changes)
 	isFullScan := !f.hasScanned
 	f.hasScanned, f.revision = true, changes.Revision
 	if isFullScan || len(changes.Objects)+len(changes.Removed) > 0 {
@@ -124,6 +129,22 @@
 	}
 }
 
+// logHistory logs that the platform has another history than before, or that its
+// objects were read again.
+func (f *follower) logHistory(c storer.Changes) {
+	if f.era != 0 && c.Era != f.era {
+		f.poller.Log.Write(logger.PlatformRestored, logger.Fields{Reason: f.poller.Kind, Count: int(c.Era)})
+	}
+	f.era = c.Era
+	if f.hasScanned {
+		return
+	}
+	if f.scans > 0 {
+		f.poller.Log.Write(logger.PlatformScanned, logger.Fields{Reason: f.poller.Kind, Count: len(c.Objects)})
+	}
+	f.scans++
+}
+
 func (f *follower) fetch(ctx context.Context) (storer.Changes, error) {
 	if !f.hasScanned {
 		return f.poller.Client.Scan(ctx, f.poller.Kind)
--- a/pkg/storer/fake.go
+++ b/pkg/storer/fake.go
@@ -28,6 +28,8 @@
 	// Guarded by mu.
 	history           []change
 	compactedRevision uint64
+	// era counts the restores, from firstEra. Guarded by mu.
+	era uint64
 	// storeChanged is closed by the next change of the store; nil when no Follow
 	// waits. Guarded by mu.
 	storeChanged chan struct{}
@@ -40,9 +42,13 @@
 	writeLimiter *rate.Limiter
 }
 
+// firstEra is the era of a store that was never restored.
+const firstEra = 1
+
 // NewFake returns an empty store without faults or limits.
 func NewFake() *Fake {
 	return &Fake{
+		era:              firstEra,
 		objects:          map[string]Object{},
 		deletedRevisions: map[string]uint64{},
 		keyChanged:       map[string]chan struct{}{},
--- a/pkg/storer/fake_kind.go
+++ b/pkg/storer/fake_kind.go
@@ -44,7 +44,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c := Changes{Revision: uint64(len(f.history))}
+	c := Changes{Revision: uint64(len(f.history)), Era: f.era}
 	for _, key := range slices.Sorted(maps.Keys(f.objects)) {
 		if strings.HasPrefix(key, kind+"/") {
 			c.Objects = append(c.Objects, f.objects[key])
@@ -65,7 +65,7 @@
 		switch {
 		case f.faults.Outage:
 			return Changes{}, &UnavailableError{Key: kind, Cause: &OutageError{}}
-		case after < f.compactedRevision:
+		case after < f.compactedRevision, after > uint64(len(f.history)):
 			return Changes{}, &CompactedError{Kind: kind, Revision: after}
 		}
 		if c := f.changesSince(kind, after); len(c.Objects)+len(c.Removed) > 0 {
@@ -76,7 +76,7 @@
 			return Changes{}, ctx.Err()
 		}
 		if err != nil {
-			return Changes{Revision: after}, nil //nolint:nilerr // the time to wait has passed
+			return Changes{Revision: after, Era: f.era}, nil //nolint:nilerr // the time to wait has passed
 		}
 	}
 }
@@ -84,7 +84,7 @@
 // changesSince returns the changes of a kind after a revision of the store, each
 // key once, as it is now. f.mu is held.
 func (f *Fake) changesSince(kind string, after uint64) Changes {
-	c := Changes{Revision: uint64(len(f.history))}
+	c := Changes{Revision: uint64(len(f.history)), Era: f.era}
 	seen := map[string]bool{}
 	for i := len(f.history) - 1; i >= int(after); i-- {
 		entry := f.history[i]
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -73,4 +73,8 @@
 	Removed []string
 	// Revision is the revision of the store to follow from.
 	Revision uint64
+	// Era grows each time the platform has been restored from a copy, which takes back
+	// what was acknowledged after the copy was made. Revisions of different eras cannot
+	// be compared: they are given out again. 0 when the platform does not tell.
+	Era uint64
 }
