Read everything anew when the platform was restored from a copy

What callers would see: a confirmed change that is not in force until the next one comes.

Cause: a revision was compared with those of another history. After a restore revisions are given out again, so the platform has the revision that the node follows from, answers no 410, and tells only what came after it.

Change: an answer of another era than the one that the revision belongs to is discarded, and all objects of the kind are read again. The era is in each answer, so one answer is enough, whatever its revision.

--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -1,6 +1,8 @@
 // Package poller follows the objects of one kind in the platform for as long as
 // a process runs. It polls again after each answer, backs off after failures,
-// and reports when the platform becomes unreachable and reachable again.
+// and reports when the platform becomes unreachable and reachable again. It reads
+// all objects again when the platform no longer has the history since the last
+// poll, or was restored from a copy and now has another history.
 package poller
 
 import (
@@ -84,7 +86,7 @@
 	hasScanned bool
 	// scans counts the full scans.
 	scans int
-	// era of the platform in the latest answer; 0 before the first.
+	// era that revision belongs to; 0 before the first scan.
 	era uint64
 	// isWatching is true if calls wait for a change; otherwise they return the
 	// changes so far at once.
@@ -117,6 +119,12 @@
 	}
 	f.failures = 0
 	f.logHistory(changes)
+	if f.hasScanned && changes.Era != f.era {
+		// The answer starts from a revision of another history and may lack changes.
+		f.hasScanned = false
+		return
+	}
+	f.era = changes.Era
 	isFullScan := !f.hasScanned
 	f.hasScanned, f.revision = true, changes.Revision
 	if isFullScan || len(changes.Objects)+len(changes.Removed) > 0 {
@@ -129,16 +137,15 @@
 	}
 }
 
-// logHistory logs that the platform has another history than before, or that its
-// objects were read again.
+// logHistory logs a full scan after the first, and that it read another history than
+// the one before.
 func (f *follower) logHistory(c storer.Changes) {
-	if f.era != 0 && c.Era != f.era {
-		f.poller.Log.Write(logger.PlatformRestored, logger.Fields{Reason: f.poller.Kind, Count: int(c.Era)})
-	}
-	f.era = c.Era
 	if f.hasScanned {
 		return
 	}
+	if f.era != 0 && c.Era != f.era {
+		f.poller.Log.Write(logger.PlatformRestored, logger.Fields{Reason: f.poller.Kind, Count: int(c.Era)})
+	}
 	if f.scans > 0 {
 		f.poller.Log.Write(logger.PlatformScanned, logger.Fields{Reason: f.poller.Kind, Count: len(c.Objects)})
 	}
