Write a node's object again when a restore of the platform has lost it

What callers would see: a node that starts after the restore does not find one whose address was lost, and requests between the two miss a target that is there.

Cause: a node wrote its object once and took it for lasting. The platform takes back what it has acknowledged when it is restored from a copy.

Change: a node that reads a full list without itself writes its object again. The others poll rarely, so nodes now tell each other the era of the platform; in a later one each reads its object and writes it if it is missing, spread over the number of nodes at 500 a second, a quarter of the platform's reads. A node that has begun to leave for good does not.

--- a/internal/blackboard/message_node.go
+++ b/internal/blackboard/message_node.go
@@ -23,7 +23,8 @@
 	Nodes []NodeRecord
 	// SelfReported is true when the nodes themselves have just reported their records.
 	SelfReported bool
-	// Complete is true when the list holds every node that the platform knows.
+	// Complete is true when the list holds every node that the platform knows; it may be
+	// empty after a restore of the platform.
 	Complete bool
 	Now      time.Time
 }
@@ -45,7 +46,15 @@
 	Version uint64
 	// PlatformLost is true when the node cannot reach the platform.
 	PlatformLost bool
-	Now          time.Time
+	// PlatformEra is the greatest era of the platform that the node knows of; 0 when none.
+	PlatformEra uint64
+	Now         time.Time
+}
+
+// PlatformEraRead reports the era of the platform in an answer to this node.
+type PlatformEraRead struct {
+	Era uint64
+	Now time.Time
 }
 
 // NodeLost reports that the stream to a node has ended.
--- a/internal/blackboard/state.go
+++ b/internal/blackboard/state.go
@@ -40,6 +40,12 @@
 type Enrolment struct {
 	// Started is true once this node registers itself with the platform and looks for other nodes.
 	Started bool
+	// Removed is true once this node has begun to remove its registration, because it
+	// leaves for good.
+	Removed bool
+	// Era is the greatest era of the platform, as in storer.Changes, that this node knows
+	// of; 0 when none. It never falls.
+	Era uint64
 }
 
 // LifecyclePhase is the phase of a node between start and stop.
@@ -189,6 +195,8 @@
 	Listed bool
 	// PlatformLost is true when the node cannot reach the platform.
 	PlatformLost bool
+	// PlatformEra is the greatest era of the platform that the node knows of; 0 when none.
+	PlatformEra uint64
 }
 
 // DataCentreSummary is a summary of a data centre's targets for the other data centres.
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -3,6 +3,9 @@
 // object gives the location of a node and does not imply that the node is alive:
 // the subscriber detects that. So no object has to be renewed, and a mesh in which
 // no node joins, moves or leaves writes nothing.
+//
+// When the platform is restored from a copy it may lose objects. Nodes tell each
+// other its era, and each one makes sure that its object is there in a new era.
 package enroller
 
 import (
@@ -10,6 +13,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -35,6 +40,9 @@
 	pollInterval = 5 * time.Minute
 	// writeTimeout bounds one attempt to write this node's object.
 	writeTimeout = 2 * time.Second
+	// confirmRate is how many nodes a second confirm their objects after a restore, a
+	// quarter of the reads that the platform takes.
+	confirmRate = 500
 	// removeTimeout bounds the removal of this node's object when it leaves permanently.
 	removeTimeout = 1 * time.Second
 )
@@ -54,6 +62,9 @@
 type (
 	// enroll writes this node's object.
 	enroll struct{}
+	// confirm writes this node's object if it is missing. nodes is how many nodes may do
+	// so at the same time.
+	confirm struct{ nodes int }
 	// poll follows the other nodes' objects.
 	poll struct{}
 	// remove deletes this node's object.
@@ -70,28 +81,69 @@
 
 // Reduce handles one message. It is pure.
 func Reduce(s blackboard.State, msg blackboard.Msg) (blackboard.State, []blackboard.Effect) {
-	switch msg.(type) {
+	switch msg := msg.(type) {
 	case blackboard.Tick:
 		if s.Enrolment.Started {
 			return s, nil
 		}
 		s.Enrolment.Started = true
 		return s, []blackboard.Effect{enroll{}, poll{}}
+	case blackboard.NodesFound:
+		if !msg.Complete || isListed(msg.Nodes, s.Self.Host) {
+			return s, nil
+		}
+		return s, confirmation(&s, 1)
+	case blackboard.PlatformEraRead:
+		s.Enrolment.Era = max(s.Enrolment.Era, msg.Era)
+	case blackboard.NodeUpdated:
+		return noteEra(s, msg.PlatformEra)
 	case blackboard.LeaveRequested:
 		// A node whose target keeps running is expected to restart at the same
 		// address, so its object stays.
 		if s.Target.Evidence.Announced != blackboard.TargetDraining {
 			return s, nil
 		}
+		s.Enrolment.Removed = true
 		return s, []blackboard.Effect{remove{}}
 	}
 	return s, nil
 }
 
+// noteEra applies an era that another node knows of. In one that follows another,
+// this node's object may be gone. A node that reads the list itself sees that there.
+func noteEra(s blackboard.State, era uint64) (blackboard.State, []blackboard.Effect) {
+	before := s.Enrolment.Era
+	if era <= before {
+		return s, nil
+	}
+	s.Enrolment.Era = era
+	if before == 0 {
+		return s, nil
+	}
+	return s, confirmation(&s, len(s.Members.ByHost)+1)
+}
+
+// confirmation returns the effect that confirms this node's object, or none before
+// the node registers itself and once it leaves.
+func confirmation(s *blackboard.State, nodes int) []blackboard.Effect {
+	if !s.Enrolment.Started || s.Enrolment.Removed {
+		return nil
+	}
+	return []blackboard.Effect{confirm{nodes: nodes}}
+}
+
+func isListed(nodes []blackboard.NodeRecord, host string) bool {
+	return slices.ContainsFunc(nodes, func(n blackboard.NodeRecord) bool { return n.Host == host })
+}
+
 func (cfg Config) run(ctx context.Context, e blackboard.Effect, post blackboard.Post) {
-	switch e.(type) {
+	switch e := e.(type) {
 	case enroll:
-		cfg.enroll(ctx)
+		cfg.enroll(ctx, cfg.writeObject)
+	case confirm:
+		if poller.Sleep(ctx, rand.N(time.Duration(e.nodes)*time.Second/confirmRate)) {
+			cfg.enroll(ctx, cfg.confirmObject)
+		}
 	case poll:
 		if poller.Sleep(ctx, startDelay) {
 			cfg.poll(ctx, post)
@@ -103,15 +155,16 @@
 
 func (cfg Config) objectKey() string { return Kind + "/" + cfg.Self.Host }
 
-// enroll writes this node's object and retries until the platform holds it.
-func (cfg Config) enroll(ctx context.Context) {
+// enroll writes this node's object by the given function and retries until the platform
+// holds it.
+func (cfg Config) enroll(ctx context.Context, write func(ctx context.Context, value []byte) error) {
 	value, err := json.Marshal(cfg.Self)
 	if err != nil {
 		cfg.Log.Write(logger.EnrolFailed, logger.Fields{Err: err})
 		return
 	}
 	for failures := 0; ctx.Err() == nil; {
-		err := cfg.writeObject(ctx, value)
+		err := write(ctx, value)
 		if err == nil {
 			cfg.Log.Write(logger.Enrolled, logger.Fields{Peer: cfg.Self.Address, Count: failures})
 			return
@@ -142,6 +195,21 @@
 	return err
 }
 
+// confirmObject writes the object if it is missing or differs.
+func (cfg Config) confirmObject(ctx context.Context, value []byte) error {
+	readCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	now, err := cfg.Platform.Get(readCtx, cfg.objectKey())
+	var missing *storer.NotFoundError
+	if err == nil && bytes.Equal(compactJSON(now.Value), value) {
+		return nil
+	}
+	if err != nil && !errors.As(err, &missing) {
+		return err
+	}
+	return cfg.writeObject(ctx, value)
+}
+
 // compactJSON removes white space that the platform may have added to the JSON value.
 func compactJSON(value []byte) []byte {
 	var out bytes.Buffer
@@ -170,6 +238,7 @@
 func (cfg Config) poll(ctx context.Context, post blackboard.Post) {
 	p := poller.Poller{
 		Kind: Kind, Client: cfg.Platform, MaxWait: watchTimeout, WatchPolicy: poller.WatchPolicy{State: cfg.State, PollInterval: pollInterval},
+		OnScan:   func(era uint64) { post(blackboard.PlatformEraRead{Era: era, Now: cfg.Now()}) },
 		OnChange: func(c storer.Changes, whole bool) { cfg.reportChanges(c, whole, post) },
 		Log:      cfg.Log,
 	}
@@ -189,7 +258,7 @@
 		records = append(records, record)
 	}
 	now := cfg.Now()
-	if len(records) > 0 {
+	if len(records) > 0 || whole {
 		post(blackboard.NodesFound{Nodes: records, Complete: whole, Now: now})
 	}
 	for _, key := range c.Removed {
--- a/internal/enroller/enroller_test.go
+++ b/internal/enroller/enroller_test.go
@@ -22,24 +22,32 @@
 	cancel context.CancelFunc
 	group  sync.WaitGroup
 	mu     sync.Mutex
-	// messages holds the posted messages. Guarded by mu.
+	// state is as after all messages. Guarded by mu.
+	state blackboard.State
+	// messages holds the posted messages about nodes. Guarded by mu.
 	messages []blackboard.Msg
 }
 
+// post reduces a message and runs its effects.
+func (r *runningEnroller) post(ctx context.Context, c blackboard.Controller, m blackboard.Msg) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch m.(type) {
+	case blackboard.NodesFound, blackboard.NodeRemoved:
+		r.messages = append(r.messages, m)
+	}
+	var effects []blackboard.Effect
+	r.state, effects = c.Reduce(r.state, m)
+	for _, e := range effects {
+		r.group.Go(func() { c.Run(ctx, e, func(m blackboard.Msg) { r.post(ctx, c, m) }) })
+	}
+}
+
 func startEnroller(ctx context.Context, self blackboard.NodeRecord, store *storer.Fake) *runningEnroller {
 	r := &runningEnroller{}
 	ctx, r.cancel = context.WithCancel(ctx)
-	c := New(Config{Self: self, Platform: store.Client()})
-	_, effects := c.Reduce(blackboard.State{}, blackboard.Tick{Now: time.Now()})
-	for _, e := range effects {
-		r.group.Go(func() {
-			c.Run(ctx, e, func(m blackboard.Msg) {
-				r.mu.Lock()
-				defer r.mu.Unlock()
-				r.messages = append(r.messages, m)
-			})
-		})
-	}
+	r.state.Self.Host = self.Host
+	r.post(ctx, New(Config{Self: self, Platform: store.Client()}), blackboard.Tick{Now: time.Now()})
 	return r
 }
 
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -223,6 +223,7 @@
 				cfg.decodeObject(o, post)
 			}
 		},
+		OnScan:               func(era uint64) { post(blackboard.PlatformEraRead{Era: era, Now: cfg.Now()}) },
 		OnReachabilityChange: func(lost bool) { post(blackboard.PlatformReachabilityChanged{Lost: lost, Now: cfg.Now()}) },
 		Log:                  cfg.Log,
 	}
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -40,6 +40,9 @@
 	// OnChange is called with the objects of a full scan, with isFullScan set, and
 	// with each change after it.
 	OnChange func(c storer.Changes, isFullScan bool)
+	// OnScan, if not nil, is called with the era of the platform after each full scan,
+	// before OnChange.
+	OnScan func(era uint64)
 	// OnReachabilityChange, if not nil, is called on the first failure after a
 	// success, with lost set, and on the first success after a failure.
 	OnReachabilityChange func(lost bool)
@@ -127,6 +130,9 @@
 	f.era = changes.Era
 	isFullScan := !f.hasScanned
 	f.hasScanned, f.revision = true, changes.Revision
+	if isFullScan && f.poller.OnScan != nil {
+		f.poller.OnScan(changes.Era)
+	}
 	if isFullScan || len(changes.Objects)+len(changes.Removed) > 0 {
 		f.poller.OnChange(changes, isFullScan)
 		f.poller.Sleep(ctx, changeBatchDelay)
--- a/internal/subscriber/stream.go
+++ b/internal/subscriber/stream.go
@@ -159,7 +159,7 @@
 		Target: blackboard.TargetRecord{
 			Service: m.GetService(), Phase: targetPhase(m.GetTarget()), Slots: int(m.GetSlots()), Revision: m.GetRevision(),
 		},
-		PlatformLost: m.GetPlatformLost(),
+		PlatformLost: m.GetPlatformLost(), PlatformEra: m.GetPlatformEra(),
 	}
 }
 
@@ -242,6 +242,7 @@
 	m := &wirepb.NodeUpdate{
 		Host: sub.cfg.Self.Host, Incarnation: sub.cfg.Incarnation, Draining: current.state.Draining, Version: current.state.Version,
 		Service: t.Service, Target: targetStates[t.Phase], Slots: uint32(t.Slots), Revision: t.Revision, PlatformLost: current.state.PlatformLost,
+		PlatformEra: current.state.PlatformEra,
 	}
 	for _, n := range current.known {
 		if sentHosts != nil && !sentHosts[n.Host] {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -150,6 +150,7 @@
 	n := blackboard.NodeState{
 		Draining: !s.Lifecycle.AcceptsPeers(),
 		Target:   s.Target.Record, KnownNodes: len(s.Members.Records), Listed: s.Members.Listed, PlatformLost: s.Config.PlatformLost,
+		PlatformEra: s.Enrolment.Era,
 	}
 	if s.Config.Running != nil {
 		n.Version = s.Config.Running.Version
@@ -165,7 +166,7 @@
 func addNodes(s blackboard.State, msg blackboard.NodesFound) (blackboard.State, []blackboard.Effect) {
 	var effects []blackboard.Effect
 	if msg.Complete {
-		s.Members.Listed = true
+		s.Members.Listed = s.Members.Listed || len(msg.Nodes) > 0
 		s, effects = removeUnlisted(s, msg.Nodes)
 	}
 	var members map[string]blackboard.Member
