Play restores of the store in the soak, and check that nodes' objects come back

A restore takes the store back to a copy from the beginning of the fault, or to one from before the nodes wrote their objects; what the operator wrote is written again. After the faults the store holds the object of every node.

--- a/internal/soaker/faults_test.go
+++ b/internal/soaker/faults_test.go
@@ -17,6 +17,8 @@
 	fewestFaults, mostFaults = 8, 16
 	// shortestFault and longestFault bound how long one lasts.
 	shortestFault, longestFault = 200 * time.Millisecond, 4 * time.Second
+	// operatorKind is the kind of objects that the operator writes again after a restore.
+	operatorKind = "config"
 	// pollEvery is the time between two looks at something that is waited for.
 	pollEvery = 20 * time.Millisecond
 )
@@ -87,6 +89,19 @@
 	{"store-slow", storeFault(emulator.Faults{Delay: 300 * time.Millisecond})},
 	{"store-loses-answers", storeFault(emulator.Faults{LoseAnswers: true})},
 	{"store-forgets", func(m *mesh, _ *host, _ *rand.Rand) func() { m.store.Compact(); return none }},
+	{"store-restored", func(m *mesh, _ *host, r *rand.Rand) func() {
+		// Every other copy is older than the objects of the nodes.
+		old := m.store.Copy()
+		if r.IntN(2) == 0 {
+			old = m.firstCopy
+		}
+		return func() {
+			m.store.Set(emulator.Faults{Silent: true})
+			time.Sleep(upTo(r, longestFault/2))
+			m.store.Restore(old, operatorKind)
+			m.store.Set(emulator.Faults{})
+		}
+	}},
 	{"target-crash", func(m *mesh, h *host, _ *rand.Rand) func() {
 		h.crashTarget()
 		return func() { m.startTarget(h) }
--- a/internal/soaker/mesh_test.go
+++ b/internal/soaker/mesh_test.go
@@ -71,6 +71,8 @@
 	store  *emulator.Store
 	ledger *emulator.Ledger
 	hosts  []*host
+	// firstCopy of the store is from before the first node started.
+	firstCopy emulator.Copy
 
 	mu sync.Mutex
 	// versions that the store has acknowledged, the latest last. Guarded by mu.
@@ -99,6 +101,7 @@
 	serving.Go(func() { _ = server.Serve(ln) })
 	t.Cleanup(func() { _ = server.Close(); serving.Wait() })
 	m.configure(1)
+	m.firstCopy = m.store.Copy()
 	for _, dataCentre := range dataCentres {
 		for _, service := range services {
 			h := &host{
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"gentianbarrow.example/internal/enroller"
 	"gentianbarrow.example/platform/emulator"
 )
 
@@ -75,6 +76,7 @@
 	load := m.load(ctx, &group)
 	m.harm(t, seed)
 	m.settle(t, "after the faults")
+	m.assertEnrolled(t)
 	m.calm(t)
 	m.stopOne(t, seed)
 	load()
@@ -133,6 +135,14 @@
 	}
 }
 
+// assertEnrolled waits until the store holds the object of every node.
+func (m *mesh) assertEnrolled(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(within(recoverWithin)); m.store.Count(enroller.Kind) < len(m.hosts); time.Sleep(pollEvery) {
+		assert.Assert(t, time.Now().Before(end), "the store holds the objects of %d of %d nodes", m.store.Count(enroller.Kind), len(m.hosts))
+	}
+}
+
 func kinds() []emulator.Request {
 	return []emulator.Request{
 		{Kind: emulator.KindRead, Host: meshHost, Path: readPath + "x", Timeout: routeTimeout},
