Refuse an upload that cannot be served before its body is asked for

What callers saw: an upload to a target that drains, has failed, or whose rate limit leaves it no time, was sent whole to the target's node and refused only then. It cost the caller the time of the transfer, and the links its bytes.

Cause: the node asks for a body before the request asks for a slot, so that no slot waits for a slow link; the reasons that need no slot were checked with the slot too.

Change: the reasons that are known beforehand are checked before the body is asked for. Of other uploads only those whose bodies are being received count as ahead, so nothing is refused that could still be served.

--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -41,10 +41,11 @@
 		FixedSlots:  a.isDirect, NoRamp: a.isDirect, BlameAfter: a.blameAfter, Order: a.order,
 	})
 	n.forwarder = forwarder.New(forwarder.Config{
-		Open:    n.links.OpenWith,
-		Execute: n.executor.Execute,
-		Refuse:  n.executor.Refuse,
-		Tracker: n.tracker,
+		Open:     n.links.OpenWith,
+		Execute:  n.executor.Execute,
+		Refuse:   n.executor.Refuse,
+		Precheck: n.executor.Precheck,
+		Tracker:  n.tracker,
 		// Peers detect by the incarnation that a node has restarted since it reported its load.
 		Incarnation: n.self.Incarnation,
 		Log:         n.log,
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -130,6 +130,31 @@
 	return e.annotate(e.admit(ctx, t, r, entry))
 }
 
+// Precheck returns the refusal of a request that is known not to be served before its
+// body has been received, or nil. ahead is how many other requests, whose bodies are
+// being received, go before it. A request whose key may be known is not refused here.
+func (e *Executor) Precheck(r *exchanger.Request, ahead int) *exchanger.Answer {
+	if r.LookupOnly || usesKey(r) {
+		return nil
+	}
+	t := e.cfg.Target()
+	if reason := refusalReason(t, r.Service, time.Now()); reason != exchanger.ReasonNone {
+		e.logNotAdmitted(t, r, reason)
+		return e.Refuse(r, reason)
+	}
+	gate := e.sync(t)
+	if gate == nil {
+		return nil
+	}
+	refused := gate.Precheck(limiterRequest(r), ahead)
+	if refused == nil {
+		return nil
+	}
+	a := refusedAnswer(refused)
+	e.logNotAdmitted(t, r, a.Reason)
+	return e.annotate(a)
+}
+
 // Refuse answers a request without running it: with what is known of its
 // idempotency key, or with "not-run" and the reason when nothing is known.
 func (e *Executor) Refuse(r *exchanger.Request, reason exchanger.Reason) *exchanger.Answer {
@@ -197,9 +222,7 @@
 		forgetKey(entry)
 		return exchanger.NotRun(exchanger.ReasonNoConfig, nil)
 	}
-	release, err := gate.Acquire(ctx, limiter.Request{
-		Class: r.Class, Firm: r.Firm, Deadline: r.Deadline, Priority: r.Priority, SoftDeadline: r.SoftDeadline, Route: r.Route, NoWait: r.NoWait,
-	})
+	release, err := gate.Acquire(ctx, limiterRequest(r))
 	if err != nil {
 		forgetKey(entry)
 		a := refusedAnswer(err)
@@ -224,6 +247,12 @@
 	return a
 }
 
+func limiterRequest(r *exchanger.Request) limiter.Request {
+	return limiter.Request{
+		Class: r.Class, Firm: r.Firm, Deadline: r.Deadline, Priority: r.Priority, SoftDeadline: r.SoftDeadline, Route: r.Route, NoWait: r.NoWait,
+	}
+}
+
 // logNotAdmitted logs a refusal with the load and the phase of the target.
 func (e *Executor) logNotAdmitted(t blackboard.Target, r *exchanger.Request, reason exchanger.Reason) {
 	load, _ := e.Load()
--- a/internal/executor/rate_test.go
+++ b/internal/executor/rate_test.go
@@ -182,4 +182,18 @@
 			assert.Assert(t, a.RetryAt.After(begun))
 		})
 	})
+	t.Run("an upload that cannot start in time is refused before its body is received", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			e := newTestExecutor(&limitedTarget{limit: 5, work: 100 * time.Millisecond})
+			offer(e, 50, 4*time.Second)
+			r := &exchanger.Request{
+				ID: "upload", Method: http.MethodPost, Service: "roster", Class: snapshotter.ClassBulk, Attempt: 1,
+				SoftDeadline: time.Now().Add(time.Second), Deadline: time.Now().Add(2 * time.Second),
+			}
+			assert.Assert(t, e.Precheck(r, 0) == nil)
+			a := e.Precheck(r, 10)
+			assert.Equal(t, a.Reason, exchanger.Reason(limiter.ReasonRateLimited))
+			assert.Assert(t, a.RetryAt.After(time.Now()))
+		})
+	})
 }
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -77,6 +77,11 @@
 	if !x.bodyHeld || x.request.Body == nil {
 		return nil
 	}
+	if check := x.forwarder.cfg.Precheck; check != nil {
+		if a := check(x.request, x.forwarder.bodyGate.Load().InFlight); a != nil {
+			return a
+		}
+	}
 	var waitGroup sync.WaitGroup
 	waitGroup.Go(func() {
 		// The first byte comes only after the body has been asked for, but the stream can end at any time.
--- a/internal/forwarder/admission_test.go
+++ b/internal/forwarder/admission_test.go
@@ -93,6 +93,19 @@
 			assert.Assert(t, bytes.Equal(got, long))
 		})
 	})
+	t.Run("a body whose request is known not to be served is not asked for", func(t *testing.T) {
+		runPair(t, func(t *testing.T, p *forwarderPair) {
+			p.precheck = func(*exchanger.Request, int) *exchanger.Answer {
+				return exchanger.NotRun(exchanger.Reason(limiter.ReasonRateLimited), nil)
+			}
+			body := newSlowBody(time.Second, "picture")
+			a, took := forwardTimed(t, p, uploadRequest("r-1", body, int64(len("picture"))))
+			assert.Equal(t, a.Outcome, retrier.OutcomeNotRun)
+			assert.Equal(t, a.Reason, exchanger.Reason(limiter.ReasonRateLimited))
+			assert.Assert(t, !body.wasRead.Load())
+			assert.Equal(t, took, time.Duration(0))
+		})
+	})
 	t.Run("few bodies are received at a time", func(t *testing.T) {
 		runPair(t, func(t *testing.T, p *forwarderPair) {
 			const sendTime = 200 * time.Millisecond
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -78,6 +78,10 @@
 	Open func(ctx context.Context, address string, traffic linker.Traffic, kind string, first proto.Message, limit int) (*linker.Stream, error)
 	// Execute runs a request of a peer on this host's target.
 	Execute func(ctx context.Context, r *exchanger.Request) *exchanger.Answer
+	// Precheck returns the refusal of a request that is already known not to be served,
+	// or nil. It is called before the request's body is asked for, with the number of
+	// bodies that are being received and so go before it; nil means that all requests may be served.
+	Precheck func(r *exchanger.Request, ahead int) *exchanger.Answer
 	// Refuse answers a request of a peer that is not run.
 	Refuse func(r *exchanger.Request, reason exchanger.Reason) *exchanger.Answer
 	// Tracker counts the requests of peers and refuses them while the node drains.
--- a/internal/forwarder/reuse_test.go
+++ b/internal/forwarder/reuse_test.go
@@ -25,8 +25,10 @@
 
 // forwarderPair is a forwarder and its peer, connected by linkers.
 type forwarderPair struct {
-	client  *Forwarder
-	tracker *drainer.Tracker
+	// precheck is the Precheck of the serving side; nil refuses nothing.
+	precheck func(r *exchanger.Request, ahead int) *exchanger.Answer
+	client   *Forwarder
+	tracker  *drainer.Tracker
 	// openedStreams counts the streams that the client has opened.
 	openedStreams atomic.Int32
 	// execute runs requests at the peer.
@@ -79,6 +81,12 @@
 		serving := New(Config{
 			Tracker: p.tracker,
 			Execute: func(ctx context.Context, r *exchanger.Request) *exchanger.Answer { return p.execute(ctx, r) },
+			Precheck: func(r *exchanger.Request, ahead int) *exchanger.Answer {
+				if p.precheck == nil {
+					return nil
+				}
+				return p.precheck(r, ahead)
+			},
 			Refuse: func(_ *exchanger.Request, reason exchanger.Reason) *exchanger.Answer {
 				return exchanger.NotRun(reason, nil)
 			},
--- a/internal/limiter/gate.go
+++ b/internal/limiter/gate.go
@@ -71,6 +71,20 @@
 	return g.enqueue(now, r, c)
 }
 
+// Precheck decides on a request that will be offered after the given number of others.
+// If refused is true, the rate limit would let it start too late even if it were
+// offered now.
+func (g *Gate) Precheck(now time.Time, r Request, ahead int) (d Decision, refused bool) {
+	g.resetChanges()
+	c := classOf(r.Class)
+	w := r.toWaiting()
+	ahead += g.queue.countAhead(c, &w)
+	if !g.bucket.availableAt(now, ahead).After(g.startBy(now, r, c)) {
+		return Decision{}, false
+	}
+	return g.refuse(now, r, ReasonRateLimited), true
+}
+
 // Done releases the slot of a request and returns the waiting requests that
 // start or end as a result. It does nothing for a request that holds no slot.
 func (g *Gate) Done(now time.Time, id uint64, res Result) Changes {
--- a/internal/limiter/sync_gate.go
+++ b/internal/limiter/sync_gate.go
@@ -69,6 +69,18 @@
 	return s.wait(ctx, r.ID, d.StartBy, ch)
 }
 
+// Precheck returns why a request that will ask for a slot after the given number of
+// others is known not to start in time, or nil.
+func (s *SyncGate) Precheck(r Request, ahead int) *RefusedError {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, refused := s.gate.Precheck(time.Now(), r, ahead)
+	if !refused {
+		return nil
+	}
+	return &RefusedError{Reason: d.Reason, RetryAfter: d.RetryAfter}
+}
+
 func (s *SyncGate) wait(ctx context.Context, id uint64, startBy time.Time, ch chan waitResult) (func(Result), error) {
 	timer := time.NewTimer(time.Until(startBy))
 	defer timer.Stop()
--- a/internal/receiver/mesh_test.go
+++ b/internal/receiver/mesh_test.go
@@ -147,7 +147,7 @@
 		Open: func(ctx context.Context, address string, traffic linker.Traffic, kind string, first proto.Message, limit int) (*linker.Stream, error) {
 			return n.open.Load().(openFunc)(ctx, address, traffic, kind, first, limit)
 		},
-		Execute: n.executor.Execute, Refuse: n.executor.Refuse, Tracker: n.tracker, Incarnation: 1,
+		Execute: n.executor.Execute, Refuse: n.executor.Refuse, Precheck: n.executor.Precheck, Tracker: n.tracker, Incarnation: 1,
 	})
 	n.linker.Handle(forwarder.Kind, fw.Handle)
 	n.receiver = New(Config{
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -44,7 +44,10 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{4, "a target got more requests than the rate limit that it stated"},
+	{203, "a restore of the store lost the objects of nodes for good"},
+}
 
 func TestSoak(t *testing.T) {
 	program := buildNode(t)
