Remember at the entry nodes which target has stated that it leaves

What callers would see: a request to a target that is about to exit.

Cause: what a target states in its answers was known only to the node beside it. After a restart that node believes the next announcement, and some targets go on announcing that they are ready after their leave, or announce late. The nodes that passed the answers on knew better and sent it requests all the same.

Change: an answer names the process of the target that states that it leaves, and each further request from that node to that host names it too. The target's node refuses when it is the current process, and counts it as leaving. A new process, also one with the same id, is not affected.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -91,6 +91,10 @@
 	CallerService string
 	// TargetID is the id of the process that must run the request; empty means any at the address.
 	TargetID string
+	// Leaving is the process of the target that it is sent to as far as that has stated in
+	// answers to this node that it leaves; nil when it has not. The target's own node may
+	// have restarted since and not know.
+	Leaving *TargetProcess
 	// MaxAttempts is how often the request may be sent; 0 means the retrier's default.
 	MaxAttempts int
 	// Depth is 1 for a request that no other request caused; at most MaxDepth.
@@ -131,6 +135,9 @@
 	// Report is what the process that was expected to run the request reports of itself;
 	// nil when the answer is not its own or is not from this node's target.
 	Report *TargetReport
+	// Leaving is the process of the target that states in this answer that it leaves; nil
+	// when it does not.
+	Leaving *TargetProcess
 	// TargetHost is the host whose target the request was sent to; empty when not known.
 	TargetHost string
 	// Load is the load of that target as counted by its own node; nil when not known.
@@ -141,6 +148,14 @@
 	Err error
 }
 
+// TargetProcess names a process of a target. It is comparable.
+type TargetProcess struct {
+	ID string
+	// Started is when the process started by its own report, in milliseconds since the
+	// Unix epoch; 0 when not reported.
+	Started int64
+}
+
 // TargetReport is what a target's process reports of itself in an answer.
 type TargetReport struct {
 	// IsLimited reports whether the target states a RateLimit.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -47,7 +47,7 @@
 	// deadline for this to count against the target; 0 means defaultBlameAfter.
 	BlameAfter time.Duration
 	// ReportLeaving is called when the process of the target answers that it is about to
-	// exit; nil means no call.
+	// exit, or another node knows that from an answer; nil means no call.
 	ReportLeaving func(t blackboard.Target)
 	// InitialRate is the state of the rate limit of a process of the target before its
 	// first answer: unknown where targets state limits in their answers, else unlimited.
@@ -86,7 +86,7 @@
 	draining   bool
 	readySince time.Time
 	// process is the process of the target that rate is of. Guarded by mu.
-	process process
+	process exchanger.TargetProcess
 	rate    statedRate
 	// leavingReported is set once process has stated that it leaves. Guarded by mu.
 	leavingReported bool
@@ -106,7 +106,7 @@
 		return e.Refuse(r, exchanger.ReasonKeyNotHere)
 	}
 	t := e.cfg.Target()
-	if reason := refusalReason(t, r.Service, time.Now()); reason != exchanger.ReasonNone {
+	if reason := e.refusalReason(t, r); reason != exchanger.ReasonNone {
 		e.logNotAdmitted(t, r, reason)
 		return e.Refuse(r, reason)
 	}
@@ -138,7 +138,7 @@
 		return nil
 	}
 	t := e.cfg.Target()
-	if reason := refusalReason(t, r.Service, time.Now()); reason != exchanger.ReasonNone {
+	if reason := e.refusalReason(t, r); reason != exchanger.ReasonNone {
 		e.logNotAdmitted(t, r, reason)
 		return e.Refuse(r, reason)
 	}
@@ -176,9 +176,22 @@
 // Idempotent requests need no key.
 func usesKey(r *exchanger.Request) bool { return r.IdempotencyKey != "" && !r.Idempotent }
 
-// refusalReason returns why the target takes no request of the service now, or
+// refusalReason returns why the target does not take the request now, or ReasonNone.
+// It reports that the target leaves if only the sender of the request knew that.
+func (e *Executor) refusalReason(t blackboard.Target, r *exchanger.Request) exchanger.Reason {
+	reason := phaseReason(t, r.Service, time.Now())
+	if reason != exchanger.ReasonNone || r.Leaving == nil || *r.Leaving != processOf(t) {
+		return reason
+	}
+	if e.cfg.ReportLeaving != nil {
+		e.cfg.ReportLeaving(t)
+	}
+	return exchanger.ReasonTargetDraining
+}
+
+// phaseReason returns why the target takes no request of the service now, or
 // ReasonNone.
-func refusalReason(t blackboard.Target, service string, now time.Time) exchanger.Reason {
+func phaseReason(t blackboard.Target, service string, now time.Time) exchanger.Reason {
 	switch {
 	case t.Record.Phase == "" || t.Record.Phase == blackboard.TargetNone:
 		return exchanger.ReasonNoTarget
@@ -236,6 +249,10 @@
 	}
 	a := e.cfg.Client.Dispatch(ctx, t.Address, r)
 	e.recordReport(t, started, a.Report)
+	if a.Report != nil && a.Report.Leaving {
+		leaving := processOf(t)
+		a.Leaving = &leaving
+	}
 	if a.Reason == exchanger.ReasonWrongTarget && e.cfg.ReportWrongTarget != nil {
 		e.cfg.ReportWrongTarget(a.TargetID)
 	}
@@ -320,7 +337,7 @@
 		e.gate = limiter.NewSyncGate(limits)
 		e.service, e.limits = s.Name, limits
 		e.draining, e.readySince = false, time.Time{}
-		e.process, e.rate, e.leavingReported = process{}, statedRate{}, false
+		e.process, e.rate, e.leavingReported = exchanger.TargetProcess{}, statedRate{}, false
 	}
 	if e.limits != limits {
 		e.gate.SetLimits(limits)
--- a/internal/executor/report.go
+++ b/internal/executor/report.go
@@ -11,15 +11,10 @@
 	"gentianbarrow.example/internal/logger"
 )
 
-// process identifies a process of the target.
-type process struct {
-	id string
-	// started is when it started, as in blackboard.Target.
-	started int64
+func processOf(t blackboard.Target) exchanger.TargetProcess {
+	return exchanger.TargetProcess{ID: t.ID, Started: t.Started}
 }
 
-func processOf(t blackboard.Target) process { return process{id: t.ID, started: t.Started} }
-
 // statedRate is the rate limit that the target's process states in its answers.
 type statedRate struct {
 	rate limiter.Rate
--- a/internal/executor/report_test.go
+++ b/internal/executor/report_test.go
@@ -51,3 +51,38 @@
 		assert.DeepEqual(t, left, map[string]int{"i-1": 1})
 	})
 }
+
+// TestRestartedNodeSendsWorkToLeavingTarget guards against a node that has restarted
+// since its target stated that it leaves, and takes a late announcement of the target
+// for a sign that it accepts work. Nodes that passed on such an answer remember it.
+func TestRestartedNodeSendsWorkToLeavingTarget(t *testing.T) {
+	request := func(leaving *exchanger.TargetProcess) *exchanger.Request {
+		return &exchanger.Request{
+			Method: http.MethodGet, Service: "roster", Class: snapshotter.ClassShort, Attempt: 1,
+			Deadline: time.Now().Add(time.Second), Leaving: leaving,
+		}
+	}
+	for name, c := range map[string]struct {
+		leaving *exchanger.TargetProcess
+		want    exchanger.Reason
+	}{
+		"the process that the sender knows to leave": {&exchanger.TargetProcess{ID: "i-1"}, exchanger.ReasonTargetDraining},
+		"an earlier process with the same id":        {&exchanger.TargetProcess{ID: "i-1", Started: 7}, exchanger.ReasonNone},
+		"another process":                            {&exchanger.TargetProcess{ID: "i-2"}, exchanger.ReasonNone},
+		"none":                                       {nil, exchanger.ReasonNone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newTestExecutor(&limitedTarget{limit: -1})
+				reported := false
+				e.cfg.ReportLeaving = func(blackboard.Target) { reported = true }
+				a := e.Execute(context.Background(), request(c.leaving))
+				a.Close()
+				assert.Equal(t, a.Reason, c.want)
+				assert.Equal(t, reported, c.want != exchanger.ReasonNone)
+				refusal := e.Precheck(request(c.leaving), 0)
+				assert.Equal(t, refusal != nil, c.want != exchanger.ReasonNone)
+			})
+		})
+	}
+}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -279,3 +279,20 @@
 		assert.Assert(t, cap(c.buf) <= encoder.MaxChunkBytes)
 	})
 }
+
+func TestLeavingTargetPassesBetweenNodes(t *testing.T) {
+	leaving := &exchanger.TargetProcess{ID: "i-1", Started: 1_800_000_000_000}
+	runPair(t, func(t *testing.T, p *forwarderPair) {
+		p.execute = func(ctx context.Context, r *exchanger.Request) *exchanger.Answer {
+			assert.DeepEqual(t, r.Leaving, leaving)
+			a := echoID(ctx, r)
+			a.Leaving = leaving
+			return a
+		}
+		r := testRequest()
+		r.Leaving = leaving
+		a := p.client.Forward(t.Context(), "peer", r)
+		defer a.Close()
+		assert.DeepEqual(t, a.Leaving, leaving)
+	})
+}
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -31,10 +31,24 @@
 		IdempotencyKey: r.IdempotencyKey, Recall: r.LookupOnly,
 		ContentLength: r.ContentLength, ConfigVersion: r.ConfigVersion,
 		CallerService: r.CallerService, Priority: uint32(r.Priority), AimMicro: softDeadlineMicros(r), NoWait: r.NoWait,
-		HoldsBody: holdsBody(r),
+		HoldsBody: holdsBody(r), Leaving: encodeProcess(r.Leaving),
 	}
 }
 
+func encodeProcess(p *exchanger.TargetProcess) *wirepb.TargetProcess {
+	if p == nil {
+		return nil
+	}
+	return &wirepb.TargetProcess{Id: p.ID, Started: p.Started}
+}
+
+func decodeProcess(m *wirepb.TargetProcess) *exchanger.TargetProcess {
+	if m == nil {
+		return nil
+	}
+	return &exchanger.TargetProcess{ID: m.GetId(), Started: m.GetStarted()}
+}
+
 // softDeadlineMicros returns the time until the soft deadline in microseconds. It is at least 1 if
 // there is a soft deadline, and 0 if there is none.
 func softDeadlineMicros(r *exchanger.Request) int64 {
@@ -58,6 +72,7 @@
 		IdempotencyKey: m.GetIdempotencyKey(), LookupOnly: m.GetRecall(),
 		ContentLength: m.GetContentLength(), ConfigVersion: m.GetConfigVersion(),
 		CallerService: m.GetCallerService(), Priority: int(m.GetPriority()), NoWait: m.GetNoWait(),
+		Leaving: decodeProcess(m.GetLeaving()),
 	}
 	if micros := m.GetAimMicro(); micros > 0 {
 		r.SoftDeadline = now.Add(time.Duration(min(micros, maxDeadlineAhead.Microseconds())) * time.Microsecond)
@@ -127,6 +142,7 @@
 func encodeAnswer(r *exchanger.Request, a *exchanger.Answer, incarnation uint64) *wirepb.ForwardResponse {
 	m := &wirepb.ForwardResponse{
 		RequestId: r.ID, Outcome: string(a.Outcome), Reason: string(a.Reason), Target: a.TargetHost,
+		Leaving: encodeProcess(a.Leaving),
 	}
 	if !a.RetryAt.IsZero() {
 		m.RetryAfterMicro = remainingMicros(a.RetryAt)
@@ -149,6 +165,7 @@
 	a := &exchanger.Answer{
 		Outcome: retrier.Outcome(m.GetOutcome()), Reason: exchanger.Reason(m.GetReason()),
 		TargetHost: m.GetTarget(), Load: encoder.DecodeLoad(m.GetLoad()),
+		Leaving: decodeProcess(m.GetLeaving()),
 	}
 	if micros := m.GetRetryAfterMicro(); micros > 0 && micros < maxDeadlineAhead.Microseconds() {
 		a.RetryAt = now.Add(time.Duration(micros) * time.Microsecond)
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -155,7 +155,7 @@
 	if body != nil {
 		request.Body = body
 	}
-	rc.recordStart(t.host)
+	request.Leaving = rc.recordStart(t.host)
 	start := time.Now()
 	a := r.deliver(ctx, t, &request)
 	if a.TargetHost == "" && a.Outcome != retrier.OutcomeNotRun {
@@ -177,17 +177,25 @@
 	return cfg.Forward(ctx, t.address, request)
 }
 
-// recordStart counts an attempt that starts at a host.
-func (rc *Receiver) recordStart(host string) {
+// recordStart counts an attempt that starts at a host and returns the process of its
+// target that is known to leave, or nil.
+func (rc *Receiver) recordStart(host string) *exchanger.TargetProcess {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
 	rc.balancer.RecordStart(time.Now(), host)
+	if l, known := rc.leaving[host]; known {
+		return &l.process
+	}
+	return nil
 }
 
 // recordResult passes the result of an attempt to the balancer, the retry budget and the statistics.
 func (rc *Receiver) recordResult(r *exchanger.Request, host string, a *exchanger.Answer, took time.Duration) {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
+	if a.Leaving != nil {
+		rc.leaving[host] = leavingTarget{process: *a.Leaving, forgetAt: time.Now().Add(targetExpiry)}
+	}
 	rc.balancer.RecordResult(time.Now(), r.Service, host, router.Result{
 		Outcome: a.Outcome, Class: r.Class, Route: r.Route, Latency: took, Load: a.Load, RetryAfter: a.RetryAt,
 		Cancelled: a.Reason == exchanger.ReasonCancelled || a.Reason == exchanger.ReasonDeadline,
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -73,10 +74,20 @@
 	splits map[string]*split
 	// stats are reset when idle targets of balancer are dropped. Guarded by mu.
 	stats *routeStats
+	// leaving holds, by host, the target's process whose answers stated that it leaves.
+	// Guarded by mu.
+	leaving map[string]leavingTarget
 	// nextExpiry is when idle targets of balancer are next dropped. Guarded by mu.
 	nextExpiry time.Time
 }
 
+// leavingTarget is a target's process that leaves.
+type leavingTarget struct {
+	process exchanger.TargetProcess
+	// forgetAt is when the process has surely exited.
+	forgetAt time.Time
+}
+
 // targetExpiry is how long the balancer keeps a target from which no answer comes.
 const targetExpiry = 10 * time.Minute
 
@@ -92,6 +103,7 @@
 	return &Receiver{
 		cfg: cfg, balancer: router.New(), rnd: rand.New(rand.NewPCG(seed, seed)),
 		budgets: map[string]*retrier.Budget{}, splits: map[string]*split{}, stats: newRouteStats(),
+		leaving: map[string]leavingTarget{},
 	}
 }
 
@@ -140,4 +152,5 @@
 	rc.nextExpiry = now.Add(targetExpiry)
 	rc.balancer.ForgetIdle(now.Add(-targetExpiry))
 	rc.stats = newRouteStats()
+	maps.DeleteFunc(rc.leaving, func(_ string, l leavingTarget) bool { return now.After(l.forgetAt) })
 }
