Name few things better after a read of the change

A hedge that must not wait is refused as before, and reserves no time to return. An answer of the platform without its era does not count as one of another era. The metric of requests to the target says what its label counts.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -277,7 +277,7 @@
 	e.cfg.Log.WriteRequest(logger.RequestNotAdmitted, logger.Fields{
 		RequestID: r.ID, Service: r.Service, Route: r.Route, Reason: string(reason), Version: r.ConfigVersion, Target: t.ID,
 		Load: fmt.Sprintf("%d running, %d waiting, %d slots, %s a request, limit %s; %s, announced %s ago", load.InFlight, load.Queued,
-			load.Slots, load.Service.Round(time.Millisecond), e.formatRate(), t.Record.Phase, now.Sub(t.AnnouncedAt).Round(time.Millisecond)),
+			load.Slots, load.Service.Round(time.Millisecond), formatRate(e.currentRate()), t.Record.Phase, now.Sub(t.AnnouncedAt).Round(time.Millisecond)),
 		DurationMillis: 0, RemainingMillis: max(r.Deadline.Sub(now).Milliseconds(), 1),
 	})
 }
--- a/internal/executor/report.go
+++ b/internal/executor/report.go
@@ -36,6 +36,7 @@
 	}
 }
 
+// formatRate describes a rate limit for logs.
 func formatRate(r limiter.Rate) string {
 	switch r.State {
 	case limiter.RateLimited:
@@ -46,11 +47,11 @@
 	return string(r.State)
 }
 
-// formatRate describes the current limit for logs.
-func (e *Executor) formatRate() string {
+// currentRate returns the rate limit of the target's current process.
+func (e *Executor) currentRate() limiter.Rate {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return formatRate(e.rate.rate)
+	return e.rate.rate
 }
 
 // recordReport applies what the target's process t reports in the answer to a request
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -115,7 +115,7 @@
 	// ReasonWaitedTooLong means that the request exceeded, or would exceed, its wait limit.
 	ReasonWaitedTooLong Reason = "waited-too-long"
 	// ReasonRateLimited means that the rate limit of the target does not let the request
-	// start in time, or that the request must not wait.
+	// start in time.
 	ReasonRateLimited Reason = "rate-limited"
 	// ReasonDraining means that the target accepts no new requests.
 	ReasonDraining Reason = "draining"
--- a/internal/limiter/rate.go
+++ b/internal/limiter/rate.go
@@ -36,7 +36,7 @@
 // takes a token, and tokens come at the rate of the limit.
 type tokenBucket struct {
 	rate Rate
-	// tokens at updatedAt; below 0 after requests that did not wait for a token.
+	// tokens at updatedAt, from 0 to burst.
 	tokens    float64
 	updatedAt time.Time
 	// returns holds, by priority, the time that was last named to a refused request for
--- a/internal/limiter/wait.go
+++ b/internal/limiter/wait.go
@@ -28,8 +28,6 @@
 func (g *Gate) enqueue(now time.Time, r Request, c class) Decision {
 	startBy := g.startBy(now, r, c)
 	switch {
-	case r.NoWait && g.bucket.isLimited():
-		return g.refuse(now, r, ReasonRateLimited)
 	case r.NoWait:
 		return g.refuse(now, r, ReasonQueueFull)
 	case g.rateStart(now, c, r.toWaiting()).After(startBy):
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -53,7 +53,7 @@
 	}
 	targetRequests = Metric{
 		Name: "gentian_target_requests_total", Labels: []string{"attempt"},
-		Help: "Requests that this node sent to the target on its host. The attempt is first, or repeat for retries and hedges.",
+		Help: "Requests that this node sent to the target on its host. The attempt is first, or repeat if the request was sent to another host before, even if that refused it.",
 	}
 	targetRateLimit = Metric{
 		Name: "gentian_target_rate_limit",
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -122,7 +122,7 @@
 	}
 	f.failures = 0
 	f.logHistory(changes)
-	if f.hasScanned && changes.Era != f.era {
+	if f.hasScanned && changes.Era != 0 && changes.Era != f.era {
 		// The answer starts from a revision of another history and may lack changes.
 		f.hasScanned = false
 		return
