Confirm a node's object in a later era whatever kind was read in it

A node that watches reads the configuration within a second of a restore, and the list of nodes when its call of up to 20 s ends. It took the era from the first, so it no longer confirmed its object when others told it the same era, and saw only by the second that it was missing.

TestNodeObjectAfterRestore failed before in the case that this node reads a later era (no effect).

--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -94,7 +94,7 @@
 		}
 		return s, confirmation(&s, 1)
 	case blackboard.PlatformEraRead:
-		s.Enrolment.Era = max(s.Enrolment.Era, msg.Era)
+		return noteEra(s, msg.Era)
 	case blackboard.NodeUpdated:
 		return noteEra(s, msg.PlatformEra)
 	case blackboard.LeaveRequested:
@@ -109,8 +109,8 @@
 	return s, nil
 }
 
-// noteEra applies an era that another node knows of. In one that follows another,
-// this node's object may be gone. A node that reads the list itself sees that there.
+// noteEra applies an era that this node or another one has read. In one that follows
+// another, this node's object may be gone.
 func noteEra(s blackboard.State, era uint64) (blackboard.State, []blackboard.Effect) {
 	before := s.Enrolment.Era
 	if era <= before {
