Observe other data centres by few streams in place of a full mesh

Cause: every node kept a stream to every other one. At 196 machines these were 38,000, most of them between data centres; each brought the list of known nodes at the start, an update a second, and every node's version.

Change: a node subscribes to the nodes of its own data centre only. The first three of a data centre each keep one stream to a node of every other one, receive its view of its data centre, and pass it on in their own streams. Members of other data centres follow from the newest state among the views. At most three streams of a node ask for the known nodes.

Ruled out: streams to the targets that a node's target calls (callers' requests for all services enter everywhere); the gossip and summaries of our own API (a summary holds a sample of hosts without their state, too little to choose by).

--- a/internal/blackboard/message_node.go
+++ b/internal/blackboard/message_node.go
@@ -48,7 +48,9 @@
 	PlatformLost bool
 	// PlatformEra is the greatest era of the platform that the node knows of; 0 when none.
 	PlatformEra uint64
-	Now         time.Time
+	// Order is the position of the state among those that the node has published.
+	Order uint64
+	Now   time.Time
 }
 
 // PlatformEraRead reports the era of the platform in an answer to this node.
--- a/internal/blackboard/state.go
+++ b/internal/blackboard/state.go
@@ -126,6 +126,9 @@
 	LinkMbit int
 	// PlatformLost is true when the member reports that it cannot reach the platform.
 	PlatformLost bool
+	// Order is the position of the state among those that the member has published in its
+	// incarnation. Only the subscriber sets it.
+	Order uint64
 }
 
 // TargetPhase is the phase of a target.
@@ -174,6 +177,21 @@
 	// Records holds the records of the members of ByHost in host order. Only the
 	// subscriber maintains it. Read-only; replaced on change.
 	Records []NodeRecord
+	// Changes counts the changes of ByHost by the subscriber.
+	Changes uint64
+	// Views holds what nodes report of the other data centres. The members of ByHost in
+	// those data centres follow from it. Read-only; replaced on change.
+	Views map[ViewKey]View
+	// ViewChanges counts the changes of the views whose source is this node.
+	ViewChanges uint64
+	// Observed holds the other data centres that this node observes for its own, so that
+	// the others of its data centre need no stream there. Read-only; replaced on change.
+	Observed map[string]bool
+	// ObserveAt is when a node that has just started may begin to observe; zero before the first tick.
+	ObserveAt time.Time
+	// UnobserveAt is when a node that is no longer among the first of its data centre
+	// stops observing; zero while it is among them.
+	UnobserveAt time.Time
 	// Remote holds the summaries of the other data centres by data centre. Read-only; replaced on change.
 	Remote map[string]DataCentreSummary
 	// Gossip is the state of the membership protocol; nil before the first message. Read-only; replaced on change.
--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -98,7 +98,8 @@
 	open := func(kind string) func(context.Context, string) (*linker.Stream, error) { return n.openStream(kind) }
 	nodes := subscriber.New(subscriber.Config{
 		Self: n.nodeRecord(), Incarnation: n.self.Incarnation, Open: open(subscriber.StreamKind),
-		Post: func(m blackboard.Msg) { n.board.Post(m) }, Log: n.log,
+		State: func() *blackboard.State { return n.board.Read() },
+		Post:  func(m blackboard.Msg) { n.board.Post(m) }, Log: n.log,
 		Load: n.targetLoad, OnLoad: n.receiver.RecordLoad,
 	})
 	reader := platform.ConfigReader{RetryPercent: a.bounds.RetryPercent}
--- a/internal/poller/watch_policy.go
+++ b/internal/poller/watch_policy.go
@@ -60,7 +60,7 @@
 func IsWatcher(s *blackboard.State) bool {
 	watchersBefore, lostBefore := 0, 0
 	for host, m := range s.Members.ByHost {
-		if m.DataCentre != s.Self.DataCentre || m.Status != blackboard.MemberAlive || !precedes(host, m.LinkMbit, &s.Self) {
+		if m.DataCentre != s.Self.DataCentre || m.Status != blackboard.MemberAlive || !Precedes(host, m.LinkMbit, &s.Self) {
 			continue
 		}
 		if m.PlatformLost {
@@ -72,8 +72,9 @@
 	return watchersBefore < maxWatchers && watchersBefore+lostBefore < maxWatchers+maxSubstitutes
 }
 
-// precedes reports whether another node comes before this one in the order of watchers.
-func precedes(host string, linkMbit int, self *blackboard.Self) bool {
+// Precedes reports whether another node comes before this one in the order in which the
+// nodes of a data centre take on work for the others.
+func Precedes(host string, linkMbit int, self *blackboard.Self) bool {
 	if linkMbit != self.LinkMbit {
 		return linkMbit > self.LinkMbit
 	}
--- /dev/null
+++ b/internal/subscriber/observe.go
@@ -0,0 +1,242 @@
+package subscriber
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/encoder"
+	"gentianbarrow.example/internal/poller"
+	"gentianbarrow.example/internal/wirepb"
+)
+
+const (
+	// maxObservers is how many nodes of a data centre observe the others, so that two
+	// of them may fail at once.
+	maxObservers = 3
+	// observeDelay is how long a node that starts gives itself to find the nodes of its data
+	// centre, so that not all nodes observe when many start together.
+	observeDelay = 1200 * time.Millisecond
+	// unobserveDelay is how long a node goes on observing after others have come before
+	// it, so that these have views by then.
+	unobserveDelay = 3 * time.Second
+	// observeTimeout bounds the time to open a stream to a node of another data centre.
+	observeTimeout = 500 * time.Millisecond
+	// observeRetryDelay is the pause after a node of another data centre could not be observed.
+	observeRetryDelay = 100 * time.Millisecond
+	// viewInterval is the longest time between two messages on a stream to an observer.
+	// Together with viewSilenceTimeout and viewHold it makes a data centre that is cut off
+	// count as unreachable as early as a single node does.
+	viewInterval = 500 * time.Millisecond
+	// viewSilenceTimeout is how long an observed node may send nothing before another is observed.
+	viewSilenceTimeout = 1500 * time.Millisecond
+)
+
+// NoViewError reports that an observed node sent no view of its data centre first.
+type NoViewError struct{ Host string }
+
+func (e *NoViewError) Error() string {
+	return fmt.Sprintf("node %s sent no view of its data centre", e.Host)
+}
+
+// chooseObservations starts and ends observations so that this node observes all other
+// data centres while it is one of the first of its own.
+func chooseObservations(s blackboard.State, now time.Time) (blackboard.State, []blackboard.Effect) {
+	if s.Members.ObserveAt.IsZero() {
+		s.Members.ObserveAt = now.Add(observeDelay)
+	}
+	if now.Before(s.Members.ObserveAt) {
+		return s, nil
+	}
+	switch {
+	case isObserver(&s):
+		s.Members.UnobserveAt = time.Time{}
+		return startObservations(s)
+	case len(s.Members.Observed) == 0:
+		return s, nil
+	case s.Members.UnobserveAt.IsZero():
+		s.Members.UnobserveAt = now.Add(unobserveDelay)
+		return s, nil
+	case now.Before(s.Members.UnobserveAt):
+		return s, nil
+	}
+	return endObservations(s, now)
+}
+
+// isObserver reports whether fewer than maxObservers live nodes of this data centre come before this one.
+func isObserver(s *blackboard.State) bool {
+	before := 0
+	for host, m := range s.Members.ByHost {
+		if m.DataCentre == s.Self.DataCentre && m.Status == blackboard.MemberAlive && poller.Precedes(host, m.LinkMbit, &s.Self) {
+			before++
+		}
+	}
+	return before < maxObservers
+}
+
+func startObservations(s blackboard.State) (blackboard.State, []blackboard.Effect) {
+	var effects []blackboard.Effect
+	observed := s.Members.Observed
+	for _, m := range s.Members.ByHost {
+		if m.DataCentre == s.Self.DataCentre || observed[m.DataCentre] {
+			continue
+		}
+		if len(effects) == 0 {
+			observed = maps.Clone(observed)
+			if observed == nil {
+				observed = map[string]bool{}
+			}
+		}
+		observed[m.DataCentre] = true
+		effects = append(effects, observe{dataCentre: m.DataCentre})
+	}
+	s.Members.Observed = observed
+	return s, effects
+}
+
+func endObservations(s blackboard.State, now time.Time) (blackboard.State, []blackboard.Effect) {
+	var effects []blackboard.Effect
+	for dataCentre := range s.Members.Observed {
+		key := blackboard.ViewKey{Source: s.Self.Host, DataCentre: dataCentre}
+		s = interruptView(s, blackboard.ViewInterrupted{ViewKey: key, Now: now})
+		effects = append(effects, unobserve{dataCentre: dataCentre})
+	}
+	s.Members.Observed, s.Members.UnobserveAt = nil, time.Time{}
+	return s, effects
+}
+
+// observe keeps a stream to some node of another data centre open until the observation ends.
+func (sub *Subscriber) observe(ctx context.Context, dataCentre string, post blackboard.Post) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sub.startObservation(dataCentre, cancel)
+	key := blackboard.ViewKey{Source: sub.cfg.Self.Host, DataCentre: dataCentre}
+	failures := map[string]int{}
+	for ctx.Err() == nil {
+		source, found := sub.chooseSource(dataCentre, failures)
+		if !found {
+			poller.Sleep(ctx, observeRetryDelay)
+			continue
+		}
+		received, _ := sub.receiveView(ctx, key, source, post)
+		if ctx.Err() != nil {
+			return
+		}
+		post(blackboard.ViewInterrupted{ViewKey: key, Now: sub.cfg.Now()})
+		if received {
+			clear(failures)
+		}
+		failures[source.Host]++
+		if !received {
+			poller.Sleep(ctx, observeRetryDelay)
+		}
+	}
+}
+
+func (sub *Subscriber) startObservation(dataCentre string, cancel context.CancelFunc) {
+	sub.mu.Lock()
+	defer sub.mu.Unlock()
+	if earlier, ok := sub.observations[dataCentre]; ok {
+		earlier()
+	}
+	sub.observations[dataCentre] = cancel
+}
+
+func (sub *Subscriber) endObservation(dataCentre string) {
+	sub.mu.Lock()
+	defer sub.mu.Unlock()
+	if cancel, ok := sub.observations[dataCentre]; ok {
+		cancel()
+		delete(sub.observations, dataCentre)
+	}
+}
+
+// chooseSource returns the node of a data centre to observe next: one that failed least
+// often, that is alive, and by a hash that spreads the observers over the nodes.
+func (sub *Subscriber) chooseSource(dataCentre string, failures map[string]int) (blackboard.Member, bool) {
+	var best blackboard.Member
+	found := false
+	for _, m := range sub.cfg.State().Members.ByHost {
+		if m.DataCentre != dataCentre {
+			continue
+		}
+		if !found || sub.compareSources(m, best, failures) < 0 {
+			best, found = m, true
+		}
+	}
+	return best, found
+}
+
+func (sub *Subscriber) compareSources(a, b blackboard.Member, failures map[string]int) int {
+	return cmp.Or(
+		cmp.Compare(failures[a.Host], failures[b.Host]),
+		cmp.Compare(lifeRank(a), lifeRank(b)),
+		cmp.Compare(sub.sourceHash(a.Host), sub.sourceHash(b.Host)),
+		strings.Compare(a.Host, b.Host),
+	)
+}
+
+func lifeRank(m blackboard.Member) int {
+	if m.Status == blackboard.MemberAlive {
+		return 0
+	}
+	return 1
+}
+
+func (sub *Subscriber) sourceHash(host string) uint64 {
+	return xxhash.Sum64String(sub.cfg.Self.Host + " " + host)
+}
+
+// receiveView posts what a node of another data centre reports of it until the stream
+// ends. It reports whether a view was received.
+func (sub *Subscriber) receiveView(ctx context.Context, key blackboard.ViewKey, source blackboard.Member, post blackboard.Post) (received bool, err error) {
+	openCtx, cancel := context.WithTimeout(ctx, observeTimeout)
+	defer cancel()
+	s, err := sub.cfg.Open(openCtx, source.Address)
+	if err != nil {
+		return false, err
+	}
+	defer s.Abort()
+	stop := context.AfterFunc(ctx, s.Abort)
+	defer stop()
+	request := &wirepb.SubscribeRequest{Self: encodeRecord(sub.cfg.Self), Host: source.Host, WantsDataCentre: true}
+	release := sub.askForKnown(request)
+	defer release()
+	if err := encoder.Write(s, request, encoder.MaxControlBytes); err != nil {
+		return false, err
+	}
+	decoder := newViewDecoder()
+	for {
+		if err := s.SetReadDeadline(time.Now().Add(viewSilenceTimeout)); err != nil {
+			return received, err
+		}
+		var m wirepb.NodeUpdate
+		if err := encoder.Read(s.Reader, &m, encoder.MaxControlBytes); err != nil {
+			return received, err
+		}
+		if m.GetHost() != "" && m.GetHost() != source.Host {
+			return received, &HostMismatchError{Want: source.Host, Got: m.GetHost()}
+		}
+		isView := func(v *wirepb.DataCentreView) bool { return v.GetDataCentre() == key.DataCentre }
+		if !received && !slices.ContainsFunc(m.GetViews(), isView) {
+			return false, &NoViewError{Host: source.Host}
+		}
+		received = true
+		sub.postKnown(&m, post)
+		for _, v := range m.GetViews() {
+			if isView(v) {
+				post(decoder.decode(key, v, sub.cfg.Now()))
+			}
+		}
+		if m.GetHost() != "" {
+			post(sub.decodeUpdate(&m))
+		}
+	}
+}
--- a/internal/subscriber/stream.go
+++ b/internal/subscriber/stream.go
@@ -7,11 +7,8 @@
 	"net"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/encoder"
-	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/poller"
 	"gentianbarrow.example/internal/wirepb"
@@ -34,24 +31,6 @@
 	return fmt.Sprintf("node at the address is %q, not %q", e.Got, e.Want)
 }
 
-// targetStates maps the phases of targets to their values on the wire.
-var targetStates = map[blackboard.TargetPhase]wirepb.TargetState{
-	blackboard.TargetNone:     wirepb.TargetState_TARGET_STATE_NONE,
-	blackboard.TargetCold:     wirepb.TargetState_TARGET_STATE_COLD,
-	blackboard.TargetReady:    wirepb.TargetState_TARGET_STATE_READY,
-	blackboard.TargetDraining: wirepb.TargetState_TARGET_STATE_DRAINING,
-	blackboard.TargetFailed:   wirepb.TargetState_TARGET_STATE_FAILED,
-}
-
-func targetPhase(state wirepb.TargetState) blackboard.TargetPhase {
-	for phase, s := range targetStates {
-		if s == state {
-			return phase
-		}
-	}
-	return blackboard.TargetNone
-}
-
 // maintainStream keeps a stream to a node open until another effect replaces or ends it.
 // It stops when another node answers at the address.
 func (sub *Subscriber) maintainStream(ctx context.Context, e subscribe, post blackboard.Post) {
@@ -121,11 +100,15 @@
 	defer s.Abort()
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
-	current, _ := sub.current()
-	request := &wirepb.SubscribeRequest{Self: encodeRecord(sub.cfg.Self), Host: e.host, WantsKnown: !current.state.Listed}
+	request := &wirepb.SubscribeRequest{Self: encodeRecord(sub.cfg.Self), Host: e.host}
+	release := sub.askForKnown(request)
+	defer release()
 	if err := encoder.Write(s, request, encoder.MaxControlBytes); err != nil {
 		return false, err
 	}
+	// Views that an earlier stream brought are not continued by this one.
+	post(blackboard.ViewInterrupted{ViewKey: blackboard.ViewKey{Source: e.host}, Now: sub.cfg.Now()})
+	views := newViewDecoder()
 	var latest blackboard.NodeUpdated
 	for {
 		if err := s.SetReadDeadline(time.Now().Add(silenceTimeout)); err != nil {
@@ -142,113 +125,31 @@
 			return received, &HostMismatchError{Want: e.host, Got: m.GetHost()}
 		}
 		received = true
-		if known := decodeRecords(m.GetKnown()); len(known) > 0 {
-			post(blackboard.NodesFound{Nodes: known, Now: sub.cfg.Now()})
-		}
+		sub.postKnown(&m, post)
 		if l := encoder.DecodeLoad(m.GetLoad()); l != nil {
 			sub.cfg.OnLoad(e.host, latest.Target.Service, *l)
 		}
 		latest.Now = sub.cfg.Now()
 		post(latest)
-	}
-}
-
-func (sub *Subscriber) decodeUpdate(m *wirepb.NodeUpdate) blackboard.NodeUpdated {
-	return blackboard.NodeUpdated{
-		Host: m.GetHost(), Incarnation: m.GetIncarnation(), Draining: m.GetDraining(), Version: m.GetVersion(),
-		Target: blackboard.TargetRecord{
-			Service: m.GetService(), Phase: targetPhase(m.GetTarget()), Slots: int(m.GetSlots()), Revision: m.GetRevision(),
-		},
-		PlatformLost: m.GetPlatformLost(), PlatformEra: m.GetPlatformEra(),
-	}
-}
-
-// Serve sends this node's updates to a subscriber until the stream ends.
-func (sub *Subscriber) Serve(ctx context.Context, s *linker.Stream) {
-	var request wirepb.SubscribeRequest
-	if s.SetReadDeadline(time.Now().Add(openTimeout)) != nil {
-		return
-	}
-	if err := encoder.Read(s.Reader, &request, encoder.MaxControlBytes); err != nil {
-		return
-	}
-	if request.GetHost() == sub.cfg.Self.Host {
-		self := decodeRecords([]*wirepb.NodeRecord{request.GetSelf()})
-		sub.cfg.Post(blackboard.NodesFound{Nodes: self, SelfReported: true, Now: sub.cfg.Now()})
-	}
-	stop := context.AfterFunc(ctx, s.Abort)
-	defer stop()
-	var sentHosts map[string]bool
-	if request.GetWantsKnown() {
-		sentHosts = map[string]bool{request.GetSelf().GetHost(): true}
-	}
-	sameDataCentre := request.GetSelf().GetDataCentre() == sub.cfg.Self.DataCentre
-	sub.sendUpdates(ctx, s, sentHosts, sameDataCentre)
-}
-
-// sendUpdates writes updates until the stream ends. The keys of sentHosts are the hosts
-// that the subscriber already knows from this node; nil means that it wants no
-// node records. Only a subscriber in the same data centre also receives the
-// target's load, because traffic between data centres is expensive.
-func (sub *Subscriber) sendUpdates(ctx context.Context, s *linker.Stream, sentHosts map[string]bool, sameDataCentre bool) {
-	ticker := time.NewTicker(updateInterval)
-	defer ticker.Stop()
-	current, changed := sub.current()
-	latest := sub.encodeUpdate(current, sentHosts)
-	for update := latest; ; {
-		if err := writeUpdate(s, update); err != nil {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-			current, changed = sub.current()
-			update = sub.encodeUpdate(current, sentHosts)
-			if proto.Equal(update, latest) {
-				update = nil
-				continue
-			}
-			latest = update
-		case <-ticker.C:
-			update = &wirepb.NodeUpdate{Load: sub.loadUpdate(sameDataCentre)}
+		for _, v := range m.GetViews() {
+			post(views.decode(blackboard.ViewKey{Source: e.host, DataCentre: v.GetDataCentre()}, v, latest.Now))
 		}
 	}
 }
 
-// loadUpdate returns the target's load for a subscriber, or nil when the subscriber is
-// in another data centre or the load is unknown.
-func (sub *Subscriber) loadUpdate(sameDataCentre bool) *wirepb.TargetLoad {
-	l, known := sub.cfg.Load()
-	if !sameDataCentre || !known {
-		return nil
+// askForKnown sets the request to ask for the nodes that the other node knows, if this
+// node needs them. The returned function must be called when the stream ends.
+func (sub *Subscriber) askForKnown(request *wirepb.SubscribeRequest) (release func()) {
+	current, _, _ := sub.current(false)
+	if current.state.Listed {
+		return func() {}
 	}
-	return encoder.EncodeLoad(l, sub.cfg.Incarnation)
+	request.WantsKnown = sub.knownStreams.Add(1) <= maxKnownStreams
+	return func() { sub.knownStreams.Add(-1) }
 }
 
-// writeUpdate sends an update; a nil update sends nothing.
-func writeUpdate(s *linker.Stream, update *wirepb.NodeUpdate) error {
-	if update == nil {
-		return nil
-	}
-	if err := s.SetWriteDeadline(time.Now().Add(silenceTimeout)); err != nil {
-		return err
-	}
-	return encoder.Write(s, update, encoder.MaxControlBytes)
-}
-
-func (sub *Subscriber) encodeUpdate(current publishedState, sentHosts map[string]bool) *wirepb.NodeUpdate {
-	t := &current.state.Target
-	m := &wirepb.NodeUpdate{
-		Host: sub.cfg.Self.Host, Incarnation: sub.cfg.Incarnation, Draining: current.state.Draining, Version: current.state.Version,
-		Service: t.Service, Target: targetStates[t.Phase], Slots: uint32(t.Slots), Revision: t.Revision, PlatformLost: current.state.PlatformLost,
-		PlatformEra: current.state.PlatformEra,
-	}
-	for _, n := range current.known {
-		if sentHosts != nil && !sentHosts[n.Host] {
-			sentHosts[n.Host] = true
-			m.Known = append(m.Known, encodeRecord(n))
-		}
+func (sub *Subscriber) postKnown(m *wirepb.NodeUpdate, post blackboard.Post) {
+	if known := decodeRecords(m.GetKnown()); len(known) > 0 {
+		post(blackboard.NodesFound{Nodes: known, Now: sub.cfg.Now()})
 	}
-	return m
 }
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -1,8 +1,18 @@
-// Package subscriber tracks the other nodes of the mesh over direct streams. It
-// owns the blackboard's entry Members where every node subscribes to every other
-// one. A node streams its own state to its subscribers, at once when it changes
-// and otherwise once a second, so that a change arrives within a round trip and
-// a node that stops responding is detected within 2.5 seconds.
+// Package subscriber tracks the other nodes of the mesh over direct streams, and
+// owns the blackboard's entry Members there.
+//
+// Within a data centre every node subscribes to every other one. A node streams
+// its own state to its subscribers, at once when it changes and otherwise once a
+// second, so that a change arrives within a round trip and a node that stops
+// responding is detected within 2.5 seconds.
+//
+// The first nodes of a data centre, its observers, each keep one stream to a node
+// of every other data centre. On it they receive that node's view of its own data
+// centre, and pass it on to the nodes of theirs in their own streams. So the bytes
+// between data centres grow with data centres and changes, not with pairs of nodes.
+// Several observers use different nodes, so the loss of one on either side leaves
+// other views. A node takes the newest state of each node among the views that it
+// receives, and a data centre on which nobody reports counts as unreachable.
 //
 // A subscriber identifies itself when it opens a stream. While it has not read
 // the list of nodes from the platform, the other node sends it the records of the
@@ -12,16 +22,14 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/logger"
-	"gentianbarrow.example/internal/wirepb"
 )
 
 // StreamKind identifies the protocol to the linker.
@@ -35,6 +43,9 @@
 	// longLost is how long a node has to be lost before a report of its own address
 	// starts a new stream to it. By then it may be retried less often than once a second.
 	longLost = 15 * time.Second
+	// maxKnownStreams bounds the streams on which this node asks for the nodes that
+	// the others know. Each of them brings the same list.
+	maxKnownStreams = 3
 	// maxMismatched bounds the addresses that are remembered as belonging to another node.
 	maxMismatched = 1024
 )
@@ -45,6 +56,8 @@
 	Incarnation uint64
 	// Open opens a stream to another node.
 	Open func(ctx context.Context, address string) (*linker.Stream, error)
+	// State returns the state of the board.
+	State func() *blackboard.State
 	// Post sends the messages of the serving side to the board.
 	Post blackboard.Post
 	// Load returns the load of this host's target; false when it is unknown. Nil means that it never is known.
@@ -61,15 +74,18 @@
 type Subscriber struct {
 	cfg Config
 
+	// knownStreams counts the open streams on which this node asks for known nodes.
+	knownStreams atomic.Int32
+
 	mu sync.Mutex
 	// latest is the state that this node last published. Guarded by mu.
 	latest publishedState
-	// order is the position of latest among all published states. Guarded by mu.
-	order uint64
-	// changed is closed and replaced whenever latest is replaced. Guarded by mu.
-	changed chan struct{}
+	// own, members and views notify of changes of the parts of latest. Guarded by mu.
+	own, members, views broadcast
 	// streams holds the stream to each node, by host. Guarded by mu.
 	streams map[string]stream
+	// observations holds the function that ends the observation of each data centre. Guarded by mu.
+	observations map[string]context.CancelFunc
 }
 
 // stream is an active subscription to another node.
@@ -78,13 +94,34 @@
 	cancel  context.CancelFunc
 }
 
-// publishedState is the state that a node publishes to its subscribers.
+// publishedState is the state that a node publishes to its subscribers. Its maps and
+// lists are replaced, never modified in place.
 type publishedState struct {
+	// order is the position among all published states; effects may run in any order.
+	order uint64
 	state blackboard.NodeState
-	// known holds the records of the nodes that this node knows. It is replaced, never modified in place.
+	// known holds the records of the nodes that this node knows.
 	known []blackboard.NodeRecord
+	// members holds the members, for subscribers in other data centres.
+	members map[string]blackboard.Member
+	// views holds the views, of which those of this node's own observation are passed on.
+	views map[blackboard.ViewKey]blackboard.View
+	// memberChanges and viewChanges tell whether members and views have changed.
+	memberChanges, viewChanges uint64
 }
 
+// broadcast wakes all waiters at once.
+type broadcast struct{ ch chan struct{} }
+
+func (b *broadcast) wait() <-chan struct{} { return b.ch }
+
+func (b *broadcast) notify() {
+	close(b.ch)
+	b.ch = make(chan struct{})
+}
+
+func newBroadcast() broadcast { return broadcast{ch: make(chan struct{})} }
+
 // New returns a subscriber. Register Serve with the linker under StreamKind.
 func New(cfg Config) *Subscriber {
 	if cfg.Now == nil {
@@ -96,7 +133,10 @@
 	if cfg.OnLoad == nil {
 		cfg.OnLoad = func(string, string, limiter.Load) {}
 	}
-	return &Subscriber{cfg: cfg, changed: make(chan struct{}), streams: map[string]stream{}}
+	return &Subscriber{
+		cfg: cfg, own: newBroadcast(), members: newBroadcast(), views: newBroadcast(),
+		streams: map[string]stream{}, observations: map[string]context.CancelFunc{},
+	}
 }
 
 // Effects of this controller.
@@ -105,12 +145,12 @@
 	subscribe struct{ host, address string }
 	// unsubscribe ends the stream to a host.
 	unsubscribe struct{ host string }
-	// publish publishes this node's state. Effects may run in any order, so it carries
-	// the order of the state.
-	publish struct {
-		update publishedState
-		order  uint64
-	}
+	// observe keeps a view of another data centre up to date.
+	observe struct{ dataCentre string }
+	// unobserve ends an observation.
+	unobserve struct{ dataCentre string }
+	// publish publishes this node's state.
+	publish struct{ update publishedState }
 	// report logs a change of a node's state.
 	report struct {
 		event        logger.Event
@@ -128,20 +168,34 @@
 
 func (sub *Subscriber) reduce(s blackboard.State, msg blackboard.Msg) (blackboard.State, []blackboard.Effect) {
 	var effects []blackboard.Effect
+	before := s.Members
 	switch msg := msg.(type) {
+	case blackboard.Tick:
+		s, effects = expireViews(s, msg.Now)
+		var chosen []blackboard.Effect
+		s, chosen = chooseObservations(s, msg.Now)
+		effects = append(effects, chosen...)
 	case blackboard.NodesFound:
 		s, effects = addNodes(s, msg)
 	case blackboard.NodeRemoved:
-		s, effects = removeNodes(s, msg.Host)
+		s, effects = removeNodes(s, msg.Now, msg.Host)
 	case blackboard.NodeUpdated:
 		s, effects = updateNode(s, msg)
 	case blackboard.NodeLost:
 		s, effects = loseNode(s, msg)
+	case blackboard.ViewChanged:
+		s, effects = changeView(s, msg)
+	case blackboard.ViewInterrupted:
+		s = interruptView(s, msg)
 	}
-	if state := nodeState(&s); state != s.Members.Published {
+	state := nodeState(&s)
+	if state != s.Members.Published || s.Members.Changes != before.Changes || s.Members.ViewChanges != before.ViewChanges {
 		s.Members.Published = state
 		s.Members.PublishCount++
-		effects = append(effects, publish{update: publishedState{state: state, known: s.Members.Records}, order: s.Members.PublishCount})
+		effects = append(effects, publish{update: publishedState{
+			order: s.Members.PublishCount, state: state, known: s.Members.Records, members: s.Members.ByHost, views: s.Members.Views,
+			memberChanges: s.Members.Changes, viewChanges: s.Members.ViewChanges,
+		}})
 	}
 	return s, effects
 }
@@ -158,158 +212,16 @@
 	return n
 }
 
-// addNodes adds the nodes that were found and subscribes to those whose address
-// is new. A node that was lost for long is retried at once when it reports its own
-// address. A node lost more recently is being retried anyway: if each report
-// started a new stream, nodes that start together would restart each other's
-// streams endlessly.
-func addNodes(s blackboard.State, msg blackboard.NodesFound) (blackboard.State, []blackboard.Effect) {
-	var effects []blackboard.Effect
-	if msg.Complete {
-		s.Members.Listed = s.Members.Listed || len(msg.Nodes) > 0
-		s, effects = removeUnlisted(s, msg.Nodes)
-	}
-	var members map[string]blackboard.Member
-	for _, n := range msg.Nodes {
-		old, known := s.Members.ByHost[n.Host]
-		if n.Host == s.Self.Host || n.Address == s.Self.Address {
-			continue
-		}
-		if known && old.Address == n.Address {
-			if msg.SelfReported && old.Status == blackboard.MemberDead && msg.Now.Sub(old.ChangedAt) >= longLost {
-				effects = append(effects, subscribe{host: n.Host, address: n.Address})
-			}
-			continue
-		}
-		if s.Members.MismatchedAddresses[n.Host] == n.Address && !msg.SelfReported {
-			continue
-		}
-		if members == nil {
-			members = cloneMembers(s.Members.ByHost)
-		}
-		members[n.Host] = blackboard.Member{
-			Host: n.Host, Address: n.Address, DataCentre: n.DataCentre, Region: n.Region, LinkMbit: n.LinkMbit,
-			Status: blackboard.MemberDead, ChangedAt: msg.Now,
-		}
-		effects = append(effects, subscribe{host: n.Host, address: n.Address})
-	}
-	if members != nil {
-		s.Members.ByHost = members
-		s.Members.Records = recordsOf(members)
-	}
-	return s, effects
-}
-
-// removeUnlisted removes the nodes that the platform no longer lists, unless they
-// are alive: a live one may have started during a platform outage.
-func removeUnlisted(s blackboard.State, listed []blackboard.NodeRecord) (blackboard.State, []blackboard.Effect) {
-	var unlisted []string
-	for host, m := range s.Members.ByHost {
-		isListed := slices.ContainsFunc(listed, func(n blackboard.NodeRecord) bool { return n.Host == host })
-		if !isListed && m.Status != blackboard.MemberAlive {
-			unlisted = append(unlisted, host)
-		}
-	}
-	return removeNodes(s, unlisted...)
-}
-
-func cloneMembers(members map[string]blackboard.Member) map[string]blackboard.Member {
-	if members == nil {
-		return map[string]blackboard.Member{}
-	}
-	return maps.Clone(members)
-}
-
-func recordsOf(members map[string]blackboard.Member) []blackboard.NodeRecord {
-	list := make([]blackboard.NodeRecord, 0, len(members))
-	for _, host := range slices.Sorted(maps.Keys(members)) {
-		m := members[host]
-		list = append(list, blackboard.NodeRecord{
-			Host: m.Host, Address: m.Address, DataCentre: m.DataCentre, Region: m.Region, LinkMbit: m.LinkMbit,
-		})
-	}
-	return list
-}
-
-// removeNodes removes those of the hosts that are members.
-func removeNodes(s blackboard.State, hosts ...string) (blackboard.State, []blackboard.Effect) {
-	var effects []blackboard.Effect
-	var members map[string]blackboard.Member
-	for _, host := range hosts {
-		if _, known := s.Members.ByHost[host]; !known {
-			continue
-		}
-		if members == nil {
-			members = cloneMembers(s.Members.ByHost)
-		}
-		delete(members, host)
-		effects = append(effects, unsubscribe{host: host})
-	}
-	if members != nil {
-		s.Members.ByHost, s.Members.Records = members, recordsOf(members)
-	}
-	return s, effects
-}
-
-// updateNode applies a node's report of its own state.
-func updateNode(s blackboard.State, msg blackboard.NodeUpdated) (blackboard.State, []blackboard.Effect) {
-	m, known := s.Members.ByHost[msg.Host]
-	if !known {
-		return s, nil
-	}
-	next := m
-	next.Status, next.Incarnation, next.Target = blackboard.MemberAlive, msg.Incarnation, msg.Target
-	next.PlatformLost = msg.PlatformLost
-	if msg.Draining {
-		next.Target.Phase = blackboard.TargetDraining
-	}
-	if next == m {
-		return s, nil
-	}
-	next.ChangedAt = msg.Now
-	s.Members.ByHost = cloneMembers(s.Members.ByHost)
-	s.Members.ByHost[msg.Host] = next
-	return s, []blackboard.Effect{report{
-		event: logger.NodeChanged, host: msg.Host, reason: string(next.Target.Phase), version: msg.Version,
-	}}
-}
-
-// loseNode marks a node as suspect or dead, so that it receives no requests. The
-// node stays a member, since it may return at its address, unless another node
-// answered there.
-func loseNode(s blackboard.State, msg blackboard.NodeLost) (blackboard.State, []blackboard.Effect) {
-	m, known := s.Members.ByHost[msg.Host]
-	if !known || m.Address != msg.Address {
-		return s, nil
-	}
-	if msg.HostMismatch {
-		mismatched := maps.Clone(s.Members.MismatchedAddresses)
-		if mismatched == nil || len(mismatched) >= maxMismatched {
-			mismatched = map[string]string{}
-		}
-		mismatched[msg.Host] = msg.Address
-		s.Members.MismatchedAddresses = mismatched
-		return removeNodes(s, msg.Host)
-	}
-	status := blackboard.MemberDead
-	if msg.TimedOut {
-		status = blackboard.MemberSuspect
-	}
-	if m.Status == status || m.Status == blackboard.MemberDead {
-		return s, nil
-	}
-	m.Status, m.ChangedAt = status, msg.Now
-	s.Members.ByHost = cloneMembers(s.Members.ByHost)
-	s.Members.ByHost[msg.Host] = m
-	return s, []blackboard.Effect{report{event: logger.NodeGone, host: msg.Host, reason: string(status)}}
-}
-
 func (sub *Subscriber) run(ctx context.Context, e blackboard.Effect, post blackboard.Post) {
 	switch e := e.(type) {
 	case subscribe:
 		sub.maintainStream(ctx, e, post)
 	case unsubscribe:
 		sub.endStream(e.host)
+	case observe:
+		sub.observe(ctx, e.dataCentre, post)
+	case unobserve:
+		sub.endObservation(e.dataCentre)
 	case publish:
 		sub.publish(e)
 	case report:
@@ -320,34 +232,30 @@
 func (sub *Subscriber) publish(e publish) {
 	sub.mu.Lock()
 	defer sub.mu.Unlock()
-	if e.order < sub.order {
+	before := sub.latest
+	if e.update.order < before.order {
 		return
 	}
-	sub.latest, sub.order = e.update, e.order
-	close(sub.changed)
-	sub.changed = make(chan struct{})
+	sub.latest = e.update
+	if e.update.state != before.state {
+		sub.own.notify()
+	}
+	if e.update.memberChanges != before.memberChanges {
+		sub.members.notify()
+	}
+	if e.update.viewChanges != before.viewChanges {
+		sub.views.notify()
+	}
 }
 
-func (sub *Subscriber) current() (publishedState, <-chan struct{}) {
+// current returns the latest published state, and channels that are closed when this
+// node's own state and a part of the rest change: the members if membersWanted, else
+// the views.
+func (sub *Subscriber) current(membersWanted bool) (latest publishedState, own, rest <-chan struct{}) {
 	sub.mu.Lock()
 	defer sub.mu.Unlock()
-	return sub.latest, sub.changed
-}
-
-func encodeRecord(n blackboard.NodeRecord) *wirepb.NodeRecord {
-	return &wirepb.NodeRecord{Host: n.Host, Address: n.Address, DataCentre: n.DataCentre, Region: n.Region, LinkMbit: uint32(n.LinkMbit)}
-}
-
-func decodeRecords(list []*wirepb.NodeRecord) []blackboard.NodeRecord {
-	out := make([]blackboard.NodeRecord, 0, len(list))
-	for _, n := range list {
-		if n.GetHost() == "" || n.GetAddress() == "" {
-			continue
-		}
-		out = append(out, blackboard.NodeRecord{
-			Host: n.GetHost(), Address: n.GetAddress(), DataCentre: n.GetDataCentre(), Region: n.GetRegion(),
-			LinkMbit: int(n.GetLinkMbit()),
-		})
+	if membersWanted {
+		return sub.latest, sub.own.wait(), sub.members.wait()
 	}
-	return out
+	return sub.latest, sub.own.wait(), sub.views.wait()
 }
