--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -13,8 +13,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -245,13 +248,44 @@
 	p.Run(ctx)
 }
 
+// InvalidRecordError reports an object that does not hold the record of a node.
+type InvalidRecordError struct{ Field string }
+
+func (e *InvalidRecordError) Error() string {
+	return fmt.Sprintf("%s of the node is not valid", e.Field)
+}
+
+// decodeRecord reads the record of a node. Other programs may write objects of this kind.
+func decodeRecord(o storer.Object) (blackboard.NodeRecord, error) {
+	var record blackboard.NodeRecord
+	if err := json.Unmarshal(o.Value, &record); err != nil {
+		return record, err
+	}
+	_, port, err := net.SplitHostPort(record.Address)
+	if err != nil {
+		return record, err
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	switch {
+	case Kind+"/"+record.Host != o.Key:
+		return record, &InvalidRecordError{Field: "host"}
+	case err != nil || number == 0:
+		return record, &InvalidRecordError{Field: "address"}
+	case record.DataCentre == "":
+		return record, &InvalidRecordError{Field: "data-centre"}
+	case record.LinkMbit < 0:
+		return record, &InvalidRecordError{Field: "link-mbit"}
+	}
+	return record, nil
+}
+
 // reportChanges posts the nodes that appeared or changed and those that were removed. It
 // logs and skips objects that are not valid.
 func (cfg Config) reportChanges(c storer.Changes, whole bool, post blackboard.Post) {
 	records := make([]blackboard.NodeRecord, 0, len(c.Objects))
 	for _, o := range c.Objects {
-		var record blackboard.NodeRecord
-		if err := json.Unmarshal(o.Value, &record); err != nil || Kind+"/"+record.Host != o.Key || record.Address == "" {
+		record, err := decodeRecord(o)
+		if err != nil {
 			cfg.Log.Write(logger.EnrolmentRefused, logger.Fields{Reason: o.Key, Err: err})
 			continue
 		}
