Do not send a request again on the connection that refused it

A target that writes a refusal once more names the request by its id. For another request this was already passed over; the same request on the same connection would have taken it for its answer. Interim answers no longer count as stale ones.

Tests: TestRepeatedRefusal, of which the last two cases failed before.

--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -19,6 +19,8 @@
 	// maxStaleAnswers is the maximum number of answers to earlier requests that
 	// one exchange discards.
 	maxStaleAnswers = 2
+	// maxInterimAnswers is the maximum number of answers of status 1xx in one exchange.
+	maxInterimAnswers = 16
 	// maxStaleBodyBytes is how much of the body of a discarded answer is read at most.
 	maxStaleBodyBytes = 1 << 20
 )
@@ -73,7 +75,7 @@
 
 func (c *httpClient) dispatch(ctx context.Context, address string, r *exchanger.Request) *exchanger.Answer {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	nc, err := c.pool.get(ctx, address, r.Idempotent)
+	nc, err := c.pool.get(ctx, address, r)
 	if err != nil {
 		reason := failureReason(ctx, r, err)
 		cancel()
@@ -94,18 +96,20 @@
 func (x *exchange) readAnswer() *exchanger.Answer {
 	requestMethod := &http.Request{Method: x.request.Method}
 	var crossed error
-	for range maxStaleAnswers + 1 {
+	for stale, interim := 0, 0; stale <= maxStaleAnswers && interim <= maxInterimAnswers; {
 		resp, err := x.conn.readHead(requestMethod) //nolint:bodyclose // the answer's body closes it
 		if err != nil {
 			return x.fail(err, crossed)
 		}
 		if resp.StatusCode/100 == 1 {
+			interim++
 			continue
 		}
 		got := resp.Header.Get(x.client.dialect.RequestID)
 		if got == x.request.ID {
 			return x.accept(resp)
 		}
+		stale++
 		crossed = &CrossedError{Want: x.request.ID, Got: got}
 		if !discardAnswer(resp) {
 			break
@@ -163,6 +167,7 @@
 // finishNotRun ends an exchange whose target reports that it did not start the request.
 func (x *exchange) finishNotRun(resp *http.Response) *exchanger.Answer {
 	d := &x.client.dialect
+	x.conn.recordRefusal(x.request.ID)
 	a := exchanger.NotRun(exchanger.ReasonTargetShed, nil)
 	switch {
 	case d.WrongTargetStatus != 0 && resp.StatusCode == d.WrongTargetStatus:
--- a/internal/dispatcher/http_test.go
+++ b/internal/dispatcher/http_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -188,6 +189,84 @@
 	})
 }
 
+// TestRepeatedRefusal guards against a refusal that a target writes once more on a
+// connection which carries the next request by then: taken for an answer to that
+// request, it would promise that a request has not run which the target runs.
+func TestRepeatedRefusal(t *testing.T) {
+	refusal := func(status, id, rest string) string {
+		if id != "" {
+			id = exchanger.HeaderRequestID + ": " + id + "\r\n"
+		}
+		return "HTTP/1.1 " + status + "\r\n" + exchanger.HeaderShed + ": " + exchanger.ShedNotRun + "\r\n" + id + rest
+	}
+	for name, repeated := range map[string]string{
+		"with the id of the request before":  refusal("503 Full", "r-1", "Content-Length: 2\r\n\r\nno"),
+		"in chunks":                          refusal("429 Many", "r-1", "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"),
+		"by another process":                 refusal("421 Misdirected", "r-1", "Content-Length: 0\r\n\r\n"),
+		"with an id of long ago":             refusal("503 Full", "r-0", "Content-Length: 0\r\n\r\n"),
+		"without an id":                      refusal("503 Full", "", "Content-Length: 0\r\n\r\n"),
+		"twice":                              strings.Repeat(refusal("503 Full", "r-1", "Content-Length: 0\r\n\r\n"), 2),
+		"behind an interim answer":           "HTTP/1.1 102 Processing\r\n\r\n" + refusal("503 Full", "r-1", "Content-Length: 0\r\n\r\n"),
+		"with a body longer than is skipped": refusal("503 Full", "r-1", "Content-Length: 3000000\r\n\r\n") + strings.Repeat("x", 3000000),
+		"with no end":                        refusal("503 Full", "r-1", "\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			// The target refuses r-1 and, having read r-2 on the same connection, writes the refusal once more and runs r-2.
+			serve := func(_ int, c net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, refusal("503 Full", "r-1", "Content-Length: 2\r\n\r\nno"))
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, repeated)
+				respond(c, "r-2", "ok")
+			}
+			withFakeTarget(t, serve, func(t *testing.T, target *fakeTarget, client Client) {
+				assertAnswer(t, client.Dispatch(t.Context(), "target:1", testRequest("r-1")), retrier.OutcomeNotRun, exchanger.ReasonTargetShed)
+				a := client.Dispatch(t.Context(), "target:1", testRequest("r-2"))
+				defer a.Close()
+				assert.Equal(t, target.dialCount(), 1)
+				assert.Assert(t, a.Outcome != retrier.OutcomeNotRun, "the refusal of another request was believed")
+				if a.Outcome == retrier.OutcomeDone {
+					assertBody(t, a, "ok")
+				}
+			})
+		})
+	}
+	t.Run("the same request on the connection that refused it", func(t *testing.T) {
+		serve := func(n int, c net.Conn, r *bufio.Reader) {
+			for i := 1; ; i++ {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				if n == 1 {
+					_, _ = io.WriteString(c, refusal("503 Full", "r-1", "Content-Length: 0\r\n\r\n"))
+				} else {
+					respond(c, "r-1", "ok")
+				}
+			}
+		}
+		withFakeTarget(t, serve, func(t *testing.T, target *fakeTarget, client Client) {
+			assertAnswer(t, client.Dispatch(t.Context(), "target:1", testRequest("r-1")), retrier.OutcomeNotRun, exchanger.ReasonTargetShed)
+			assertBody(t, client.Dispatch(t.Context(), "target:1", testRequest("r-1")), "ok")
+			assert.Equal(t, target.dialCount(), 2)
+		})
+	})
+	t.Run("interim answers do not use up the answers that are skipped", func(t *testing.T) {
+		serve := func(_ int, c net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				_, _ = io.WriteString(c, strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 3))
+				respond(c, "r-1", "ok")
+			}
+		}
+		withFakeTarget(t, serve, func(t *testing.T, _ *fakeTarget, client Client) {
+			assertBody(t, client.Dispatch(t.Context(), "target:1", testRequest("r-1")), "ok")
+		})
+	})
+}
+
 func TestNotRunOutcome(t *testing.T) {
 	t.Run("a connection that fails before the first byte is not-run", func(t *testing.T) {
 		near, far := net.Pipe()
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -6,12 +6,15 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"gentianbarrow.example/internal/exchanger"
 )
 
 const (
@@ -26,6 +29,8 @@
 	// reused for a request which is not idempotent. Such a request must not be
 	// sent again if the connection turns out to be closed.
 	nonIdempotentIdleTimeout = 1 * time.Second
+	// maxRefusedIDs is how many refused requests a connection remembers.
+	maxRefusedIDs = 8
 	// maxIdleConns is the maximum number of idle connections to one address.
 	maxIdleConns = 64
 	bufferBytes  = 4 << 10
@@ -51,8 +56,22 @@
 	nonIdempotentUntil time.Time
 	// idleTimeout is how long the connection may be idle.
 	idleTimeout time.Duration
+	// refused holds the ids of the last requests that the target refused on this
+	// connection, the latest first.
+	refused [maxRefusedIDs]string
+}
+
+// recordRefusal remembers that the target refused a request on this connection.
+func (c *conn) recordRefusal(id string) {
+	copy(c.refused[1:], c.refused[:])
+	c.refused[0] = id
 }
 
+// mayRepeatRefusal reports whether the target has refused the request on this
+// connection. If it writes that refusal once more, it cannot be told from an answer to
+// the request.
+func (c *conn) mayRepeatRefusal(id string) bool { return slices.Contains(c.refused[:], id) }
+
 // Write counts all bytes as written before it writes them, so that the count also
 // includes bytes of a write that fails or is still in progress.
 func (c *conn) Write(b []byte) (int, error) {
@@ -121,9 +140,9 @@
 func newPool(dial Dial) *pool { return &pool{dial: dial, idle: map[string][]*conn{}} }
 
 // get returns a reusable idle connection, or a new one.
-func (p *pool) get(ctx context.Context, address string, idempotent bool) (*conn, error) {
+func (p *pool) get(ctx context.Context, address string, r *exchanger.Request) (*conn, error) {
 	for {
-		c := p.takeIdle(address, idempotent)
+		c := p.takeIdle(address, r)
 		if c == nil {
 			return p.connect(ctx, address)
 		}
@@ -135,9 +154,9 @@
 }
 
 // takeIdle removes and returns the most recently used connection. It returns nil if
-// there is none, or if the request is not idempotent and the connection has been
-// idle for too long for it.
-func (p *pool) takeIdle(address string, idempotent bool) *conn {
+// there is none, if the request is not idempotent and the connection has been idle for
+// too long for it, or if the target has refused the request on the connection.
+func (p *pool) takeIdle(address string, r *exchanger.Request) *conn {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -146,7 +165,7 @@
 		return nil
 	}
 	c := list[len(list)-1]
-	if !idempotent && now.After(c.nonIdempotentUntil) {
+	if !r.Idempotent && now.After(c.nonIdempotentUntil) || c.mayRepeatRefusal(r.ID) {
 		return nil
 	}
 	p.idle[address] = list[:len(list)-1]
