Answer before the caller's deadline, not at it

Cause: a request that runs out of time got its 504 when the caller's deadline passed. The caller had closed the connection by the time it arrived, and with it went the answers to the requests pipelined behind, which targets had run.

Change: a twentieth of the time that a caller has left, at most 10 ms, is kept for the way of the request and its answer. Route timeouts stay as they are.

Test that failed before: TestAnswerArrivesBeforeDeadline.

--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -20,6 +20,14 @@
 // request or reads an answer.
 const callerIdleTimeout = 30 * time.Second
 
+const (
+	// answerTimeDivisor and maxAnswerTime bound the time for the way of a request and its
+	// answer. An answer that comes after the caller's deadline finds the connection
+	// closed, and with it the answers to the requests that are pipelined behind.
+	answerTimeDivisor = 20
+	maxAnswerTime     = 10 * time.Millisecond
+)
+
 // maxIDBytes is the greatest length of a request id that a caller sends.
 const maxIDBytes = 128
 
@@ -194,12 +202,18 @@
 	if !ok {
 		return time.Time{}, false
 	}
-	if callerDeadline := c.record.Arrived.Add(left); isSet && callerDeadline.Before(deadline) {
+	if callerDeadline := c.record.Arrived.Add(left - answerTime(left)); isSet && callerDeadline.Before(deadline) {
 		return callerDeadline, true
 	}
 	return deadline, true
 }
 
+// answerTime returns how much of the time that a caller still waits is kept for the way
+// of the request and its answer.
+func answerTime(left time.Duration) time.Duration {
+	return min(left/answerTimeDivisor, maxAnswerTime)
+}
+
 // callerBody reads the caller's body. A read fails when the caller sends nothing for
 // callerIdleTimeout.
 type callerBody struct {
--- a/internal/receiver/path_test.go
+++ b/internal/receiver/path_test.go
@@ -155,6 +155,21 @@
 	}
 }
 
+// TestAnswerArrivesBeforeDeadline guards against a final answer that is sent when the
+// caller's deadline passes: the caller has closed the connection by then, and the
+// answers to the requests that are pipelined behind are lost.
+func TestAnswerArrivesBeforeDeadline(t *testing.T) {
+	for header, want := range map[string]time.Duration{"500": 490 * time.Millisecond, "100": 95 * time.Millisecond} {
+		runInMesh(t, 2, targeter.Config{ServiceTime: time.Second}, func(t *testing.T, m *mesh) {
+			forwardToPeer(m)
+			sent := time.Now()
+			r := m.send(t.Context(), 0, "POST", "/book", nil, map[string]string{exchanger.HeaderDeadline: header})
+			assertOutcome(t, r, retrier.OutcomeUnknown, http.StatusGatewayTimeout)
+			assert.Equal(t, time.Since(sent), want)
+		})
+	}
+}
+
 // assertReceived checks that the target has read the whole body of the request.
 func assertReceived(t *testing.T, r reply, id string, body []byte) {
 	t.Helper()
