Watch the platform with one node of a data centre while others stand in

Change: one node of a data centre watches while another data centre is in reach, whose versions arrive by the observers; two in one that reaches no other. The watchers of the nodes' objects collect events for 5 s: only removals wait for them. A node that starts takes 2 s instead of 1 s to find the others before it watches.

--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -38,6 +38,9 @@
 	// watchTimeout bounds one watch call. Late events do no harm, because a new node
 	// contacts the nodes that it finds.
 	watchTimeout = 20 * time.Second
+	// batchDelay is the wait after a change before the next watch call. Only removals
+	// wait for it, and a removed node gets no requests by then.
+	batchDelay = 5 * time.Second
 	// pollInterval is the time between two reads by a node that does not watch. Until
 	// its next read, such a node misses only which nodes were removed permanently.
 	pollInterval = 5 * time.Minute
@@ -240,7 +243,7 @@
 // poll follows the nodes' objects in the platform until ctx is done.
 func (cfg Config) poll(ctx context.Context, post blackboard.Post) {
 	p := poller.Poller{
-		Kind: Kind, Client: cfg.Platform, MaxWait: watchTimeout, WatchPolicy: poller.WatchPolicy{State: cfg.State, PollInterval: pollInterval},
+		Kind: Kind, Client: cfg.Platform, MaxWait: watchTimeout, BatchDelay: batchDelay, WatchPolicy: poller.WatchPolicy{State: cfg.State, PollInterval: pollInterval},
 		OnScan:   func(era uint64) { post(blackboard.PlatformEraRead{Era: era, Now: cfg.Now()}) },
 		OnChange: func(c storer.Changes, whole bool) { cfg.reportChanges(c, whole, post) },
 		Log:      cfg.Log,
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -6,6 +6,7 @@
 package poller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -21,9 +22,9 @@
 	// maxBackoff bounds how late a change is read after the platform is back. It is
 	// half of the two seconds within which entries must be back after an outage.
 	maxBackoff = 1 * time.Second
-	// changeBatchDelay is the wait after a change before the next poll, so that
+	// defaultBatchDelay is the wait after a change before the next poll, so that
 	// changes in quick succession are fetched with few calls.
-	changeBatchDelay = 200 * time.Millisecond
+	defaultBatchDelay = 200 * time.Millisecond
 )
 
 // Poller follows the objects of one kind.
@@ -35,6 +36,8 @@
 	// platform has compacted its history and wait in vain; the next call returns
 	// the error.
 	MaxWait time.Duration
+	// BatchDelay is the wait after a change before the next poll. It defaults to 200 ms.
+	BatchDelay time.Duration
 	// WatchPolicy decides when to poll; with the zero value the node always watches.
 	WatchPolicy WatchPolicy
 	// OnChange is called with the objects of a full scan, with isFullScan set, and
@@ -135,7 +138,7 @@
 	}
 	if isFullScan || len(changes.Objects)+len(changes.Removed) > 0 {
 		f.poller.OnChange(changes, isFullScan)
-		f.poller.Sleep(ctx, changeBatchDelay)
+		f.poller.Sleep(ctx, cmp.Or(f.poller.BatchDelay, defaultBatchDelay))
 	}
 	if !f.hasSettled {
 		f.hasSettled = true
--- a/internal/poller/watch_policy.go
+++ b/internal/poller/watch_policy.go
@@ -8,16 +8,19 @@
 )
 
 const (
-	// maxWatchers is how many nodes of a data centre watch the platform, so that
-	// one may fail. Both poll frequently, since one may be paused while the event
-	// to the other is lost.
-	maxWatchers = 2
+	// maxWatchers is how many nodes of a data centre watch the platform while it reaches
+	// another one, whose watchers stand in for one that is paused.
+	maxWatchers = 1
+	// maxIsolatedWatchers is how many watch in a data centre that reaches no other, so
+	// that one may be paused or fail.
+	maxIsolatedWatchers = 2
 	// maxSubstitutes is how many further nodes may watch in place of watchers that
 	// cannot reach the platform. It bounds the nodes that keep polling while the
 	// platform is down for all.
 	maxSubstitutes = 3
-	// membershipSettleTime is roughly how long a node takes to discover the others.
-	membershipSettleTime = 1 * time.Second
+	// membershipSettleTime is how long a node takes to discover the others when all
+	// start together on slow processors.
+	membershipSettleTime = 2 * time.Second
 	// watchCheckPeriod is how often a node that does not watch checks whether it has to.
 	watchCheckPeriod = 250 * time.Millisecond
 )
@@ -59,17 +62,20 @@
 // host name among equals. Watchers that cannot reach the platform are substituted.
 func IsWatcher(s *blackboard.State) bool {
 	watchersBefore, lostBefore := 0, 0
+	watchers := maxIsolatedWatchers
 	for host, m := range s.Members.ByHost {
-		if m.DataCentre != s.Self.DataCentre || m.Status != blackboard.MemberAlive || !Precedes(host, m.LinkMbit, &s.Self) {
-			continue
-		}
-		if m.PlatformLost {
+		switch {
+		case m.Status != blackboard.MemberAlive:
+		case m.DataCentre != s.Self.DataCentre:
+			watchers = maxWatchers
+		case !Precedes(host, m.LinkMbit, &s.Self):
+		case m.PlatformLost:
 			lostBefore++
-			continue
+		default:
+			watchersBefore++
 		}
-		watchersBefore++
 	}
-	return watchersBefore < maxWatchers && watchersBefore+lostBefore < maxWatchers+maxSubstitutes
+	return watchersBefore < watchers && watchersBefore+lostBefore < watchers+maxSubstitutes
 }
 
 // Precedes reports whether another node comes before this one in the order in which the
