Reset the connection of a truncated answer that only its end delimits

Cause: to a caller that speaks HTTP/1.0 an answer of unknown length ends with the connection. When such an answer broke off, the connection was closed in the usual way, which that caller reads as the end of a complete answer.

Ruled out: answers with a length or in chunks, which a caller sees to be incomplete; they are not reset, since a reset may also destroy earlier answers in flight.

Test that failed before: TestTruncatedAnswerOverTCP, 'by the end of the connection'.

--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -275,6 +275,14 @@
 	}
 }
 
+// reset makes the close of the connection a reset, which a caller does not take for the
+// end of an answer.
+func (c *conn) reset() {
+	if tcp, ok := c.nc.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // abort closes the connection at once and cancels its requests.
 func (c *conn) abort() {
 	c.stopReading()
--- a/internal/acceptor/exchange.go
+++ b/internal/acceptor/exchange.go
@@ -70,6 +70,9 @@
 	x.cancel()
 	x.body.closeRead()
 	if x.failed {
+		if x.endsWithConn() {
+			x.conn.reset()
+		}
 		x.conn.abort()
 	} else if x.closesConn {
 		x.conn.interruptRead()
@@ -116,6 +119,11 @@
 	x.header.Del("Transfer-Encoding")
 }
 
+// endsWithConn tells whether only the end of the connection marks the end of the answer.
+func (x *exchange) endsWithConn() bool {
+	return x.headerSent && x.contentLength < 0 && !x.chunked && x.hasBody()
+}
+
 // hasBody tells whether an answer with this status to this method has a body.
 func (x *exchange) hasBody() bool {
 	return x.request.Method != http.MethodHead && x.status != http.StatusNoContent && x.status != http.StatusNotModified
