--- a/internal/subscriber/members.go
+++ b/internal/subscriber/members.go
@@ -31,7 +31,7 @@
 		}
 		remote := n.DataCentre != s.Self.DataCentre
 		if known && (old.Address == n.Address || remote && old.Status == blackboard.MemberAlive) {
-			if !remote && msg.SelfReported && old.Status == blackboard.MemberDead && msg.Now.Sub(old.ChangedAt) >= longLost {
+			if !remote && msg.SelfReported && isLongLost(old, msg.Now) {
 				effects = append(effects, subscribe{host: n.Host, address: n.Address})
 			}
 			continue
@@ -57,6 +57,10 @@
 	return s, effects
 }
 
+func isLongLost(m blackboard.Member, now time.Time) bool {
+	return m.Status == blackboard.MemberDead && now.Sub(m.ChangedAt) >= longLost
+}
+
 func replaceMembers(s blackboard.State, members map[string]blackboard.Member) blackboard.State {
 	s.Members.ByHost = members
 	s.Members.Changes++
