Log the start and the loss of the observation of a data centre

An observation that ended was not in the log, and its error was dropped. GB0314 and GB0315 say which node is observed; a series of failures is one line.

--- a/internal/logger/events_membership.go
+++ b/internal/logger/events_membership.go
@@ -39,7 +39,7 @@
 	}
 	NodeGone = Event{
 		Number: 307, Name: "node-gone", Level: LevelWarn,
-		Meaning: "A node closed its stream (reason dead) or timed out (reason suspect). No request is sent to its target.",
+		Meaning: "A node closed its stream (reason dead) or timed out (reason suspect), or no view of its data centre has it any more (dead) or is left (suspect). No request is sent to its target.",
 		Action:  "None, if the host is being replaced. Otherwise check the host and the link to it.",
 	}
 	NodeMistaken = Event{
@@ -67,6 +67,16 @@
 		Meaning: "An answer of the target on this host states a limit that is not a number of requests a second. The reason field holds its value. The limit before it stays in force.",
 		Action:  "Correct the target.",
 	}
+	DataCentreObserved = Event{
+		Number: 314, Name: "data-centre-observed", Level: LevelInfo,
+		Meaning: "This node receives the view of another data centre from the node in the peer-host field and passes it on to the nodes of its own.",
+		Action:  "None.",
+	}
+	ObservationLost = Event{
+		Number: 315, Name: "observation-lost", Level: LevelWarn,
+		Meaning: "The node in the peer-host field no longer sends the view of its data centre. This node observes another one there; without success for a second, the data centre counts as unreachable here.",
+		Action:  "None, if the host is being replaced. If it repeats for all hosts of a data centre, check the link to it.",
+	}
 	SummaryFailed = Event{
 		Number: 320, Name: "summary-fetch-failed", Level: LevelInfo,
 		Meaning: "The summaries of other data centres could not be fetched from a peer.",
@@ -82,5 +92,6 @@
 var membershipEvents = []Event{
 	PacketRefused, SyncFailed, PeersNotFound, AnnouncementRefused,
 	Enrolled, EnrolFailed, EnrolmentRefused, NodeChanged, NodeGone, NodeMistaken, TargetChanged, TargetLimitChanged, TargetReportRefused,
+	DataCentreObserved, ObservationLost,
 	SummaryFailed, RelaysNotFound,
 }
--- a/internal/subscriber/observe.go
+++ b/internal/subscriber/observe.go
@@ -13,6 +13,7 @@
 
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/encoder"
+	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/poller"
 	"gentianbarrow.example/internal/wirepb"
 )
@@ -125,10 +126,13 @@
 			poller.Sleep(ctx, observeRetryDelay)
 			continue
 		}
-		received, _ := sub.receiveView(ctx, key, source, post)
+		received, err := sub.receiveView(ctx, key, source, post)
 		if ctx.Err() != nil {
 			return
 		}
+		if received || len(failures) == 0 {
+			sub.cfg.Log.Write(logger.ObservationLost, logger.Fields{Host: source.Host, DataCentre: dataCentre, Err: err})
+		}
 		post(blackboard.ViewInterrupted{ViewKey: key, Now: sub.cfg.Now()})
 		if received {
 			clear(failures)
@@ -228,6 +232,9 @@
 		if !received && !slices.ContainsFunc(m.GetViews(), isView) {
 			return false, &NoViewError{Host: source.Host}
 		}
+		if !received {
+			sub.cfg.Log.Write(logger.DataCentreObserved, logger.Fields{Host: source.Host, DataCentre: key.DataCentre})
+		}
 		received = true
 		sub.postKnown(&m, post)
 		for _, v := range m.GetViews() {
