Collect garbage from 34 MiB on in place of 48

Since a node keeps no streams to other data centres, what is live is smaller, and the limit decides.

--- a/internal/composer/memory.go
+++ b/internal/composer/memory.go
@@ -10,7 +10,7 @@
 const (
 	// minMemoryLimitBytes leaves room for the program itself within the 64 MB that a
 	// node may use besides the memory for requests.
-	minMemoryLimitBytes = 48 << 20
+	minMemoryLimitBytes = 34 << 20
 	// memoryLimitInterval is the interval at which the limit is adjusted to the live heap.
 	memoryLimitInterval = 1 * time.Second
 	// The heap may always grow to 3/2 of the live heap, so that the garbage collector
