--- a/internal/subscriber/observe.go
+++ b/internal/subscriber/observation.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -19,15 +18,6 @@
 )
 
 const (
-	// maxObservers is how many nodes of a data centre observe the others, so that two
-	// of them may fail at once.
-	maxObservers = 3
-	// observeDelay is how long a node that starts gives itself to find the nodes of its data
-	// centre, so that not all nodes observe when many start together.
-	observeDelay = 1200 * time.Millisecond
-	// unobserveDelay is how long a node goes on observing after others have come before
-	// it, so that these have views by then.
-	unobserveDelay = 3 * time.Second
 	// observeTimeout bounds the time to open a stream to a node of another data centre.
 	observeTimeout = 500 * time.Millisecond
 	// observeRetryDelay is the pause after a node of another data centre could not be observed.
@@ -47,72 +37,6 @@
 	return fmt.Sprintf("node %s sent no view of its data centre", e.Host)
 }
 
-// chooseObservations starts and ends observations so that this node observes all other
-// data centres while it is one of the first of its own.
-func chooseObservations(s blackboard.State, now time.Time) (blackboard.State, []blackboard.Effect) {
-	if s.Members.ObserveAt.IsZero() {
-		s.Members.ObserveAt = now.Add(observeDelay)
-	}
-	if now.Before(s.Members.ObserveAt) {
-		return s, nil
-	}
-	switch {
-	case isObserver(&s):
-		s.Members.UnobserveAt = time.Time{}
-		return startObservations(s)
-	case len(s.Members.Observed) == 0:
-		return s, nil
-	case s.Members.UnobserveAt.IsZero():
-		s.Members.UnobserveAt = now.Add(unobserveDelay)
-		return s, nil
-	case now.Before(s.Members.UnobserveAt):
-		return s, nil
-	}
-	return endObservations(s, now)
-}
-
-// isObserver reports whether fewer than maxObservers live nodes of this data centre come before this one.
-func isObserver(s *blackboard.State) bool {
-	before := 0
-	for host, m := range s.Members.ByHost {
-		if m.DataCentre == s.Self.DataCentre && m.Status == blackboard.MemberAlive && poller.Precedes(host, m.LinkMbit, &s.Self) {
-			before++
-		}
-	}
-	return before < maxObservers
-}
-
-func startObservations(s blackboard.State) (blackboard.State, []blackboard.Effect) {
-	var effects []blackboard.Effect
-	observed := s.Members.Observed
-	for _, m := range s.Members.ByHost {
-		if m.DataCentre == s.Self.DataCentre || observed[m.DataCentre] {
-			continue
-		}
-		if len(effects) == 0 {
-			observed = maps.Clone(observed)
-			if observed == nil {
-				observed = map[string]bool{}
-			}
-		}
-		observed[m.DataCentre] = true
-		effects = append(effects, observe{dataCentre: m.DataCentre})
-	}
-	s.Members.Observed = observed
-	return s, effects
-}
-
-func endObservations(s blackboard.State, now time.Time) (blackboard.State, []blackboard.Effect) {
-	var effects []blackboard.Effect
-	for dataCentre := range s.Members.Observed {
-		key := blackboard.ViewKey{Source: s.Self.Host, DataCentre: dataCentre}
-		s = interruptView(s, blackboard.ViewInterrupted{ViewKey: key, Now: now})
-		effects = append(effects, unobserve{dataCentre: dataCentre})
-	}
-	s.Members.Observed, s.Members.UnobserveAt = nil, time.Time{}
-	return s, effects
-}
-
 // observe keeps a stream to some node of another data centre open until the observation ends.
 func (sub *Subscriber) observe(ctx context.Context, dataCentre string, post blackboard.Post) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -201,21 +125,12 @@
 // receiveView posts what a node of another data centre reports of it until the stream
 // ends. It reports whether a view was received.
 func (sub *Subscriber) receiveView(ctx context.Context, key blackboard.ViewKey, source blackboard.Member, post blackboard.Post) (received bool, err error) {
-	openCtx, cancel := context.WithTimeout(ctx, observeTimeout)
-	defer cancel()
-	s, err := sub.cfg.Open(openCtx, source.Address)
-	if err != nil {
-		return false, err
-	}
-	defer s.Abort()
-	stop := context.AfterFunc(ctx, s.Abort)
-	defer stop()
 	request := &wirepb.SubscribeRequest{Self: encodeRecord(sub.cfg.Self), Host: source.Host, WantsDataCentre: true}
-	release := sub.askForKnown(request)
-	defer release()
-	if err := encoder.Write(s, request, encoder.MaxControlBytes); err != nil {
+	s, end, err := sub.openUpdates(ctx, source.Address, request, observeTimeout)
+	if err != nil {
 		return false, err
 	}
+	defer end()
 	decoder := newViewDecoder()
 	for {
 		if err := s.SetReadDeadline(time.Now().Add(viewSilenceTimeout)); err != nil {
--- a/internal/subscriber/stream.go
+++ b/internal/subscriber/stream.go
@@ -9,6 +9,7 @@
 
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/encoder"
+	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/poller"
 	"gentianbarrow.example/internal/wirepb"
@@ -91,21 +92,12 @@
 // receiveUpdates opens a stream and posts each update until the stream ends. It reports
 // whether any update was received.
 func (sub *Subscriber) receiveUpdates(ctx context.Context, e subscribe, post blackboard.Post) (received bool, err error) {
-	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
-	defer cancel()
-	s, err := sub.cfg.Open(openCtx, e.address)
-	if err != nil {
-		return false, err
-	}
-	defer s.Abort()
-	stop := context.AfterFunc(ctx, s.Abort)
-	defer stop()
 	request := &wirepb.SubscribeRequest{Self: encodeRecord(sub.cfg.Self), Host: e.host}
-	release := sub.askForKnown(request)
-	defer release()
-	if err := encoder.Write(s, request, encoder.MaxControlBytes); err != nil {
+	s, end, err := sub.openUpdates(ctx, e.address, request, openTimeout)
+	if err != nil {
 		return false, err
 	}
+	defer end()
 	// Views that an earlier stream brought are not continued by this one.
 	post(blackboard.ViewInterrupted{ViewKey: blackboard.ViewKey{Source: e.host}, Now: sub.cfg.Now()})
 	views := newViewDecoder()
@@ -137,6 +129,28 @@
 	}
 }
 
+// openUpdates opens a stream to another node and sends the request on it. The stream is
+// aborted when ctx ends; end must be called when it is no longer read.
+func (sub *Subscriber) openUpdates(ctx context.Context, address string, request *wirepb.SubscribeRequest, timeout time.Duration) (s *linker.Stream, end func(), err error) {
+	openCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if s, err = sub.cfg.Open(openCtx, address); err != nil {
+		return nil, nil, err
+	}
+	stop := context.AfterFunc(ctx, s.Abort)
+	release := sub.askForKnown(request)
+	end = func() {
+		release()
+		stop()
+		s.Abort()
+	}
+	if err := encoder.Write(s, request, encoder.MaxControlBytes); err != nil {
+		end()
+		return nil, nil, err
+	}
+	return s, end, nil
+}
+
 // askForKnown sets the request to ask for the nodes that the other node knows, if this
 // node needs them. The returned function must be called when the stream ends.
 func (sub *Subscriber) askForKnown(request *wirepb.SubscribeRequest) (release func()) {
