Review case 5: a slow upload reaches an instance that has left

A request whose body comes slowly holds a slot and a connection of an instance without a byte sent. When the instance drains in the meantime, the request is sent to it all the same (DRAIN).

--- a/review/_standin/instance.go
+++ b/review/_standin/instance.go
@@ -87,6 +87,8 @@
 	sequence int
 	// leaving is set once the instance has sent that it leaves. Guarded by mu.
 	leaving bool
+	// draining is set once its heartbeats say so. Guarded by mu.
+	draining bool
 }
 
 func (i *instance) start(ctx context.Context) error {
@@ -131,19 +133,40 @@
 	return i.leaving
 }
 
+// isHealthy reports whether a health check is to pass.
+func (i *instance) isHealthy() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return !i.leaving && !i.draining
+}
+
 // sendBeat sends one heartbeat to an address.
-func (i *instance) sendBeat(ctx context.Context, control string) {
+func (i *instance) sendBeat(ctx context.Context, control string) bool {
 	i.mu.Lock()
 	i.sequence++
+	state := "ready"
+	if i.draining {
+		state = "draining"
+	}
 	body, _ := json.Marshal(map[string]any{
 		"address": i.address, "born": i.born.UnixMilli(),
 		"info":   map[string]any{"service": i.service, "version": "v1", "zone": i.zone, "slots": slots},
-		"status": map[string]any{"state": "ready", "sequence": i.sequence, "cold_remaining": "0ms"},
+		"status": map[string]any{"state": state, "sequence": i.sequence, "cold_remaining": "0ms"},
 	})
 	sequence := i.sequence
 	i.mu.Unlock()
 	ok := i.post(ctx, control, "instances.heartbeat", body)
-	i.log.printf("heartbeat %d of %s: acknowledged %t", sequence, i.id, ok)
+	i.log.printf("heartbeat %d of %s, %s: acknowledged %t", sequence, i.id, state, ok)
+	return ok
+}
+
+// drain reports that the instance drains, and returns when that was acknowledged. The instance goes on serving.
+func (i *instance) drain(ctx context.Context) (acked time.Time, ok bool) {
+	i.mu.Lock()
+	i.draining = true
+	i.mu.Unlock()
+	ok = i.sendBeat(ctx, i.control)
+	return time.Now(), ok
 }
 
 // deregister tells the node that the instance leaves, and returns when that was acknowledged.
@@ -182,7 +205,7 @@
 func (i *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Instance-Id", i.id)
 	if r.URL.Path == "/health" {
-		if i.isLeaving() {
+		if !i.isHealthy() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -36,6 +36,7 @@
 	"pipelined": playPipelined,
 	"dark":      playDark,
 	"restart":   playRestart,
+	"upload":    playUpload,
 }
 
 func main() { os.Exit(play()) }
