--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -181,7 +181,13 @@
 
 func (l *Linker) pingWithin(current *link, timeout time.Duration) bool {
 	answered := make(chan bool, 1)
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return false
+	}
 	l.monitors.Go(func() { answered <- current.ping() })
+	l.mu.Unlock()
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
@@ -207,8 +213,12 @@
 		return nil, err
 	}
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		_ = created.session.Close()
+		return nil, &ClosedError{}
+	}
 	s.current = created
-	l.mu.Unlock()
 	l.monitors.Go(func() { l.monitor(s, created) })
 	return created, nil
 }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -122,7 +122,9 @@
 	mu         sync.Mutex
 	// linkSets holds the sessions by peer and traffic class. Guarded by mu.
 	linkSets map[linkKey]*linkSet
-	// monitors counts the goroutines that check sessions.
+	// closed is set once no further session is opened. Guarded by mu.
+	closed bool
+	// monitors counts the goroutines that check sessions. It grows only while closed is not set.
 	monitors sync.WaitGroup
 }
 
@@ -191,9 +193,15 @@
 	return &Stream{Conn: conn, Reader: bufio.NewReaderSize(conn, readBufferBytes), link: link}, nil
 }
 
-// Close closes every session that this node opened.
+// ClosedError reports that a linker opens no sessions any more.
+type ClosedError struct{}
+
+func (*ClosedError) Error() string { return "the linker is closed" }
+
+// Close closes every session that this node opened. Opening another one fails from then on.
 func (l *Linker) Close() {
 	l.mu.Lock()
+	l.closed = true
 	for _, s := range l.linkSets {
 		for _, link := range s.all() {
 			_ = link.session.Close()
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -162,6 +162,24 @@
 	})
 }
 
+// TestOpenAfterClose guards against a session that is opened while its linker closes, and
+// that nobody closes or waits for then.
+func TestOpenAfterClose(t *testing.T) {
+	l := New()
+	local, peer := net.Pipe()
+	l.Dial = func(context.Context, string) (net.Conn, error) {
+		l.Close()
+		return local, nil
+	}
+	_, err := l.Open(t.Context(), "peer", TrafficShort, "echo")
+	var unreachable *UnreachableError
+	var closed *ClosedError
+	assert.Assert(t, errors.As(err, &unreachable) && errors.As(err, &closed), "%v", err)
+	_ = peer.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = peer.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF, "the connection stays open")
+}
+
 func TestSilentSession(t *testing.T) {
 	t.Run("new streams avoid a silent session that was in use", func(t *testing.T) {
 		runWithPeer(t, func(t *testing.T, l *Linker, e *echoPeer) {
