--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -14,7 +14,10 @@
 //
 // A node that has just started sends no work to its target before the target
 // announces itself, even when its health check passes: an earlier process of the
-// node may have acknowledged that the target leaves.
+// node may have acknowledged that the target leaves. An announcement alone does not
+// show that it stays either, since it may have been delayed. So what the target
+// states of its departure is kept by the platform, where there is one that does, and
+// read by the next process of the node before its target gets work.
 //
 // A target that leaves the ready phase is held down for a time that doubles each
 // time, so that a flapping target receives little work and its changes are
@@ -46,6 +49,10 @@
 	// minHoldDown is how long a target is held down the first time. The time doubles up to maxHoldDown.
 	minHoldDown = 500 * time.Millisecond
 	maxHoldDown = 10 * time.Second
+	// departureReadTimeout is how long a node that has just started waits for the platform
+	// to tell whether its target has left. A node that is cut off from the platform serves
+	// after that time.
+	departureReadTimeout = 2 * time.Second
 	// stableAfter is how long a target must stay ready before its flaps are reset.
 	stableAfter = 30 * time.Second
 )
@@ -65,7 +72,10 @@
 	Check func(ctx context.Context, address, path string) error
 	// AnnouncementLifetime is how long an announcement is valid; 0 means the constant of the same name.
 	AnnouncementLifetime time.Duration
-	Log                  *logger.Logger
+	// DeparturesKept is true when another controller has the platform keep departures: it
+	// handles TargetDeparted and posts TargetDepartureRead.
+	DeparturesKept bool
+	Log            *logger.Logger
 	// Now returns the time for messages that effects post; nil means time.Now.
 	Now func() time.Time
 }
@@ -105,6 +115,8 @@
 		cfg.check(ctx, e, post)
 	case confirm:
 		e.applied()
+	case departed:
+		post(blackboard.TargetDeparted{Recorded: e.applied})
 	case phaseChanged:
 		cfg.Log.Write(logger.TargetChanged, logger.Fields{
 			Service: e.target.Record.Service, Peer: e.target.Address, Target: e.target.ID,
@@ -124,6 +136,8 @@
 type (
 	// confirm calls back that a message of the target has taken effect.
 	confirm struct{ applied func() }
+	// departed reports a new statement of the target that it leaves. applied may be nil.
+	departed struct{ applied func() }
 	// phaseChanged logs a change of the target's phase.
 	phaseChanged struct {
 		before blackboard.TargetPhase
@@ -136,10 +150,12 @@
 	// checksEnabled is true when health checks are made.
 	checksEnabled        bool
 	announcementLifetime time.Duration
+	// departuresKept is true when the platform keeps departures.
+	departuresKept bool
 }
 
 func (cfg Config) rules() rules {
-	r := rules{checksEnabled: cfg.Check != nil, announcementLifetime: cfg.AnnouncementLifetime}
+	r := rules{checksEnabled: cfg.Check != nil, announcementLifetime: cfg.AnnouncementLifetime, departuresKept: cfg.DeparturesKept}
 	if r.announcementLifetime == 0 {
 		r.announcementLifetime = AnnouncementLifetime
 	}
@@ -155,13 +171,17 @@
 		if r.checksEnabled {
 			t, effects = startCheck(t, healthPath(&s), m.Now)
 		}
-		s.Target = updatePhase(t, s.Lifecycle, m.Now)
+		s.Target = updatePhase(awaitDeparture(t, r, m.Now), s.Lifecycle, m.Now)
 	case blackboard.TargetAnnounced:
-		s.Target = updatePhase(applyAnnouncement(t, m, r.announcementLifetime), s.Lifecycle, m.Now)
-		effects = confirmation(m.Applied)
+		t, departs := noteDeparture(applyAnnouncement(awaitDeparture(t, r, m.Now), m, r.announcementLifetime))
+		s.Target = updatePhase(t, s.Lifecycle, m.Now)
+		effects = r.confirmation(m.Applied, departs)
 	case blackboard.TargetLeft:
-		s.Target = updatePhase(applyLeave(t, m), s.Lifecycle, m.Now)
-		effects = confirmation(m.Applied)
+		t, departs := noteDeparture(applyLeave(t, m))
+		s.Target = updatePhase(t, s.Lifecycle, m.Now)
+		effects = r.confirmation(m.Applied, departs)
+	case blackboard.TargetDepartureRead:
+		s.Target = updatePhase(applyDeparture(t, m.Departure), s.Lifecycle, m.Now)
 	case blackboard.TargetMismatched:
 		s.Target = updatePhase(applyMismatch(t, m), s.Lifecycle, m.Now)
 	case blackboard.TargetObserved:
@@ -174,12 +194,17 @@
 	return s, effects
 }
 
-// confirmation returns the effect that calls applied, or none when applied is nil.
-func confirmation(applied func()) []blackboard.Effect {
-	if applied == nil {
+// confirmation returns the effect that calls applied, or none when applied is nil. A
+// new departure is confirmed by the controller that has the platform keep it.
+func (r rules) confirmation(applied func(), departs bool) []blackboard.Effect {
+	switch {
+	case departs && r.departuresKept:
+		return []blackboard.Effect{departed{applied: applied}}
+	case applied == nil:
 		return nil
+	default:
+		return []blackboard.Effect{confirm{applied: applied}}
 	}
-	return []blackboard.Effect{confirm{applied: applied}}
 }
 
 // healthPath returns the health check path of the target's service in the running
--- a/internal/announcer/rules.go
+++ b/internal/announcer/rules.go
@@ -166,6 +166,8 @@
 		return blackboard.TargetNone
 	case stopping || e.Announced == blackboard.TargetDraining:
 		return blackboard.TargetDraining
+	case mayHaveLeft(t, now):
+		return blackboard.TargetNone
 	case !now.Before(t.ExpiresAt), now.Before(e.HoldDownUntil), isFailing(e, now), isUnproven(t):
 		return blackboard.TargetFailed
 	default:
--- a/internal/blackboard/message_membership.go
+++ b/internal/blackboard/message_membership.go
@@ -68,6 +68,21 @@
 	Now     time.Time
 }
 
+// TargetDeparted reports that a process of the target has stated that it accepts no
+// more work.
+type TargetDeparted struct {
+	// Recorded, when not nil, is called once the platform keeps the statement, or does not
+	// answer in time. The target counts on it from then on.
+	Recorded func()
+}
+
+// TargetDepartureRead reports what the platform keeps of earlier statements of the target.
+type TargetDepartureRead struct {
+	// Departure is the zero value when the platform keeps none.
+	Departure TargetDeparture
+	Now       time.Time
+}
+
 // TargetMismatched reports that a process other than the expected one answers at the target's address.
 // ID identifies the process that answered.
 type TargetMismatched struct {
--- a/internal/blackboard/state.go
+++ b/internal/blackboard/state.go
@@ -273,4 +273,26 @@
 	Sequence uint64
 	// Evidence decides whether the phase that the target announces is accepted.
 	Evidence TargetEvidence
+	// Departure is the latest statement of a process of the target that it leaves; the
+	// zero value when none has made one. The platform keeps it for later processes of
+	// this node.
+	Departure TargetDeparture
+	// DepartureRead is true once the node knows what the platform keeps of it.
+	DepartureRead bool
+	// AssumeStayingAt is when announcements count although the platform has not been
+	// read; zero before the first tick or announcement.
+	AssumeStayingAt time.Time
+}
+
+// TargetDeparture is the statement of a process of the target that it accepts no more
+// work. It is comparable.
+type TargetDeparture struct {
+	// ID and Started identify the process, as in Target. ID is empty when there is no statement.
+	ID      string `json:"id"`
+	Started int64  `json:"started,omitempty"`
+	// Sequence is the sequence number of the latest announcement by then. An earlier one
+	// arrives late.
+	Sequence uint64 `json:"sequence,omitempty"`
+	// Leaving is true when the process is about to exit; otherwise it drains.
+	Leaving bool `json:"leaving,omitempty"`
 }
--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -123,7 +123,7 @@
 			Open:  open(fetcher.StreamKind), Log: n.log,
 		}),
 		announcer.New(announcer.Config{
-			Check: dispatcher.CheckHealth, AnnouncementLifetime: announcementLifetimeIntervals * a.bounds.AnnounceEvery, Log: n.log,
+			Check: dispatcher.CheckHealth, AnnouncementLifetime: announcementLifetimeIntervals * a.bounds.AnnounceEvery, DeparturesKept: true, Log: n.log,
 		}),
 		n.executor.Controller(),
 		enroller.New(enroller.Config{
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -4,15 +4,16 @@
 // the subscriber detects that. So no object has to be renewed, and a mesh in which
 // no node joins, moves or leaves writes nothing.
 //
+// The object also keeps the latest statement of the node's target that it drains or
+// leaves, which must outlive the process of the node that acknowledges it.
+//
 // When the platform is restored from a copy it may lose objects. Nodes tell each
 // other its era, and each one makes sure that its object is there in a new era.
 package enroller
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -44,8 +45,6 @@
 	// pollInterval is the time between two reads by a node that does not watch. Until
 	// its next read, such a node misses only which nodes were removed permanently.
 	pollInterval = 5 * time.Minute
-	// writeTimeout bounds one attempt to write this node's object.
-	writeTimeout = 2 * time.Second
 	// confirmRate is how many nodes a second confirm their objects after a restore, a
 	// quarter of the reads that the platform takes.
 	confirmRate = 500
@@ -71,6 +70,9 @@
 	// confirm writes this node's object if it is missing. nodes is how many nodes may do
 	// so at the same time.
 	confirm struct{ nodes int }
+	// recordDeparture writes the departure of the target to this node's object. recorded
+	// may be nil.
+	recordDeparture struct{ recorded func() }
 	// poll follows the other nodes' objects.
 	poll struct{}
 	// remove deletes this node's object.
@@ -103,6 +105,11 @@
 		return noteEra(s, msg.Era)
 	case blackboard.NodeUpdated:
 		return noteEra(s, msg.PlatformEra)
+	case blackboard.TargetDeparted:
+		if s.Enrolment.Removed {
+			return s, nil
+		}
+		return s, []blackboard.Effect{recordDeparture{recorded: msg.Recorded}}
 	case blackboard.LeaveRequested:
 		// A node whose target keeps running is expected to restart at the same
 		// address, so its object stays.
@@ -145,11 +152,13 @@
 func (cfg Config) run(ctx context.Context, e blackboard.Effect, post blackboard.Post) {
 	switch e := e.(type) {
 	case enroll:
-		cfg.enroll(ctx, cfg.writeObject)
+		cfg.enroll(ctx, func(ctx context.Context) error { return cfg.createObject(ctx, post) })
 	case confirm:
 		if poller.Sleep(ctx, rand.N(time.Duration(e.nodes)*time.Second/confirmRate)) {
 			cfg.enroll(ctx, cfg.confirmObject)
 		}
+	case recordDeparture:
+		cfg.recordDeparture(ctx, e.recorded)
 	case poll:
 		if poller.Sleep(ctx, startDelay) {
 			cfg.poll(ctx, post)
@@ -159,72 +168,6 @@
 	}
 }
 
-func (cfg Config) objectKey() string { return Kind + "/" + cfg.Self.Host }
-
-// enroll writes this node's object by the given function and retries until the platform
-// holds it.
-func (cfg Config) enroll(ctx context.Context, write func(ctx context.Context, value []byte) error) {
-	value, err := json.Marshal(cfg.Self)
-	if err != nil {
-		cfg.Log.Write(logger.EnrolFailed, logger.Fields{Err: err})
-		return
-	}
-	for failures := 0; ctx.Err() == nil; {
-		err := write(ctx, value)
-		if err == nil {
-			cfg.Log.Write(logger.Enrolled, logger.Fields{Peer: cfg.Self.Address, Count: failures})
-			return
-		}
-		failures++
-		if failures == 1 {
-			cfg.Log.Write(logger.EnrolFailed, logger.Fields{Err: err})
-		}
-		poller.Sleep(ctx, poller.Backoff(failures))
-	}
-}
-
-// writeObject creates the object, or replaces it when its value differs. After a write
-// whose response was lost, a retry finds the object in place and succeeds.
-func (cfg Config) writeObject(ctx context.Context, value []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	_, err := cfg.Platform.Put(ctx, cfg.objectKey(), value, 0)
-	var conflict *storer.ConflictError
-	if !errors.As(err, &conflict) {
-		return err
-	}
-	old, err := cfg.Platform.Get(ctx, cfg.objectKey())
-	if err != nil || bytes.Equal(compactJSON(old.Value), value) {
-		return err
-	}
-	_, err = cfg.Platform.Put(ctx, cfg.objectKey(), value, old.Revision)
-	return err
-}
-
-// confirmObject writes the object if it is missing or differs.
-func (cfg Config) confirmObject(ctx context.Context, value []byte) error {
-	readCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	now, err := cfg.Platform.Get(readCtx, cfg.objectKey())
-	var missing *storer.NotFoundError
-	if err == nil && bytes.Equal(compactJSON(now.Value), value) {
-		return nil
-	}
-	if err != nil && !errors.As(err, &missing) {
-		return err
-	}
-	return cfg.writeObject(ctx, value)
-}
-
-// compactJSON removes white space that the platform may have added to the JSON value.
-func compactJSON(value []byte) []byte {
-	var out bytes.Buffer
-	if json.Compact(&out, value) != nil {
-		return value
-	}
-	return out.Bytes()
-}
-
 // remove deletes this node's object. It is not retried: an object that stays
 // because the platform cannot be reached is harmless, since other nodes get no
 // response at its address.
--- a/internal/enroller/enroller_test.go
+++ b/internal/enroller/enroller_test.go
@@ -86,7 +86,8 @@
 	self, other := nodeRecord("reyk-a-1", "10.0.0.1:7600"), nodeRecord("reyk-a-2", "10.0.0.2:7600")
 	t.Run("nodes find each other", func(t *testing.T) {
 		store := storer.NewFake()
-		assert.NilError(t, Config{Self: other, Platform: store.Client()}.writeObject(t.Context(), []byte(`{"host":"reyk-a-2","address":"10.0.0.2:7600","data-centre":"reyk-a","region":"is-south"}`)))
+		_, err := store.Client().Put(t.Context(), Kind+"/reyk-a-2", []byte(`{"host":"reyk-a-2","address":"10.0.0.2:7600","data-centre":"reyk-a","region":"is-south"}`), 0)
+		assert.NilError(t, err)
 		runEnroller(t, self, store, func(t *testing.T, posted func() []blackboard.Msg) { assertFound(t, posted()[0], self, other) })
 	})
 	t.Run("a node that restarts at its address writes nothing, and at another address replaces its object", func(t *testing.T) {
