--- a/internal/blackboard/config.go
+++ b/internal/blackboard/config.go
@@ -176,16 +176,28 @@
 // PeerVersion is a version that a peer has and this node lacks.
 type PeerVersion struct {
 	Version uint64
+	// Address is the address of the peer; empty where Holders are kept.
 	Address string
-	// SameDataCentre reports whether the peer is in this node's data centre. It
-	// is false again after a failed pull, so that any peer may be asked next.
-	SameDataCentre bool
-	// PullAt is when to pull the version from the peer unless it has arrived by then.
+	// Holders are peers that have the version and are not being asked for it, in the order
+	// in which they are to be asked. Read-only; replaced on change.
+	Holders []VersionHolder
+	// Asked are the peers that are being asked for it. Read-only; replaced on change.
+	Asked []VersionHolder
+	// PullAt is when to pull the version from the next peer unless it has arrived by then.
 	PullAt time.Time
 	// RetryAt is the lower bound of PullAt after a failed pull; zero while none has failed.
 	RetryAt time.Time
 }
 
+// VersionHolder is a peer that has a version. It is comparable.
+type VersionHolder struct {
+	Address string
+	// SameDataCentre reports whether the peer is in this node's data centre.
+	SameDataCentre bool
+	// Failed is true once the peer was asked for the version and did not send it.
+	Failed bool
+}
+
 // Lease is the entry of the elector.
 type Lease struct {
 	// Slot is the relay slot that this node holds; negative means none.
--- a/internal/blackboard/message_node.go
+++ b/internal/blackboard/message_node.go
@@ -87,4 +87,8 @@
 }
 
 // ConfigFetchFailed reports that a request to another node returned no newer configuration.
-type ConfigFetchFailed struct{ Now time.Time }
+type ConfigFetchFailed struct {
+	// Address is that of the node that was asked.
+	Address string
+	Now     time.Time
+}
--- a/internal/fetcher/exchange.go
+++ b/internal/fetcher/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"time"
 
 	"gentianbarrow.example/internal/blackboard"
@@ -13,10 +15,11 @@
 )
 
 // askPeer requests the configuration from another node: first as a delta from
-// the running version, and as a whole if that fails.
+// the running version, and as a whole if that fails. A node that was silent for
+// askTimeout is not asked twice.
 func (cfg Config) askPeer(ctx context.Context, e askPeer, post blackboard.Post) {
 	s, err := cfg.requestSnapshot(ctx, e, false)
-	if err != nil && e.base != nil {
+	if err != nil && e.base != nil && !isSilence(err) {
 		cfg.Log.Write(logger.ConfigAskFailed, logger.Fields{Peer: e.address, Reason: "delta", Err: err})
 		s, err = cfg.requestSnapshot(ctx, e, true)
 	}
@@ -27,12 +30,18 @@
 		cfg.Log.Write(logger.ConfigAskFailed, logger.Fields{Peer: e.address, Err: err})
 	}
 	if err != nil || s == nil {
-		post(blackboard.ConfigFetchFailed{Now: cfg.Now()})
+		post(blackboard.ConfigFetchFailed{Address: e.address, Now: cfg.Now()})
 		return
 	}
 	post(blackboard.ConfigRead{Snapshot: s, Source: e.address, Now: cfg.Now()})
 }
 
+// isSilence reports whether a request failed because no reply came in time.
+func isSilence(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // requestSnapshot returns nil if the other node runs no greater version.
 func (cfg Config) requestSnapshot(ctx context.Context, e askPeer, whole bool) (*snapshotter.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
--- a/internal/fetcher/exchange_test.go
+++ b/internal/fetcher/exchange_test.go
@@ -1,12 +1,14 @@
 package fetcher
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -118,3 +120,21 @@
 		})
 	}
 }
+
+// TestSilentNodeIsAskedOnce guards against a second request to a node that has lost power,
+// which delays the version by another askTimeout.
+func TestSilentNodeIsAskedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		opened := 0
+		var failed blackboard.Msg
+		sent := time.Now()
+		cfg := Config{Now: time.Now, Open: func(context.Context, string) (*linker.Stream, error) {
+			opened++
+			local, _ := net.Pipe()
+			return &linker.Stream{Conn: local, Reader: bufio.NewReader(local)}, nil
+		}}
+		cfg.askPeer(t.Context(), askPeer{address: "remote", base: snapshot(7)}, func(m blackboard.Msg) { failed = m })
+		assert.Equal(t, opened, 1)
+		assert.DeepEqual(t, failed, blackboard.ConfigFetchFailed{Address: "remote", Now: sent.Add(askTimeout)})
+	})
+}
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -39,6 +39,12 @@
 	// askRetryDelay is the time from a failed request until the version is
 	// requested again.
 	askRetryDelay = 500 * time.Millisecond
+	// askNextDelay is how long a node that was asked may be silent before the next one is
+	// asked as well. A node that loses power after it has announced a version stays a
+	// member for seconds.
+	askNextDelay = 300 * time.Millisecond
+	// maxHolders bounds the nodes that are remembered to have a version.
+	maxHolders = 4
 	// maxWatchWait bounds one call of a node that watches. Together with
 	// remoteAskDelay it leaves half of the two seconds within which a version must
 	// be applied.
@@ -106,7 +112,7 @@
 	case blackboard.NodeUpdated:
 		return noteVersion(s, msg), nil
 	case blackboard.ConfigFetchFailed:
-		return handleFetchFailed(s, msg.Now), nil
+		s.Config.PeerVersion = handleFetchFailed(s.Config.PeerVersion, msg.Address, msg.Now)
 	case blackboard.PlatformReachabilityChanged:
 		s.Config.PlatformLost = msg.Lost
 	}
@@ -139,31 +145,6 @@
 	return s, []blackboard.Effect{logApplied{version: msg.Snapshot.Version, before: before, source: msg.Source}}
 }
 
-// noteVersion records that another node runs a greater version. Nodes of the
-// own data centre are preferred to others.
-func noteVersion(s blackboard.State, msg blackboard.NodeUpdated) blackboard.State {
-	member, known := s.Members.ByHost[msg.Host]
-	peerVersion := s.Config.PeerVersion
-	if !known || msg.Version <= versionOf(s.Config.Running) || msg.Version < peerVersion.Version {
-		return s
-	}
-	sameDataCentre := member.DataCentre == s.Self.DataCentre
-	if msg.Version == peerVersion.Version && (peerVersion.SameDataCentre || !sameDataCentre) {
-		return s
-	}
-	at := msg.Now.Add(askDelay(&s, sameDataCentre))
-	if peerVersion.Version != 0 && peerVersion.PullAt.Before(at) {
-		at = peerVersion.PullAt
-	}
-	if at.Before(peerVersion.RetryAt) {
-		at = peerVersion.RetryAt
-	}
-	s.Config.PeerVersion = blackboard.PeerVersion{
-		Version: msg.Version, Address: member.Address, SameDataCentre: sameDataCentre, PullAt: at, RetryAt: peerVersion.RetryAt,
-	}
-	return s
-}
-
 // askDelay returns how long to wait for a version that another node runs to
 // arrive by itself.
 func askDelay(s *blackboard.State, sameDataCentre bool) time.Duration {
@@ -185,25 +166,15 @@
 		s.Config.PollerStarted = true
 		effects = append(effects, followPlatform{})
 	}
-	if peerVersion := s.Config.PeerVersion; peerVersion.Version > versionOf(s.Config.Running) && !now.Before(peerVersion.PullAt) {
-		s.Config.PeerVersion.PullAt = now.Add(askTimeout)
-		effects = append(effects, askPeer{address: peerVersion.Address, base: s.Config.Running})
+	if s.Config.PeerVersion.Version > versionOf(s.Config.Running) {
+		var address string
+		if s.Config.PeerVersion, address = nextHolder(s.Config.PeerVersion, now); address != "" {
+			effects = append(effects, askPeer{address: address, base: s.Config.Running})
+		}
 	}
 	return s, effects
 }
 
-// handleFetchFailed schedules the next request after one that brought no
-// version. It clears SameDataCentre so that any node may be asked next, because
-// the one that was asked may be gone.
-func handleFetchFailed(s blackboard.State, now time.Time) blackboard.State {
-	if s.Config.PeerVersion.Version != 0 {
-		s.Config.PeerVersion.SameDataCentre = false
-		s.Config.PeerVersion.RetryAt = now.Add(askRetryDelay)
-		s.Config.PeerVersion.PullAt = s.Config.PeerVersion.RetryAt
-	}
-	return s
-}
-
 func (cfg Config) run(ctx context.Context, e blackboard.Effect, post blackboard.Post) {
 	switch e := e.(type) {
 	case followPlatform:
--- a/internal/fetcher/fetcher_test.go
+++ b/internal/fetcher/fetcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -112,11 +113,38 @@
 	})
 	t.Run("after a failure the next node that announces the version is asked", func(t *testing.T) {
 		s := assertAsks(t, withUpdate(stateWithThreePeers(3), "a-1", 7, start), start, "10.0.0.1:7600")
-		s, _ = Reduce(s, blackboard.ConfigFetchFailed{Now: start})
+		s, _ = Reduce(s, blackboard.ConfigFetchFailed{Address: "10.0.0.1:7600", Now: start})
 		s = withUpdate(s, "a-0", 7, start)
 		s = assertAsks(t, s, start.Add(askRetryDelay-time.Millisecond))
 		assertAsks(t, s, start.Add(askRetryDelay), "10.0.0.0:7600")
 	})
+	// A node loses power right after it has announced a version. It stays a member until
+	// its silence is noticed.
+	t.Run("a node that is silent keeps no other node from being asked", func(t *testing.T) {
+		s := withUpdate(stateWithThreePeers(3), "a-1", 7, start)
+		s = assertAsks(t, s, start, "10.0.0.1:7600")
+		s = withUpdate(s, "b-1", 7, start.Add(100*time.Millisecond))
+		s = assertAsks(t, s, start.Add(askNextDelay-time.Millisecond))
+		s = assertAsks(t, s, start.Add(askNextDelay), "10.1.0.1:7600")
+		s = assertAsks(t, s, start.Add(2*askNextDelay))
+		s, _ = Reduce(s, blackboard.ConfigFetchFailed{Address: "10.0.0.1:7600", Now: start.Add(askTimeout)})
+		assertAsks(t, s, start.Add(askTimeout+askRetryDelay), "10.0.0.1:7600")
+	})
+	t.Run("a node that announces the version after the one that is asked became silent is asked at once", func(t *testing.T) {
+		s := withUpdate(stateWithThreePeers(3), "a-1", 7, start)
+		s = assertAsks(t, s, start, "10.0.0.1:7600")
+		s = withUpdate(s, "a-0", 7, start.Add(2*askNextDelay))
+		assertAsks(t, s, start.Add(2*askNextDelay), "10.0.0.0:7600")
+	})
+	t.Run("the nodes that are remembered are bounded", func(t *testing.T) {
+		s := stateWith(3)
+		for i := range 3 * maxHolders {
+			host := fmt.Sprintf("a-%d", i)
+			s.Members.ByHost[host] = blackboard.Member{Host: host, Address: host, DataCentre: "a", Status: blackboard.MemberAlive}
+			s = withUpdate(s, host, 7, start)
+		}
+		assert.Equal(t, len(s.Config.PeerVersion.Holders), maxHolders)
+	})
 }
 
 // stateWithThreePeers returns the state of a node with two other members in its
