--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,8 +36,8 @@
 
 // linkSet holds the sessions to one peer for one traffic class.
 type linkSet struct {
-	// dialMu serialises connecting.
-	dialMu sync.Mutex
+	// dialLock holds a token while a caller connects, so that one does at a time.
+	dialLock chan struct{}
 	// current takes new streams; nil if there is none. Guarded by Linker.mu.
 	current *link
 	// retired holds sessions that became silent and may still have streams. Guarded by Linker.mu.
@@ -125,8 +124,12 @@
 	if current := l.useCurrent(s); current != nil {
 		return current, nil
 	}
-	s.dialMu.Lock()
-	defer s.dialMu.Unlock()
+	select {
+	case s.dialLock <- struct{}{}:
+		defer func() { <-s.dialLock }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	if current := l.useCurrent(s); current != nil {
 		return current, nil
 	}
@@ -141,7 +144,7 @@
 	defer l.mu.Unlock()
 	s := l.linkSets[key]
 	if s == nil {
-		s = &linkSet{retired: map[*link]bool{}}
+		s = &linkSet{dialLock: make(chan struct{}, 1), retired: map[*link]bool{}}
 		l.linkSets[key] = s
 	}
 	return s
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -180,6 +180,32 @@
 	assert.ErrorIs(t, err, io.EOF, "the connection stays open")
 }
 
+// TestWaitForConnection guards against a request that outlives its deadline because
+// another one is connecting to the same peer.
+func TestWaitForConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := New()
+		l.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		open := func(timeout time.Duration) time.Duration {
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			start := time.Now()
+			_, err := l.Open(ctx, "peer", TrafficShort, "echo")
+			assert.ErrorIs(t, err, context.DeadlineExceeded)
+			return time.Since(start)
+		}
+		var group sync.WaitGroup
+		group.Go(func() { open(2 * time.Second) })
+		synctest.Wait()
+		assert.Equal(t, open(500*time.Millisecond), 500*time.Millisecond)
+		group.Wait()
+		l.Close()
+	})
+}
+
 func TestSilentSession(t *testing.T) {
 	t.Run("new streams avoid a silent session that was in use", func(t *testing.T) {
 		runWithPeer(t, func(t *testing.T, l *Linker, e *echoPeer) {
