--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -21,6 +21,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -133,6 +134,25 @@
 	return list
 }
 
+// CloseIdle closes the eighth of the idle connections, at least one, that have been idle
+// for longest, to make room for others.
+func (s *Server) CloseIdle() {
+	type idleConn struct {
+		conn  *conn
+		since time.Time
+	}
+	var idle []idleConn
+	for _, c := range s.openConns() {
+		if since, ok := c.idleSince(); ok {
+			idle = append(idle, idleConn{conn: c, since: since})
+		}
+	}
+	slices.SortFunc(idle, func(a, b idleConn) int { return a.since.Compare(b.since) })
+	for _, c := range idle[:min(len(idle), max(len(idle)/8, 1))] {
+		c.conn.closeWhenIdle()
+	}
+}
+
 // shutdown closes idle connections at once and the others when their requests have ended or CloseTimeout has passed.
 func (s *Server) shutdown() {
 	s.Drain()
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -39,6 +39,9 @@
 	closing bool
 	// awaitingRequest tells whether the reading goroutine waits for the first byte of a request. Guarded by mu.
 	awaitingRequest bool
+	// idleFrom is when the connection became idle, if no request runs and none is being
+	// read. Guarded by mu.
+	idleFrom time.Time
 	// requestEnded is signalled when pending decreases.
 	requestEnded chan struct{}
 	// latestDone is closed when the answer to the latest request is complete.
@@ -122,6 +125,7 @@
 	c.awaitingRequest = true
 	deadline := time.Time{}
 	if c.pending == 0 {
+		c.idleFrom = time.Now()
 		deadline = time.Now().Add(c.server.effectiveLimits().IdleTimeout)
 	}
 	return c.nc.SetReadDeadline(deadline) == nil
@@ -230,6 +234,7 @@
 	c.mu.Lock()
 	c.pending--
 	if c.pending == 0 && !c.closing && c.awaitingRequest {
+		c.idleFrom = time.Now()
 		// The reading goroutine began to wait while a request was running, hence without a deadline.
 		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.effectiveLimits().IdleTimeout))
 	}
@@ -275,6 +280,13 @@
 	}
 }
 
+// idleSince returns since when the connection waits for a request; false if it does not.
+func (c *conn) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleFrom, c.pending == 0 && c.awaitingRequest && !c.closing
+}
+
 // reset makes the close of the connection a reset, which a caller does not take for the
 // end of an answer.
 func (c *conn) reset() {
--- a/internal/composer/bounded.go
+++ b/internal/composer/bounded.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 )
 
 // boundedListener limits the number of open connections. Further connections wait
@@ -11,16 +12,21 @@
 	net.Listener
 	// slots holds one token for each open connection.
 	slots chan struct{}
-	done  chan struct{}
-	once  sync.Once
+	// onFull is called when all slots are taken, to free some of them.
+	onFull func()
+	done   chan struct{}
+	once   sync.Once
 }
 
-func newBoundedListener(ln net.Listener, maxConns int) *boundedListener {
-	return &boundedListener{Listener: ln, slots: make(chan struct{}, maxConns), done: make(chan struct{})}
+func newBoundedListener(ln net.Listener, maxConns int, onFull func()) *boundedListener {
+	return &boundedListener{Listener: ln, slots: make(chan struct{}, maxConns), onFull: onFull, done: make(chan struct{})}
 }
 
 // Accept waits for a free slot and then for a connection.
 func (l *boundedListener) Accept() (net.Conn, error) {
+	if len(l.slots) == cap(l.slots) {
+		l.onFull()
+	}
 	select {
 	case l.slots <- struct{}{}:
 	case <-l.done:
@@ -56,6 +62,15 @@
 	return tcp.CloseWrite()
 }
 
+// SyscallConn returns the raw connection.
+func (c *boundedConn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return sc.SyscallConn()
+}
+
 // Close closes the connection.
 func (c *boundedConn) Close() error {
 	err := c.Conn.Close()
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -204,7 +204,9 @@
 		limitMemory(ctx)
 		return nil
 	})
-	g.start("peers", func(ctx context.Context) error { return n.links.Serve(ctx, n.listeners.nodes) })
+	g.start("peers", func(ctx context.Context) error {
+		return n.links.Serve(ctx, newPatientListener(n.listeners.nodes, n.noteAcceptFailure))
+	})
 	if n.listeners.packets != nil {
 		g.start("packets", func(ctx context.Context) error {
 			return n.listeners.packets.Receive(ctx, n.settings.DataCentre, n.board.Post)
--- a/internal/composer/listeners.go
+++ b/internal/composer/listeners.go
@@ -9,6 +9,7 @@
 
 	"gentianbarrow.example/internal/gossiper"
 	"gentianbarrow.example/internal/loader"
+	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/platform"
 )
 
@@ -77,7 +78,8 @@
 // serveHTTP starts the servers for callers, targets and operators.
 func (n *Node) serveHTTP(g *runGroup) {
 	g.start("callers", func(ctx context.Context) error {
-		return n.callers.Serve(ctx, newBoundedListener(n.listeners.callers, n.settings.Limits.CallerConnections))
+		ln := newPatientListener(n.listeners.callers, n.noteAcceptFailure)
+		return n.callers.Serve(ctx, newBoundedListener(ln, maxCallerConnections(n.settings.Limits.CallerConnections), n.callers.CloseIdle))
 	})
 	serve(g, "targets", newServer(n.announcements), n.listeners.targets, n.closeTimeout)
 	if n.listeners.readiness != nil {
@@ -86,6 +88,15 @@
 	serve(g, "admin", newServer(n.newInspector().Handler()), n.listeners.admin, n.closeTimeout)
 }
 
+// noteAcceptFailure logs a connection that could not be accepted. If that was for want of
+// descriptors it closes idle connections of callers.
+func (n *Node) noteAcceptFailure(err error) {
+	n.log.WriteRequest(logger.AcceptFailed, logger.Fields{Err: err})
+	if isShortage(err) {
+		n.callers.CloseIdle()
+	}
+}
+
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 }
--- a/internal/logger/events_lifecycle.go
+++ b/internal/logger/events_lifecycle.go
@@ -27,6 +27,11 @@
 		Meaning: "The settings file is not valid. The node keeps the previous settings.",
 		Action:  "Correct the file. The node would not start with it.",
 	}
+	AcceptFailed = Event{
+		Number: 107, Name: "accept-failed", Level: LevelWarn,
+		Meaning: "A connection could not be accepted, mostly because the process has no free descriptor. The node pauses, closes the connections of callers that are idle for longest, and goes on.",
+		Action:  "Compare the number of open connections with the descriptors of the process, and look for callers that open connections without end.",
+	}
 	NodeEndCut = Event{
 		Number: 106, Name: "node-end-cut", Level: LevelWarn,
 		Meaning: "The node exits although some of its components have not stopped. The reason field lists them. No request was in flight, or GB0402 has reported those that were.",
@@ -39,4 +44,4 @@
 	}
 )
 
-var lifecycleEvents = []Event{NodeStarted, NodeStopped, NodeFailed, SettingsChanged, LinesDropped, SettingsRefused, NodeEndCut}
+var lifecycleEvents = []Event{NodeStarted, NodeStopped, NodeFailed, SettingsChanged, LinesDropped, SettingsRefused, NodeEndCut, AcceptFailed}
