--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -51,6 +51,8 @@
 	Limits func() Limits
 	// CloseTimeout bounds how long Serve waits for running requests after its context has ended.
 	CloseTimeout time.Duration
+	// Delay returns how late this process runs; nil means never late.
+	Delay func() time.Duration
 	// OnPanic, if not nil, is called with the value of a panic in Handler, except for http.ErrAbortHandler.
 	OnPanic func(value any)
 
@@ -109,6 +111,14 @@
 	return err
 }
 
+// delay returns how late this process runs.
+func (s *Server) delay() time.Duration {
+	if s.Delay == nil {
+		return 0
+	}
+	return s.Delay()
+}
+
 func (s *Server) addConn(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/acceptor/caller.go
@@ -0,0 +1,50 @@
+package acceptor
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Caller is what a Server knows of the sender of a request.
+type Caller struct {
+	// Arrived is when the first byte of the request arrived, by estimate. It lies before
+	// the moment at which the request was read if the process was short of processor time.
+	Arrived time.Time
+	// IsGone reports whether the caller has closed its connection. It sees a close that
+	// lies behind requests which have not been read yet, but not one that has not arrived.
+	IsGone func() bool
+}
+
+type callerKey struct{}
+
+// CallerOf returns the sender of the request whose context this is; false for a request
+// that no Server has read.
+func CallerOf(ctx context.Context) (Caller, bool) {
+	caller, ok := ctx.Value(callerKey{}).(Caller)
+	return caller, ok
+}
+
+// isClosedByPeer reports whether the peer has closed or reset the connection.
+func (c *conn) isClosedByPeer() bool {
+	if c.ctx.Err() != nil {
+		return true
+	}
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		list := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, pollErr := unix.Poll(list, 0)
+		closed = pollErr == nil && n > 0 && list[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return closed && err == nil
+}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -44,12 +44,15 @@
 	idleFrom time.Time
 	// requestEnded is signalled when pending decreases.
 	requestEnded chan struct{}
+	// requestArrived is when the first byte of the latest request arrived, by estimate. It
+	// is used by the reading goroutine only.
+	requestArrived time.Time
 	// latestDone is closed when the answer to the latest request is complete.
 	latestDone chan struct{}
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	source := &limitedReader{r: nc}
+	source := &limitedReader{r: nc, delay: s.delay, readAt: time.Now().Add(-s.delay())}
 	ctx, cancel := context.WithCancel(context.Background())
 	closed := make(chan struct{})
 	close(closed)
@@ -106,6 +109,7 @@
 		c.cancelUnlessClosing()
 		return false
 	}
+	c.requestArrived = c.source.arrivedAt
 	return true
 }
 
@@ -223,7 +227,8 @@
 		conn: c, cancel: cancel, sequence: c.started, previousDone: c.latestDone, done: make(chan struct{}),
 		header: http.Header{}, contentLength: -1,
 	}
-	x.request = r.WithContext(ctx)
+	caller := Caller{Arrived: c.requestArrived, IsGone: c.isClosedByPeer}
+	x.request = r.WithContext(context.WithValue(ctx, callerKey{}, caller))
 	x.body = newRequestBody(x, r)
 	x.request.Body = x.body
 	c.latestDone = x.done
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -36,6 +36,7 @@
 	"gentianbarrow.example/internal/meter"
 	"gentianbarrow.example/internal/receiver"
 	"gentianbarrow.example/internal/summarizer"
+	"gentianbarrow.example/internal/timekeeper"
 	"gentianbarrow.example/pkg/snapshotter"
 	"gentianbarrow.example/pkg/storer"
 )
@@ -64,6 +65,8 @@
 	// announcements handles the announcements of the target on this host.
 	announcements http.Handler
 	metrics       *prometheus.Registry
+	// delay measures how late this process runs.
+	delay *timekeeper.DelayMeter
 }
 
 // Listen opens the listeners of the settings and builds the node. It accepts no
@@ -85,6 +88,7 @@
 		tracker:   drainer.NewTracker(),
 		explainer: explainer.New(),
 		metrics:   prometheus.NewRegistry(),
+		delay:     timekeeper.NewDelayMeter(timekeeper.Uptime),
 	}
 	n.self.LinkMbit = adapter.bounds.LinkMbit
 	n.closeTimeout = cmp.Or(adapter.closeTimeout, defaultCloseTimeout)
@@ -200,6 +204,7 @@
 	defer cancel()
 	g := newRunGroup(ctx)
 	g.start("board", n.board.Run)
+	g.start("delay", n.delay.Run)
 	g.start("memory", func(ctx context.Context) error {
 		limitMemory(ctx)
 		return nil
--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -13,13 +13,14 @@
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/meter"
 	"gentianbarrow.example/internal/receiver"
+	"gentianbarrow.example/internal/timekeeper"
 	"gentianbarrow.example/pkg/snapshotter"
 )
 
 // buildRequestPath creates the components that handle requests of callers. They read
 // the board, which is created after them, only when they run.
 func (n *Node) buildRequestPath(a adapter) {
-	m := meter.New(n.metrics, func() int { return n.tracker.Count().Total })
+	m := meter.New(n.metrics, func() int { return n.tracker.Count().Total }, n.delay.Delay)
 	o := &observer{post: func(msg blackboard.Msg) { n.board.Post(msg) }, now: time.Now}
 	n.executor = executor.New(executor.Config{
 		Host:             n.settings.Host,
@@ -48,6 +49,9 @@
 		Tracker:  n.tracker,
 		// Peers detect by the incarnation that a node has restarted since it reported its load.
 		Incarnation: n.self.Incarnation,
+		Clock:       timekeeper.Uptime,
+		Delay:       n.delay.Delay,
+		ObserveAge:  func(age time.Duration) { m.RecordUnread(meter.OriginNode, age) },
 		Log:         n.log,
 	})
 	n.links.Handle(forwarder.Kind, n.forwarder.Handle)
@@ -56,6 +60,7 @@
 		Match:        snapshotter.Match,
 		Execute:      n.executor.Execute,
 		Forward:      n.forwarder.Forward,
+		Delay:        n.delay.Delay,
 		Tracker:      n.tracker,
 		Explanations: n.explainer,
 		Meter:        m,
@@ -65,6 +70,7 @@
 	})
 	n.callers = &acceptor.Server{
 		Handler: n.receiver, MaxHeaderBytes: n.settings.Limits.HeaderBytes, CloseTimeout: a.closeTimeout,
+		Delay:  n.delay.Delay,
 		Limits: func() acceptor.Limits { return callerLimits(n.board.Read().Config.Running) },
 		OnPanic: func(value any) {
 			n.log.Write(logger.RequestPanicked, logger.Fields{Reason: fmt.Sprint(value), Stack: string(debug.Stack())})
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -30,7 +30,10 @@
 	ReasonNoTarget       Reason = "no-target"
 	ReasonNodeDraining   Reason = "node-draining"
 	ReasonTargetDraining Reason = "target-draining"
-	ReasonTargetFailed   Reason = "target-failed"
+	// ReasonNodeLate means that the node is short of processor time and could not serve
+	// the request before its deadline.
+	ReasonNodeLate     Reason = "node-late"
+	ReasonTargetFailed Reason = "target-failed"
 	// ReasonWrongTarget means that the target is of another service, or that
 	// another process than the expected one answered.
 	ReasonWrongTarget Reason = "wrong-target"
@@ -95,6 +98,12 @@
 	// answers to this node that it leaves; nil when it has not. The target's own node may
 	// have restarted since and not know.
 	Leaving *TargetProcess
+	// CallerGone reports whether the caller is known to have closed its connection; nil at
+	// a node that the caller is not connected to.
+	CallerGone func() bool
+	// Unread is for how long the request had arrived, or was under way from another node,
+	// when this node read it, by estimate.
+	Unread time.Duration
 	// MaxAttempts is how often the request may be sent; 0 means the retrier's default.
 	MaxAttempts int
 	// Depth is 1 for a request that no other request caused; at most MaxDepth.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -19,6 +19,7 @@
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/logger"
+	"gentianbarrow.example/internal/retrier"
 	"gentianbarrow.example/pkg/snapshotter"
 )
 
@@ -243,6 +244,11 @@
 		return a
 	}
 	started := time.Now()
+	if reason := lateReason(ctx, r, started); reason != exchanger.ReasonNone {
+		release(limiter.Result{Outcome: retrier.OutcomeNotRun})
+		forgetKey(entry)
+		return exchanger.NotRun(reason, ctx.Err())
+	}
 	r.TargetID = t.ID
 	if e.cfg.ObserveSent != nil {
 		e.cfg.ObserveSent(r)
@@ -264,6 +270,20 @@
 	return a
 }
 
+// lateReason returns why a request that has a slot is not sent to the target any more, or
+// ReasonNone. The end of its context may not have been noticed yet in a process that is
+// short of processor time.
+func lateReason(ctx context.Context, r *exchanger.Request, now time.Time) exchanger.Reason {
+	switch {
+	case !now.Before(r.Deadline):
+		return exchanger.ReasonDeadline
+	case ctx.Err() != nil, r.CallerGone != nil && r.CallerGone():
+		return exchanger.ReasonCancelled
+	default:
+		return exchanger.ReasonNone
+	}
+}
+
 func limiterRequest(r *exchanger.Request) limiter.Request {
 	return limiter.Request{
 		Class: r.Class, Firm: r.Firm, Deadline: r.Deadline, Priority: r.Priority, SoftDeadline: r.SoftDeadline, Route: r.Route, NoWait: r.NoWait,
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -40,6 +40,7 @@
 // openStream sends the header of a request on an idle stream or on a new one.
 func (f *Forwarder) openStream(ctx context.Context, address string, r *exchanger.Request) (*linker.Stream, error) {
 	m := encodeRequest(r)
+	f.stamp(m)
 	traffic := trafficFor(r.Class)
 	if traffic == linker.TrafficShort {
 		if s := f.idle.take(address); s != nil {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -35,6 +35,7 @@
 	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/logger"
+	"gentianbarrow.example/internal/timekeeper"
 	"gentianbarrow.example/pkg/snapshotter"
 )
 
@@ -88,7 +89,13 @@
 	Tracker *drainer.Tracker
 	// Incarnation is the incarnation of this node.
 	Incarnation uint64
-	Log         *logger.Logger
+	// Clock is timekeeper.Uptime in production; nil means that the ages of requests are not told.
+	Clock func() time.Duration
+	// Delay returns how late this process runs; nil means never late.
+	Delay func() time.Duration
+	// ObserveAge is called with the age of each request of a peer when it is read; nil means no call.
+	ObserveAge func(age time.Duration)
+	Log        *logger.Logger
 }
 
 // Forwarder implements both ends of the protocol.
@@ -98,11 +105,17 @@
 	bodyGate *limiter.SyncGate
 	// answerTimes records the times that answers to bulk requests take.
 	answerTimes *answerTimes
+	// ages estimates how long requests of peers were under way; nil without a clock.
+	ages *timekeeper.AgeEstimator
 }
 
 // New returns a forwarder. Its Handle method must be registered with the linker under Kind.
 func New(cfg Config) *Forwarder {
-	return &Forwarder{cfg: cfg, idle: newIdleStreams(), bodyGate: limiter.NewSyncGate(bodyLimits), answerTimes: newAnswerTimes()}
+	f := &Forwarder{cfg: cfg, idle: newIdleStreams(), bodyGate: limiter.NewSyncGate(bodyLimits), answerTimes: newAnswerTimes()}
+	if cfg.Clock != nil {
+		f.ages = timekeeper.NewAgeEstimator(cfg.Clock)
+	}
+	return f
 }
 
 // trafficFor returns the traffic class of a request. Bulk requests have a class of their own, so that
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -59,7 +59,14 @@
 	if err := s.SetReadDeadline(time.Time{}); err != nil {
 		return nil, false, err
 	}
-	r, err = decodeRequest(&m, time.Now())
+	age := f.requestAge(&m)
+	if f.cfg.ObserveAge != nil {
+		f.cfg.ObserveAge(age)
+	}
+	r, err = decodeRequest(&m, time.Now().Add(-age))
+	if r != nil {
+		r.Unread = age
+	}
 	return r, m.GetHoldsBody(), err
 }
 
@@ -100,6 +107,11 @@
 }
 
 func (x *incoming) serve(ctx context.Context) {
+	if a := x.rejectLate(); a != nil {
+		x.sendAnswer(a)
+		a.Close()
+		return
+	}
 	ctx, cancel := context.WithDeadline(ctx, x.request.Deadline)
 	defer cancel()
 	// This also ends a write that waits for a peer that is gone.
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -73,8 +73,12 @@
 	// left until its deadline when it arrived; both are written only if it is set.
 	DurationMillis  int64
 	RemainingMillis int64
-	Count           int
-	Err             error
+	// UnreadMillis is for how long a request had arrived, or was under way from another
+	// node, when it was read. NodeLateMillis is how late the node ran then.
+	UnreadMillis   int64
+	NodeLateMillis int64
+	Count          int
+	Err            error
 }
 
 // Logger writes events. The zero value writes nothing.
@@ -173,6 +177,12 @@
 	if f.PreviousVersion != 0 {
 		out["before"] = f.PreviousVersion
 	}
+	if f.UnreadMillis != 0 {
+		out["unread-ms"] = f.UnreadMillis
+	}
+	if f.NodeLateMillis != 0 {
+		out["node-late-ms"] = f.NodeLateMillis
+	}
 	if f.RemainingMillis != 0 {
 		out["ms"], out["ms-left"] = f.DurationMillis, f.RemainingMillis
 	}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -59,6 +59,14 @@
 		Name: "gentian_target_rate_limit",
 		Help: "Requests a second that the target on this host states that it accepts from all nodes together; -1 when it states no limit.",
 	}
+	unread = Metric{
+		Name: "gentian_request_unread_seconds", Labels: []string{"from"},
+		Help: "Time for which a request had arrived from a caller, or was under way from another node, when it was read, by estimate.",
+	}
+	processorDelay = Metric{
+		Name: "gentian_processor_delay_seconds",
+		Help: "How late the process runs: the time for which what is ready waits for the processor.",
+	}
 	inFlight = Metric{
 		Name: "gentian_requests_in_flight",
 		Help: "Unfinished requests of callers and peers at this node.",
@@ -68,7 +76,7 @@
 // Metrics lists the metrics that Meter and Traffic register.
 func Metrics() []Metric {
 	return []Metric{
-		latency, queueWait, serviceTime, outcomes, attempts, targetRequests, targetRateLimit, inFlight,
+		latency, queueWait, serviceTime, outcomes, attempts, targetRequests, targetRateLimit, unread, processorDelay, inFlight,
 		linkBytes, linkTransfers, packetBytes, packets,
 	}
 }
@@ -88,18 +96,20 @@
 	// targetRequests counts by attempt; targetRateLimit is noRateLimit without a limit.
 	targetRequests  *prometheus.CounterVec
 	targetRateLimit prometheus.Gauge
+	unread          *prometheus.HistogramVec
 
 	firms   boundedLabels
 	reasons boundedLabels
 }
 
 // New registers the metrics of the request path. The function countInFlight returns
-// the number of unfinished requests.
-func New(registry prometheus.Registerer, countInFlight func() int) *Meter {
+// the number of unfinished requests, and delay how late the process runs.
+func New(registry prometheus.Registerer, countInFlight func() int, delay func() time.Duration) *Meter {
 	m := &Meter{
 		latency: newHistogram(latency), queueWait: newHistogram(queueWait), serviceTime: newHistogram(serviceTime),
 		outcomes: newCounter(outcomes), attempts: newCounter(attempts),
 		targetRequests:  newCounter(targetRequests),
+		unread:          newHistogram(unread),
 		targetRateLimit: prometheus.NewGauge(prometheus.GaugeOpts{Name: targetRateLimit.Name, Help: targetRateLimit.Help}),
 
 		firms: boundedLabels{limit: maxFirms}, reasons: boundedLabels{limit: maxReasons},
@@ -108,7 +118,11 @@
 		prometheus.GaugeOpts{Name: inFlight.Name, Help: inFlight.Help},
 		func() float64 { return float64(countInFlight()) },
 	)
-	registry.MustRegister(m.latency, m.queueWait, m.serviceTime, m.outcomes, m.attempts, m.targetRequests, m.targetRateLimit, gauge)
+	delayGauge := prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Name: processorDelay.Name, Help: processorDelay.Help},
+		func() float64 { return delay().Seconds() },
+	)
+	registry.MustRegister(delayGauge, m.unread, m.latency, m.queueWait, m.serviceTime, m.outcomes, m.attempts, m.targetRequests, m.targetRateLimit, gauge)
 	m.targetRateLimit.Set(noRateLimit)
 	return m
 }
@@ -148,6 +162,22 @@
 	}
 }
 
+// Origin is where a request was read from.
+type Origin string
+
+// The origins of requests.
+const (
+	OriginCaller Origin = "caller"
+	OriginNode   Origin = "node"
+)
+
+// RecordUnread records for how long a request lay unread, or was under way from another node.
+func (m *Meter) RecordUnread(from Origin, d time.Duration) {
+	if m != nil {
+		m.unread.WithLabelValues(string(from)).Observe(d.Seconds())
+	}
+}
+
 // noRateLimit is the value of the gauge while the target states no rate limit.
 const noRateLimit = -1
 
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -16,12 +16,13 @@
 
 func TestMetrics(t *testing.T) {
 	registry := prometheus.NewRegistry()
-	m := New(registry, func() int { return 3 })
+	m := New(registry, func() int { return 3 }, func() time.Duration { return 250 * time.Millisecond })
 	for firm := range 2 * maxFirms {
 		m.RecordRequest(string(rune('a'+firm)), snapshotter.ClassShort, retrier.OutcomeDone, "", time.Millisecond)
 	}
 	m.RecordService(&exchanger.Request{Firm: "paza", Class: "no-such-class"}, time.Millisecond, time.Millisecond)
 	m.RecordAttempt("cost")
+	m.RecordUnread(OriginNode, time.Second)
 	m.RecordSent(&exchanger.Request{Attempt: 1})
 	m.RecordSent(&exchanger.Request{Attempt: 2})
 	traffic := NewTraffic(registry)
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -28,6 +28,9 @@
 	r := &attemptSequence{call: c}
 	r.recordRequest(time.Now())
 	for {
+		if a := c.rejectLate(ctx); a != nil {
+			return r.resolveOutcome(a)
+		}
 		t, ok := r.chooseTarget(explainer.ChoiceByCost)
 		if !ok && r.waitForHome(ctx, r.lastAnswer) {
 			continue
@@ -220,7 +223,7 @@
 func isFull(reason exchanger.Reason) bool {
 	switch reason {
 	case exchanger.Reason(limiter.ReasonQueueFull), exchanger.Reason(limiter.ReasonWaitedTooLong), exchanger.Reason(limiter.ReasonMissesDeadline),
-		exchanger.Reason(limiter.ReasonRateLimited):
+		exchanger.Reason(limiter.ReasonRateLimited), exchanger.ReasonNodeLate:
 		return true
 	default:
 		return false
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"gentianbarrow.example/internal/acceptor"
 	"gentianbarrow.example/internal/deduplicator"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/explainer"
@@ -37,6 +38,9 @@
 	w           http.ResponseWriter
 	httpRequest *http.Request
 	control     *http.ResponseController
+	caller      acceptor.Caller
+	// readAt is when the request was read; the caller's Arrived lies before it.
+	readAt time.Time
 
 	// request is nil until the request has been routed.
 	request *exchanger.Request
@@ -155,6 +159,9 @@
 		ContentLength:  r.ContentLength, ConfigVersion: version,
 		Priority: route.Priority, CallerService: c.receiver.cfg.CallerService, MaxAttempts: route.MaxAttempts,
 	}
+	if c.caller.IsGone != nil {
+		out.CallerGone = c.isCallerGone
+	}
 	if route.TargetLatencyMs > 0 {
 		out.SoftDeadline = c.record.Arrived.Add(time.Duration(route.TargetLatencyMs) * time.Millisecond)
 	}
--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -23,6 +23,10 @@
 		RequestID: c.record.RequestID, Version: c.record.ConfigVersion, Route: c.record.Route, Service: c.record.Service,
 		Reason: string(c.record.Reason), Attempts: describeAttempts(&c.record), DurationMillis: time.Since(c.record.Arrived).Milliseconds(),
 	}
+	f.UnreadMillis = c.readAt.Sub(c.record.Arrived).Milliseconds()
+	if c.receiver.cfg.Delay != nil {
+		f.NodeLateMillis = c.receiver.cfg.Delay().Milliseconds()
+	}
 	if c.request != nil {
 		f.Class = string(c.request.Class)
 		f.RemainingMillis = c.request.Deadline.Sub(c.record.Arrived).Milliseconds()
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -19,6 +19,7 @@
 	"sync"
 	"time"
 
+	"gentianbarrow.example/internal/acceptor"
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/drainer"
 	"gentianbarrow.example/internal/exchanger"
@@ -49,6 +50,8 @@
 	Execute func(ctx context.Context, r *exchanger.Request) *exchanger.Answer
 	// Forward sends a request to the node at the address.
 	Forward func(ctx context.Context, address string, r *exchanger.Request) *exchanger.Answer
+	// Delay returns how late this process runs; nil means never late.
+	Delay func() time.Duration
 	// Tracker counts the requests of callers in flight.
 	Tracker *drainer.Tracker
 	// Explanations records how requests were routed; nil means no records.
@@ -109,10 +112,15 @@
 
 // ServeHTTP answers one request.
 func (rc *Receiver) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	caller, ok := acceptor.CallerOf(r.Context())
+	if !ok {
+		caller.Arrived = time.Now()
+	}
 	c := &call{
 		receiver: rc, w: w, httpRequest: r, control: http.NewResponseController(w),
-		record: explainer.Record{Arrived: time.Now()},
+		caller: caller, readAt: time.Now(), record: explainer.Record{Arrived: caller.Arrived},
 	}
+	rc.cfg.Meter.RecordUnread(meter.OriginCaller, c.readAt.Sub(caller.Arrived))
 	defer c.finish()
 	a := c.handle()
 	c.reply(a)
--- /dev/null
+++ b/internal/timekeeper/delay.go
@@ -0,0 +1,79 @@
+// Package timekeeper tells how old what a process reads is. Bytes carry no time of
+// arrival, so a process that lacked processor time, or stood still, takes what it reads
+// late for new.
+//
+// A DelayMeter measures how late the process runs. An AgeEstimator compares the clocks of
+// two processes by the messages from one to the other.
+package timekeeper
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// measureInterval is the time between two measurements of the delay.
+	measureInterval = 20 * time.Millisecond
+	// delayRetention is how long a measured delay counts. What has arrived during a
+	// standstill is read within that time.
+	delayRetention = 100 * time.Millisecond
+)
+
+// DelayMeter measures for how long a goroutine that is ready waits for the processor: its
+// own goroutine sleeps for short times and measures how late it wakes up. It is safe for
+// concurrent use.
+type DelayMeter struct {
+	clock func() time.Duration
+	// due is when the next measurement should begin, by clock.
+	due atomic.Int64
+	// delay is the delay that counts until expiresAt, in nanoseconds.
+	delay, expiresAt atomic.Int64
+}
+
+// NewDelayMeter returns a meter that reads the given clock, Uptime in production.
+func NewDelayMeter(clock func() time.Duration) *DelayMeter {
+	m := &DelayMeter{clock: clock}
+	m.due.Store(int64(clock() + measureInterval))
+	return m
+}
+
+// Run measures until ctx ends.
+func (m *DelayMeter) Run(ctx context.Context) error {
+	timer := time.NewTimer(measureInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		}
+		m.measure()
+		timer.Reset(measureInterval)
+	}
+}
+
+// measure records how late it is called.
+func (m *DelayMeter) measure() {
+	now := int64(m.clock())
+	late := max(now-m.due.Load(), 0)
+	if late >= m.delay.Load() || now >= m.expiresAt.Load() {
+		m.delay.Store(late)
+		m.expiresAt.Store(now + int64(delayRetention))
+	}
+	m.due.Store(now + int64(measureInterval))
+}
+
+// Delay returns how late the process runs: the greatest delay measured lately, or the time
+// by which the next measurement is overdue if that is greater.
+func (m *DelayMeter) Delay() time.Duration {
+	if m == nil {
+		return 0
+	}
+	now := int64(m.clock())
+	late := max(now-m.due.Load(), 0)
+	if now < m.expiresAt.Load() {
+		late = max(late, m.delay.Load())
+	}
+	return time.Duration(late)
+}
