--- a/internal/fetcher/fetcher_test.go
+++ b/internal/fetcher/fetcher_test.go
@@ -145,6 +145,23 @@
 		}
 		assert.Equal(t, len(s.Config.PeerVersion.Holders), maxHolders)
 	})
+	// Nodes that announced a version before they stood still must not keep out those that
+	// announce it afterwards.
+	t.Run("a node that failed gives way to one that announces the version", func(t *testing.T) {
+		s := stateWith(3)
+		for i := range maxHolders + 1 {
+			host := fmt.Sprintf("a-%d", i)
+			s.Members.ByHost[host] = blackboard.Member{Host: host, Address: host, DataCentre: "a", Status: blackboard.MemberAlive}
+		}
+		for i := range maxHolders {
+			s = withUpdate(s, fmt.Sprintf("a-%d", i), 7, start)
+		}
+		s = assertAsks(t, s, start.Add(watcherAskDelay), "a-0")
+		s, _ = Reduce(s, blackboard.ConfigFetchFailed{Address: "a-0", Now: start})
+		s = withUpdate(s, fmt.Sprintf("a-%d", maxHolders), 7, start)
+		assert.Equal(t, len(s.Config.PeerVersion.Holders), maxHolders)
+		assert.Equal(t, s.Config.PeerVersion.Holders[maxHolders-1].Address, fmt.Sprintf("a-%d", maxHolders))
+	})
 }
 
 // stateWithThreePeers returns the state of a node with two other members in its
--- a/internal/fetcher/holders.go
+++ b/internal/fetcher/holders.go
@@ -34,18 +34,26 @@
 	return s
 }
 
-// addHolder adds a node that has the version. The version is pulled at the given time
+// addHolder adds a node that has the version, in place of one that did not send it if
+// there are maxHolders. The version is pulled at the given time
 // unless a node is being asked: then the new one is asked in its turn.
 func addHolder(v blackboard.PeerVersion, holder blackboard.VersionHolder, at time.Time) blackboard.PeerVersion {
 	isKnown := func(h blackboard.VersionHolder) bool { return h.Address == holder.Address }
-	if slices.ContainsFunc(v.Holders, isKnown) || slices.ContainsFunc(v.Asked, isKnown) || len(v.Holders)+len(v.Asked) >= maxHolders {
+	if slices.ContainsFunc(v.Holders, isKnown) || slices.ContainsFunc(v.Asked, isKnown) {
 		return v
 	}
+	holders := slices.Clone(v.Holders)
+	if last := len(holders) - 1; len(holders)+len(v.Asked) >= maxHolders {
+		if last < 0 || !holders[last].Failed {
+			return v
+		}
+		holders = holders[:last]
+	}
 	before := 0
-	for before < len(v.Holders) && !precedes(holder, v.Holders[before]) {
+	for before < len(holders) && !precedes(holder, holders[before]) {
 		before++
 	}
-	v.Holders = slices.Insert(slices.Clone(v.Holders), before, holder)
+	v.Holders = slices.Insert(holders, before, holder)
 	if len(v.Asked) == 0 {
 		v.PullAt = at
 	}
