--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -74,7 +74,7 @@
 }
 
 func (c *httpClient) dispatch(ctx context.Context, address string, r *exchanger.Request) *exchanger.Answer {
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, r.AbortTime())
 	nc, err := c.pool.get(ctx, address, r)
 	if err != nil {
 		reason := failureReason(ctx, r, err)
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -85,8 +85,12 @@
 	Priority int
 	// Idempotent is set if running the request twice is harmless.
 	Idempotent bool
-	// Deadline is when the caller stops waiting. It is after the request's arrival.
+	// Deadline is when the caller stops waiting, by estimate. It is after the request's arrival.
 	Deadline time.Time
+	// AbortAt is when the exchange is aborted, even during the answer. It is after Deadline
+	// by the time for which the request may have lain unread, since the estimate may be too
+	// early; zero means at Deadline.
+	AbortAt time.Time
 	// SoftDeadline is until when the answer has its full value, by the target latency
 	// of the route; zero when the route has none.
 	SoftDeadline time.Time
@@ -183,6 +187,14 @@
 // of them ends a request at its deadline.
 const maxTimerSkew = 50 * time.Millisecond
 
+// AbortTime returns when the exchange is aborted.
+func (r *Request) AbortTime() time.Time {
+	if r.AbortAt.After(r.Deadline) {
+		return r.AbortAt
+	}
+	return r.Deadline
+}
+
 // IsDeadlineReached reports whether a request that ends now ends because of its
 // deadline. It allows for a host or target whose timer fires up to maxTimerSkew
 // earlier.
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -17,7 +17,7 @@
 // Forward sends a request to the node at the address and returns when it has
 // received the header of the answer. The caller must close the answer.
 func (f *Forwarder) Forward(ctx context.Context, address string, r *exchanger.Request) *exchanger.Answer {
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, r.AbortTime())
 	s, err := f.openStream(ctx, address, r)
 	if err != nil {
 		a := openFailure(ctx, r, err)
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -31,10 +31,25 @@
 		IdempotencyKey: r.IdempotencyKey, Recall: r.LookupOnly,
 		ContentLength: r.ContentLength, ConfigVersion: r.ConfigVersion,
 		CallerService: r.CallerService, Priority: uint32(r.Priority), AimMicro: softDeadlineMicros(r), NoWait: r.NoWait,
-		HoldsBody: holdsBody(r), Leaving: encodeProcess(r.Leaving),
+		HoldsBody: holdsBody(r), Leaving: encodeProcess(r.Leaving), AbortMicro: abortMicros(r),
 	}
 }
 
+// abortMicros returns the time until the exchange is aborted in microseconds, or 0 if that
+// is at the deadline.
+func abortMicros(r *exchanger.Request) int64 {
+	if !r.AbortAt.After(r.Deadline) {
+		return 0
+	}
+	return remainingMicros(r.AbortAt)
+}
+
+// abortAfter returns the time until the exchange of a received request is aborted, counted
+// from the moment at which it is read: its age may have been taken for too great.
+func abortAfter(m *wirepb.ForwardRequest) time.Duration {
+	return time.Duration(min(max(m.GetAbortMicro(), m.GetRemainingMicro()), maxDeadlineAhead.Microseconds())) * time.Microsecond
+}
+
 func encodeProcess(p *exchanger.TargetProcess) *wirepb.TargetProcess {
 	if p == nil {
 		return nil
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -63,9 +63,11 @@
 	if f.cfg.ObserveAge != nil {
 		f.cfg.ObserveAge(age)
 	}
-	r, err = decodeRequest(&m, time.Now().Add(-age))
+	now := time.Now()
+	r, err = decodeRequest(&m, now.Add(-age))
 	if r != nil {
 		r.Unread = age
+		r.AbortAt = now.Add(abortAfter(&m))
 	}
 	return r, m.GetHoldsBody(), err
 }
@@ -112,7 +114,7 @@
 		a.Close()
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, x.request.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, x.request.AbortTime())
 	defer cancel()
 	// This also ends a write that waits for a peer that is gone.
 	x.stopAbort = context.AfterFunc(ctx, x.stream.Abort)
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -162,6 +162,7 @@
 	if c.caller.IsGone != nil {
 		out.CallerGone = c.isCallerGone
 	}
+	out.AbortAt = deadline.Add(c.readAt.Sub(c.record.Arrived))
 	if route.TargetLatencyMs > 0 {
 		out.SoftDeadline = c.record.Arrived.Add(time.Duration(route.TargetLatencyMs) * time.Millisecond)
 	}
