--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -88,7 +88,7 @@
 		tracker:   drainer.NewTracker(),
 		explainer: explainer.New(),
 		metrics:   prometheus.NewRegistry(),
-		delay:     timekeeper.NewDelayMeter(timekeeper.Uptime),
+		delay:     timekeeper.NewDelayMeter(timekeeper.Monotonic, timekeeper.Uptime),
 	}
 	n.self.LinkMbit = adapter.bounds.LinkMbit
 	n.closeTimeout = cmp.Or(adapter.closeTimeout, defaultCloseTimeout)
--- a/internal/timekeeper/delay.go
+++ b/internal/timekeeper/delay.go
@@ -14,7 +14,7 @@
 
 const (
 	// measureInterval is the time between two measurements of the delay.
-	measureInterval = 20 * time.Millisecond
+	measureInterval = 50 * time.Millisecond
 	// delayRetention is how long a measured delay counts. What has arrived during a
 	// standstill is read within that time.
 	delayRetention = 100 * time.Millisecond
@@ -25,15 +25,20 @@
 // concurrent use.
 type DelayMeter struct {
 	clock func() time.Duration
+	// uptime also counts the time for which the host was suspended. It costs a system call.
+	uptime func() time.Duration
+	// suspended is how far uptime was ahead of clock at the last measurement. It is used by
+	// one goroutine.
+	suspended time.Duration
 	// due is when the next measurement should begin, by clock.
 	due atomic.Int64
 	// delay is the delay that counts until expiresAt, in nanoseconds.
 	delay, expiresAt atomic.Int64
 }
 
-// NewDelayMeter returns a meter that reads the given clock, Uptime in production.
-func NewDelayMeter(clock func() time.Duration) *DelayMeter {
-	m := &DelayMeter{clock: clock}
+// NewDelayMeter returns a meter that reads the given clocks, Monotonic and Uptime in production.
+func NewDelayMeter(clock, uptime func() time.Duration) *DelayMeter {
+	m := &DelayMeter{clock: clock, uptime: uptime, suspended: uptime() - clock()}
 	m.due.Store(int64(clock() + measureInterval))
 	return m
 }
@@ -55,8 +60,10 @@
 
 // measure records how late it is called.
 func (m *DelayMeter) measure() {
-	now := int64(m.clock())
-	late := max(now-m.due.Load(), 0)
+	clock := m.clock()
+	now, suspended := int64(clock), m.uptime()-clock
+	late := max(now-m.due.Load(), 0) + int64(max(suspended-m.suspended, 0))
+	m.suspended = suspended
 	if late >= m.delay.Load() || now >= m.expiresAt.Load() {
 		m.delay.Store(late)
 		m.expiresAt.Store(now + int64(delayRetention))
