--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -50,7 +50,7 @@
 		// Peers detect by the incarnation that a node has restarted since it reported its load.
 		Incarnation: n.self.Incarnation,
 		Clock:       timekeeper.Uptime,
-		Delay:       n.delay.Delay,
+		Delay:       n.delay.MeanDelay,
 		ObserveAge:  func(age time.Duration) { m.RecordUnread(meter.OriginNode, age) },
 		Log:         n.log,
 	})
@@ -60,7 +60,7 @@
 		Match:        snapshotter.Match,
 		Execute:      n.executor.Execute,
 		Forward:      n.forwarder.Forward,
-		Delay:        n.delay.Delay,
+		Delay:        n.delay.MeanDelay,
 		Tracker:      n.tracker,
 		Explanations: n.explainer,
 		Meter:        m,
--- a/internal/shedder/shedder_test.go
+++ b/internal/shedder/shedder_test.go
@@ -44,10 +44,8 @@
 type crowd struct {
 	// serveCost is the processor time of one turn of a request, rejectCost that of a rejection.
 	serveCost, rejectCost time.Duration
-	// requestTurns is how often a request waits for the processor.
-	requestTurns   int
-	interval, left time.Duration
-	shed           bool
+	interval, left        time.Duration
+	shed                  bool
 }
 
 // play returns the share of the processor's capacity that ended in answers in time.
--- a/internal/timekeeper/delay.go
+++ b/internal/timekeeper/delay.go
@@ -34,6 +34,8 @@
 	due atomic.Int64
 	// delay is the delay that counts until expiresAt, in nanoseconds.
 	delay, expiresAt atomic.Int64
+	// mean is the moving average of the measured delays, in nanoseconds.
+	mean atomic.Int64
 }
 
 // NewDelayMeter returns a meter that reads the given clocks, Monotonic and Uptime in production.
@@ -64,6 +66,7 @@
 	now, suspended := int64(clock), m.uptime()-clock
 	late := max(now-m.due.Load(), 0) + int64(max(suspended-m.suspended, 0))
 	m.suspended = suspended
+	m.mean.Store((m.mean.Load() + late) / 2)
 	if late >= m.delay.Load() || now >= m.expiresAt.Load() {
 		m.delay.Store(late)
 		m.expiresAt.Store(now + int64(delayRetention))
@@ -84,3 +87,10 @@
 	}
 	return time.Duration(late)
 }
+
+// MeanDelay returns how late the process runs on average over the last measurements, or
+// the time by which the next one is overdue if that is greater. It tells how long what
+// becomes ready now will wait.
+func (m *DelayMeter) MeanDelay() time.Duration {
+	return time.Duration(max(m.mean.Load(), int64(m.clock())-m.due.Load()))
+}
--- a/internal/timekeeper/timekeeper_test.go
+++ b/internal/timekeeper/timekeeper_test.go
@@ -52,6 +52,16 @@
 		m.measure()
 		assert.Equal(t, m.Delay(), delayRetention-measureInterval)
 	})
+	t.Run("the mean follows the measurements, and one that is overdue", func(t *testing.T) {
+		c, m := newMeter()
+		c.now += measureInterval + 400*time.Millisecond
+		assert.Equal(t, m.MeanDelay(), 400*time.Millisecond)
+		m.measure()
+		assert.Equal(t, m.MeanDelay(), 200*time.Millisecond)
+		c.now += measureInterval
+		m.measure()
+		assert.Equal(t, m.MeanDelay(), 100*time.Millisecond)
+	})
 	t.Run("a host that was suspended", func(t *testing.T) {
 		c, m := newMeter()
 		c.suspended = 3 * time.Second
