--- a/internal/acceptor/source.go
+++ b/internal/acceptor/source.go
@@ -17,8 +17,8 @@
 	err error
 	// delay returns how late this process runs.
 	delay func() time.Duration
-	// arrivedAt is when the bytes of the latest read have arrived at the latest known
-	// moment: they lay unread while the process waited for the processor.
+	// arrivedAt is when the bytes of the latest read arrived, by estimate. It lies before
+	// readAt if they lay unread while the process waited for the processor.
 	arrivedAt time.Time
 	// readAt is the end of the latest read. Before the first one it is when the connection
 	// was opened.
--- a/internal/enroller/departure_test.go
+++ b/internal/enroller/departure_test.go
@@ -196,3 +196,17 @@
 		})
 	}
 }
+
+// TestDepartureOfRemovedNode guards against a target whose leave is not answered because
+// its node has removed its object, and against an object that comes back.
+func TestDepartureOfRemovedNode(t *testing.T) {
+	store := storer.NewFake()
+	_, effects := Reduce(blackboard.State{Enrolment: blackboard.Enrolment{Removed: true}}, blackboard.TargetDeparted{})
+	assert.Equal(t, len(effects), 1)
+	answered := false
+	e := effects[0].(recordDeparture)
+	e.recorded = func() { answered = true }
+	New(Config{Self: nodeRecord("reyk-a-1", "10.0.0.1:7600"), Platform: store.Client()}).Run(t.Context(), e, nil)
+	assert.Assert(t, answered)
+	assert.Equal(t, len(store.Dump()), 0)
+}
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -71,8 +71,11 @@
 	// so at the same time.
 	confirm struct{ nodes int }
 	// recordDeparture writes the departure of the target to this node's object. recorded
-	// may be nil.
-	recordDeparture struct{ recorded func() }
+	// may be nil. An object that has been removed is not written again.
+	recordDeparture struct {
+		recorded func()
+		removed  bool
+	}
 	// poll follows the other nodes' objects.
 	poll struct{}
 	// remove deletes this node's object.
@@ -106,10 +109,7 @@
 	case blackboard.NodeUpdated:
 		return noteEra(s, msg.PlatformEra)
 	case blackboard.TargetDeparted:
-		if s.Enrolment.Removed {
-			return s, nil
-		}
-		return s, []blackboard.Effect{recordDeparture{recorded: msg.Recorded}}
+		return s, []blackboard.Effect{recordDeparture{recorded: msg.Recorded, removed: s.Enrolment.Removed}}
 	case blackboard.LeaveRequested:
 		// A node whose target keeps running is expected to restart at the same
 		// address, so its object stays.
@@ -158,7 +158,7 @@
 			cfg.enroll(ctx, cfg.confirmObject)
 		}
 	case recordDeparture:
-		cfg.recordDeparture(ctx, e.recorded)
+		cfg.recordDeparture(ctx, e)
 	case poll:
 		if poller.Sleep(ctx, startDelay) {
 			cfg.poll(ctx, post)
--- a/internal/enroller/object.go
+++ b/internal/enroller/object.go
@@ -137,16 +137,18 @@
 // recordDeparture writes the object until the platform holds the departure. It calls
 // recorded then, or when recordTimeout has passed, since the target has to be answered
 // while the platform is away too.
-func (cfg Config) recordDeparture(ctx context.Context, recorded func()) {
-	if recorded != nil {
-		timer := time.AfterFunc(recordTimeout, recorded)
+func (cfg Config) recordDeparture(ctx context.Context, e recordDeparture) {
+	if e.recorded != nil {
+		timer := time.AfterFunc(recordTimeout, e.recorded)
 		defer func() {
 			if timer.Stop() && ctx.Err() == nil {
-				recorded()
+				e.recorded()
 			}
 		}()
 	}
-	cfg.retry(ctx, "departure", cfg.confirmObject)
+	if !e.removed {
+		cfg.retry(ctx, "departure", cfg.confirmObject)
+	}
 }
 
 // compactJSON removes white space that the platform may have added to the JSON value.
