--- a/internal/exchanger/dialect.go
+++ b/internal/exchanger/dialect.go
@@ -25,6 +25,10 @@
 	IdempotencyKey string
 	// CallerService carries the service on whose host a request began. The node sets it.
 	CallerService string
+	// AccessKey carries a caller's access key behind AccessKeyScheme and a space. Firm
+	// carries the firm that holds it. The node sets Firm, and sends the key to no target.
+	// Neither is touched under a configuration without firms.
+	AccessKey, AccessKeyScheme, Firm string
 	// ExpectTarget carries the id of the process that must run the request. The node sets it.
 	ExpectTarget string
 	// NotRun marks the answer of a target that did not start the request. Its value
@@ -57,6 +61,7 @@
 	return Dialect{
 		RequestID: HeaderRequestID, Deadline: HeaderDeadline, Depth: HeaderDepth, Attempt: HeaderAttempt,
 		IdempotencyKey: HeaderIdempotencyKey, NotRun: HeaderShed, NotRunValue: ShedNotRun,
+		AccessKey: "Authorization", AccessKeyScheme: "Bearer", Firm: HeaderFirm,
 		ReportsOutcome: true, Status: defaultStatus, RetryAfter: retryAfterSeconds,
 	}
 }
@@ -69,6 +74,10 @@
 		return http.StatusNotFound
 	case a.Reason == ReasonBadRequest:
 		return http.StatusBadRequest
+	case a.Reason == ReasonAccessKeyUnknown:
+		return http.StatusUnauthorized
+	case a.Reason == ReasonOverLimit:
+		return http.StatusTooManyRequests
 	case a.Reason == ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case a.Reason == ReasonKeyReused:
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -25,6 +25,14 @@
 	ReasonNoConfig   Reason = "no-config"
 	ReasonBadRequest Reason = "bad-request"
 	ReasonTooLarge   Reason = "too-large"
+	// ReasonAccessKeyUnknown means that the request's access key is missing, malformed or
+	// not that of a firm.
+	ReasonAccessKeyUnknown Reason = "access-key-unknown"
+	// ReasonOverLimit means that the firm has sent more than its limit.
+	ReasonOverLimit Reason = "firm-over-limit"
+	// ReasonConfigBehind means that a node with a greater version may know the request's
+	// access key.
+	ReasonConfigBehind Reason = "config-behind"
 	// ReasonTooDeep means that calls are nested deeper than MaxDepth.
 	ReasonTooDeep        Reason = "too-deep"
 	ReasonNoTarget       Reason = "no-target"
--- a/internal/exchanger/header.go
+++ b/internal/exchanger/header.go
@@ -15,6 +15,8 @@
 	// HeaderDeadline carries the remaining time in milliseconds.
 	HeaderDeadline = "Gentian-Deadline"
 	HeaderDepth    = "Gentian-Depth"
+	// HeaderFirm names the firm whose access key the request carried.
+	HeaderFirm = "Gentian-Firm"
 	// HeaderIdempotencyKey identifies a request, so that sending it again does not run it again.
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderAttempt is greater than 1 on a request that was sent before. A target
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -42,6 +42,8 @@
 	// readAt is when the request was read; the caller's Arrived lies before it.
 	readAt time.Time
 
+	// firm is the firm whose access key the request carries; its name is empty when there is none.
+	firm snapshotter.Firm
 	// request is nil until the request has been routed.
 	request *exchanger.Request
 	service snapshotter.Service
@@ -68,7 +70,12 @@
 		return exchanger.NotRun(exchanger.ReasonNodeDraining, nil)
 	}
 	c.done = done
-	return c.sendAttempts(c.httpRequest.Context())
+	if refusal := c.takeToken(); refusal != nil {
+		return refusal
+	}
+	a := c.sendAttempts(c.httpRequest.Context())
+	c.returnToken(a)
+	return a
 }
 
 // requestID returns the caller's id if it is printable ASCII without spaces and not
@@ -128,6 +135,10 @@
 	}
 	c.service = service
 	c.record.Route, c.record.Service = route.Name, service.Name
+	firm, refusal := c.identify(running, route)
+	if refusal != nil {
+		return refusal
+	}
 	depth, ok := nextDepth(c.header(c.receiver.cfg.Dialect.Depth))
 	if !ok || len(c.header(c.receiver.cfg.Dialect.IdempotencyKey)) > deduplicator.MaxKeyBytes {
 		return exchanger.NotRun(exchanger.ReasonBadRequest, nil)
@@ -141,6 +152,9 @@
 	}
 	c.request = c.newRequest(route, service, depth, deadline, running.Version)
 	c.request.Path = target
+	if len(running.Firms) > 0 {
+		c.setFirm(firm)
+	}
 	c.record.Deadline = deadline
 	return nil
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -50,6 +50,12 @@
 	Execute func(ctx context.Context, r *exchanger.Request) *exchanger.Answer
 	// Forward sends a request to the node at the address.
 	Forward func(ctx context.Context, address string, r *exchanger.Request) *exchanger.Answer
+	// TakeToken counts a request of a firm against the firm's limit over all nodes; false
+	// when that is exhausted, with the time at which the caller may return. Nil means that
+	// firms have no limits.
+	TakeToken func(now time.Time, firm snapshotter.Firm) (retryAt time.Time, ok bool)
+	// ReturnToken gives the token of a request back that no target has run; nil with TakeToken.
+	ReturnToken func(now time.Time, firm snapshotter.Firm)
 	// Delay returns how late this process runs; nil means never late.
 	Delay func() time.Duration
 	// Tracker counts the requests of callers in flight.
--- a/internal/receiver/reply.go
+++ b/internal/receiver/reply.go
@@ -140,6 +140,9 @@
 	if value := d.RetryAfter(a, time.Now()); value != "" {
 		h.Set("Retry-After", value)
 	}
+	if a.Reason == exchanger.ReasonAccessKeyUnknown {
+		h.Set("Www-Authenticate", d.AccessKeyScheme)
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(d.Status(a))
 	if c.httpRequest.Method != http.MethodHead {
--- a/pkg/snapshotter/apply.go
+++ b/pkg/snapshotter/apply.go
@@ -16,8 +16,10 @@
 	return &Snapshot{
 		Services:        map[string]Service{},
 		Routes:          map[string]Route{},
+		Firms:           map[string]Firm{},
 		RemovedServices: map[string]uint64{},
 		RemovedRoutes:   map[string]uint64{},
+		RemovedFirms:    map[string]uint64{},
 	}
 }
 
@@ -29,8 +31,10 @@
 		CallerLimits:    s.CallerLimits,
 		Services:        cloneMap(s.Services),
 		Routes:          cloneMap(s.Routes),
+		Firms:           cloneMap(s.Firms),
 		RemovedServices: cloneMap(s.RemovedServices),
 		RemovedRoutes:   cloneMap(s.RemovedRoutes),
+		RemovedFirms:    cloneMap(s.RemovedFirms),
 	}
 }
 
@@ -56,8 +60,10 @@
 	next.Version = base.Version + 1
 	setServices(next, c.Services, ticket)
 	setRoutes(next, c.Routes, ticket)
+	setFirms(next, c.Firms, ticket)
 	removeRoutes(next, c.RemoveRoutes, ticket)
 	removeServices(next, c.RemoveServices, ticket)
+	removeFirms(next, c.RemoveFirms, ticket)
 	trimTombstones(next)
 	v.checkTouched(next, c)
 	if err := v.err(); err != nil {
@@ -85,6 +91,12 @@
 	for _, r := range c.Routes {
 		v.checkRoute(r)
 	}
+	for _, f := range c.Firms {
+		v.checkFirm(f)
+	}
+	for _, name := range c.RemoveFirms {
+		v.checkName(firmLabel(name), "remove-firms", name)
+	}
 	for _, name := range c.RemoveServices {
 		v.checkName(serviceLabel(name), "remove-services", name)
 	}
@@ -95,7 +107,7 @@
 
 // checkShape checks that the change is not empty and names no resource twice.
 func (v *violations) checkShape(c Change) {
-	if len(c.Services)+len(c.Routes)+len(c.RemoveServices)+len(c.RemoveRoutes) == 0 {
+	if len(c.Services)+len(c.Routes)+len(c.Firms)+len(c.RemoveServices)+len(c.RemoveRoutes)+len(c.RemoveFirms) == 0 {
 		v.add(RefusedError{Rule: RuleEmptyChange, Detail: "the change touches no resource"})
 	}
 	services := make([]string, 0, len(c.Services)+len(c.RemoveServices))
@@ -108,6 +120,11 @@
 		routes = append(routes, r.Name)
 	}
 	v.checkDuplicates(routeLabel, append(routes, c.RemoveRoutes...))
+	firms := make([]string, 0, len(c.Firms)+len(c.RemoveFirms))
+	for _, f := range c.Firms {
+		firms = append(firms, f.Name)
+	}
+	v.checkDuplicates(firmLabel, append(firms, c.RemoveFirms...))
 }
 
 func (v *violations) checkDuplicates(label func(string) string, names []string) {
@@ -133,6 +150,15 @@
 		old, exists := base.Routes[r.Name]
 		v.checkTicket(routeLabel(r.Name), ticket, old.Ticket, lastRemoval(base, base.RemovedRoutes, r.Name, exists))
 	}
+	for _, f := range c.Firms {
+		old, exists := base.Firms[f.Name]
+		v.checkTicket(firmLabel(f.Name), ticket, old.Ticket, lastRemoval(base, base.RemovedFirms, f.Name, exists))
+	}
+	for _, name := range c.RemoveFirms {
+		old, exists := base.Firms[name]
+		v.checkExists(firmLabel(name), "remove-firms", exists, base.RemovedFirms[name])
+		v.checkTicket(firmLabel(name), ticket, old.Ticket, 0)
+	}
 	for _, name := range c.RemoveServices {
 		old, exists := base.Services[name]
 		v.checkExists(serviceLabel(name), "remove-services", exists, base.RemovedServices[name])
@@ -189,6 +215,9 @@
 	}
 	v.checkStillRouted(next, c)
 	v.checkPrefixes(next)
+	if len(c.Firms) > 0 {
+		v.checkKeyOwners(next, sortedFirms(next))
+	}
 }
 
 // checkStillRouted checks that no route names a removed service. The routes that
@@ -244,6 +273,22 @@
 	}
 }
 
+func setFirms(next *Snapshot, firms []Firm, ticket uint64) {
+	for _, f := range firms {
+		f.Ticket = ticket
+		f.Keys = slices.Clone(f.Keys)
+		next.Firms[f.Name] = f
+		delete(next.RemovedFirms, f.Name)
+	}
+}
+
+func removeFirms(next *Snapshot, names []string, ticket uint64) {
+	for _, name := range names {
+		delete(next.Firms, name)
+		next.RemovedFirms[name] = ticket
+	}
+}
+
 func removeServices(next *Snapshot, names []string, ticket uint64) {
 	for _, name := range names {
 		delete(next.Services, name)
@@ -260,10 +305,11 @@
 
 // trimTombstones raises RemovedFloor until at most MaxTombstones of each kind are left.
 func trimTombstones(s *Snapshot) {
-	s.RemovedFloor = max(s.RemovedFloor, tombstoneFloor(s.RemovedServices), tombstoneFloor(s.RemovedRoutes))
+	s.RemovedFloor = max(s.RemovedFloor, tombstoneFloor(s.RemovedServices), tombstoneFloor(s.RemovedRoutes), tombstoneFloor(s.RemovedFirms))
 	isCovered := func(_ string, ticket uint64) bool { return ticket <= s.RemovedFloor }
 	maps.DeleteFunc(s.RemovedServices, isCovered)
 	maps.DeleteFunc(s.RemovedRoutes, isCovered)
+	maps.DeleteFunc(s.RemovedFirms, isCovered)
 }
 
 // tombstoneFloor returns the newest ticket among the removals in excess of
@@ -277,15 +323,18 @@
 }
 
 // resourceNames lists the resources that a change or delta touches.
-type resourceNames struct{ services, routes []string }
+type resourceNames struct{ services, routes, firms []string }
 
 func touchedNames(c Change) resourceNames {
-	n := resourceNames{services: slices.Clone(c.RemoveServices), routes: slices.Clone(c.RemoveRoutes)}
+	n := resourceNames{services: slices.Clone(c.RemoveServices), routes: slices.Clone(c.RemoveRoutes), firms: slices.Clone(c.RemoveFirms)}
 	for _, s := range c.Services {
 		n.services = append(n.services, s.Name)
 	}
 	for _, r := range c.Routes {
 		n.routes = append(n.routes, r.Name)
 	}
+	for _, f := range c.Firms {
+		n.firms = append(n.firms, f.Name)
+	}
 	return n
 }
--- a/pkg/snapshotter/codec.go
+++ b/pkg/snapshotter/codec.go
@@ -43,6 +43,8 @@
 	routes          []Route
 	removedServices []tombstone
 	removedRoutes   []tombstone
+	firms           []Firm
+	removedFirms    []tombstone
 }
 
 func (c *resources) sort() {
@@ -51,6 +53,8 @@
 	byName := func(a, b tombstone) int { return cmp.Compare(a.name, b.name) }
 	slices.SortFunc(c.removedServices, byName)
 	slices.SortFunc(c.removedRoutes, byName)
+	slices.SortFunc(c.firms, func(a, b Firm) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.removedFirms, byName)
 }
 
 // splitIntoShards returns the resources of each shard, by shard number.
@@ -80,6 +84,16 @@
 			c.routes = append(c.routes, route)
 		}
 	}
+	for name, firm := range s.Firms {
+		if c := shards[ShardOf(name)]; c != nil {
+			c.firms = append(c.firms, firm)
+		}
+	}
+	for name, ticket := range s.RemovedFirms {
+		if c := shards[ShardOf(name)]; c != nil {
+			c.removedFirms = append(c.removedFirms, tombstone{name, ticket})
+		}
+	}
 	for name, ticket := range s.RemovedServices {
 		if c := shards[ShardOf(name)]; c != nil {
 			c.removedServices = append(c.removedServices, tombstone{name, ticket})
@@ -151,7 +165,20 @@
 	}
 	b = appendNumber(b, 11, uint64(r.MaxAttempts))
 	b = appendNumber(b, 12, uint64(r.TargetLatencyMs))
-	return appendNumber(b, 13, uint64(r.Priority))
+	b = appendNumber(b, 13, uint64(r.Priority))
+	b = appendNumber(b, 14, protowire.EncodeBool(r.Keyless))
+	return appendNumber(b, 15, protowire.EncodeBool(r.LargeAnswers))
+}
+
+func appendFirm(b []byte, f Firm) []byte {
+	b = appendString(b, 1, f.Name)
+	for i := range f.Keys {
+		b = appendBytes(b, 2, f.Keys[i][:])
+	}
+	b = appendNumber(b, 3, uint64(f.Rate))
+	b = appendNumber(b, 4, uint64(f.Burst))
+	b = appendNumber(b, 5, uint64(f.Priority))
+	return appendNumber(b, 6, f.Ticket)
 }
 
 // appendCallerLimits appends the limits as field n, unless none is set.
@@ -191,6 +218,14 @@
 		item = appendTombstone(item[:0], t)
 		b = appendBytes(b, 4, item)
 	}
+	for _, f := range c.firms {
+		item = appendFirm(item[:0], f)
+		b = appendBytes(b, 5, item)
+	}
+	for _, t := range c.removedFirms {
+		item = appendTombstone(item[:0], t)
+		b = appendBytes(b, 6, item)
+	}
 	return b
 }
 
@@ -264,6 +299,12 @@
 	for _, route := range c.routes {
 		s.Routes[route.Name] = route
 	}
+	for _, firm := range c.firms {
+		s.Firms[firm.Name] = firm
+	}
+	for _, t := range c.removedFirms {
+		s.RemovedFirms[t.name] = t.ticket
+	}
 	for _, t := range c.removedServices {
 		s.RemovedServices[t.name] = t.ticket
 	}
--- a/pkg/snapshotter/decode.go
+++ b/pkg/snapshotter/decode.go
@@ -28,6 +28,16 @@
 	for _, p := range m.GetRemovedRoutes() {
 		c.removedRoutes = append(c.removedRoutes, tombstone{p.GetName(), p.GetTicket()})
 	}
+	for _, p := range m.GetFirms() {
+		f, err := decodeFirm(p)
+		if err != nil {
+			return nil, err
+		}
+		c.firms = append(c.firms, f)
+	}
+	for _, p := range m.GetRemovedFirms() {
+		c.removedFirms = append(c.removedFirms, tombstone{p.GetName(), p.GetTicket()})
+	}
 	return c, nil
 }
 
@@ -76,6 +86,8 @@
 		MaxAttempts:     d.toInt("max-attempts", p.GetMaxAttempts()),
 		TargetLatencyMs: d.toInt("target-latency-ms", p.GetTargetLatencyMs()),
 		Priority:        d.toInt("priority", p.GetPriority()),
+		Keyless:         p.GetKeyless(),
+		LargeAnswers:    p.GetLargeAnswers(),
 	}
 	for _, s := range p.GetSplit() {
 		r.Split = append(r.Split, Share{Service: s.GetService(), Weight: d.toInt("weight", s.GetWeight())})
@@ -83,6 +95,25 @@
 	return r, d.err
 }
 
+func decodeFirm(p *wirepb.Firm) (Firm, error) {
+	var d intDecoder
+	f := Firm{
+		Name:     p.GetName(),
+		Rate:     d.toInt("rate", p.GetRate()),
+		Burst:    d.toInt("burst", p.GetBurst()),
+		Priority: d.toInt("priority", p.GetPriority()),
+		Ticket:   p.GetTicket(),
+	}
+	for _, raw := range p.GetKeys() {
+		k, err := ParseDigest(raw)
+		if err != nil {
+			return Firm{}, err
+		}
+		f.Keys = append(f.Keys, k)
+	}
+	return f, d.err
+}
+
 func decodeCallerLimits(p *wirepb.CallerLimits) (CallerLimits, error) {
 	var d intDecoder
 	c := CallerLimits{
--- a/pkg/snapshotter/delta.go
+++ b/pkg/snapshotter/delta.go
@@ -28,9 +28,12 @@
 	CallerLimits CallerLimits
 	Services     []Service
 	Routes       []Route
-	// RemovedServices and Services have no name in common; nor have RemovedRoutes and Routes.
+	Firms        []Firm
+	// RemovedServices and Services have no name in common; nor have RemovedRoutes and Routes,
+	// or RemovedFirms and Firms.
 	RemovedServices []Removal
 	RemovedRoutes   []Removal
+	RemovedFirms    []Removal
 }
 
 // Diff returns the delta from base to next.
@@ -50,8 +53,14 @@
 			d.Routes = append(d.Routes, r)
 		}
 	}
+	for name, f := range next.Firms {
+		if old, ok := base.Firms[name]; !ok || !sameFirm(old, f) {
+			d.Firms = append(d.Firms, f)
+		}
+	}
 	d.RemovedServices = diffRemovals(base.Services, next.Services, base.RemovedServices, next.RemovedServices)
 	d.RemovedRoutes = diffRemovals(base.Routes, next.Routes, base.RemovedRoutes, next.RemovedRoutes)
+	d.RemovedFirms = diffRemovals(base.Firms, next.Firms, base.RemovedFirms, next.RemovedFirms)
 	return d
 }
 
@@ -68,6 +77,8 @@
 		a.MaxAttempts == b.MaxAttempts &&
 		a.TargetLatencyMs == b.TargetLatencyMs &&
 		a.Priority == b.Priority &&
+		a.Keyless == b.Keyless &&
+		a.LargeAnswers == b.LargeAnswers &&
 		a.Ticket == b.Ticket
 }
 
@@ -118,6 +129,14 @@
 		next.Routes[r.Name] = r
 		delete(next.RemovedRoutes, r.Name)
 	}
+	for _, f := range d.Firms {
+		next.Firms[f.Name] = f
+		delete(next.RemovedFirms, f.Name)
+	}
+	for _, r := range d.RemovedFirms {
+		delete(next.Firms, r.Name)
+		setTombstone(next.RemovedFirms, r)
+	}
 	for _, r := range d.RemovedServices {
 		delete(next.Services, r.Name)
 		setTombstone(next.RemovedServices, r)
@@ -150,6 +169,12 @@
 	for _, r := range d.Routes {
 		n.routes = append(n.routes, r.Name)
 	}
+	for _, f := range d.Firms {
+		n.firms = append(n.firms, f.Name)
+	}
+	for _, r := range d.RemovedFirms {
+		n.firms = append(n.firms, r.Name)
+	}
 	for _, r := range d.RemovedServices {
 		n.services = append(n.services, r.Name)
 	}
@@ -161,13 +186,16 @@
 
 // EncodeDelta returns the canonical encoding of a delta.
 func EncodeDelta(d *Delta) []byte {
-	c := &resources{services: slices.Clone(d.Services), routes: slices.Clone(d.Routes)}
+	c := &resources{services: slices.Clone(d.Services), routes: slices.Clone(d.Routes), firms: slices.Clone(d.Firms)}
 	for _, r := range d.RemovedServices {
 		c.removedServices = append(c.removedServices, r.asTombstone())
 	}
 	for _, r := range d.RemovedRoutes {
 		c.removedRoutes = append(c.removedRoutes, r.asTombstone())
 	}
+	for _, r := range d.RemovedFirms {
+		c.removedFirms = append(c.removedFirms, r.asTombstone())
+	}
 	b := appendNumber(nil, 1, d.BaseVersion)
 	b = appendNumber(b, 2, d.Version)
 	b = appendBytes(b, 3, d.BaseDigest[:])
@@ -193,7 +221,7 @@
 	}
 	d := &Delta{
 		BaseVersion: m.GetBaseVersion(), Version: m.GetVersion(), RemovedFloor: m.GetRemovedFloor(),
-		Services: c.services, Routes: c.routes,
+		Services: c.services, Routes: c.routes, Firms: c.firms,
 	}
 	if d.CallerLimits, err = decodeCallerLimits(m.GetCallers()); err != nil {
 		return nil, &MalformedError{Subject: "delta", Cause: err}
@@ -204,6 +232,9 @@
 	for _, t := range c.removedRoutes {
 		d.RemovedRoutes = append(d.RemovedRoutes, Removal{t.name, t.ticket})
 	}
+	for _, t := range c.removedFirms {
+		d.RemovedFirms = append(d.RemovedFirms, Removal{t.name, t.ticket})
+	}
 	if d.BaseDigest, err = ParseDigest(m.GetBaseDigest()); err != nil {
 		return nil, err
 	}
--- a/pkg/snapshotter/digest.go
+++ b/pkg/snapshotter/digest.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"hash/fnv"
+	"slices"
 )
 
 // ShardCount is the number of shards of a snapshot. It is part of the stored
@@ -94,7 +95,7 @@
 		return
 	}
 	changed := map[int]*resources{}
-	for _, name := range append(touched.services, touched.routes...) {
+	for _, name := range slices.Concat(touched.services, touched.routes, touched.firms) {
 		changed[ShardOf(name)] = &resources{}
 	}
 	fillShards(next, changed)
--- a/pkg/snapshotter/errors.go
+++ b/pkg/snapshotter/errors.go
@@ -34,13 +34,17 @@
 	RuleMethod Rule = "method"
 	// RuleClass refuses unknown classes.
 	RuleClass Rule = "class"
+	// RuleKeyOrder refuses access keys of a firm that are not sorted or stand twice.
+	RuleKeyOrder Rule = "key-order"
+	// RuleSharedKey refuses an access key that belongs to two firms.
+	RuleSharedKey Rule = "shared-key"
 )
 
 // RefusedError reports that a change or a snapshot breaks one or more rules.
 // No part of it is applied.
 type RefusedError struct {
 	Rule Rule `json:"rule"`
-	// Resource is "service NAME" or "route NAME".
+	// Resource is "service NAME", "route NAME" or "firm NAME".
 	Resource string `json:"resource,omitempty"`
 	// Field is the key as it is written in tickets.
 	Field string `json:"field,omitempty"`
--- a/pkg/snapshotter/resource.go
+++ b/pkg/snapshotter/resource.go
@@ -102,6 +102,29 @@
 	TargetLatencyMs int `json:"target-latency-ms,omitempty" yaml:"target-latency-ms,omitempty"`
 	// Priority orders the waiting requests of a class; 0 is served first.
 	Priority int `json:"priority,omitempty" yaml:"priority,omitempty"`
+	// Keyless is set if requests need no access key.
+	Keyless bool `json:"keyless,omitempty" yaml:"keyless,omitempty"`
+	// LargeAnswers is set if answers are large, such as downloads.
+	LargeAnswers bool `json:"large-answers,omitempty" yaml:"large-answers,omitempty"`
+	// Ticket is the number of the ticket that set this resource last.
+	Ticket uint64 `json:"ticket" yaml:"-"`
+}
+
+// Firm is a customer whose callers identify themselves by access keys. A snapshot
+// without firms asks callers for no key.
+type Firm struct {
+	// Name is unique and in kebab case.
+	Name string `json:"name" yaml:"name"`
+	// Keys are the digests of the access keys, as DigestKey returns them, in ascending
+	// order. No two firms share one. Empty means that the firm sends no requests.
+	Keys []Digest `json:"keys" yaml:"keys"`
+	// Rate is how many requests a second all nodes together run for the firm; 0 means no limit.
+	Rate int `json:"rate,omitempty" yaml:"rate,omitempty"`
+	// Burst is how many requests the firm may send at once on top of Rate.
+	Burst int `json:"burst,omitempty" yaml:"burst,omitempty"`
+	// Priority orders waiting requests of a class before the priority of their routes does;
+	// 0 is served first.
+	Priority int `json:"priority,omitempty" yaml:"priority,omitempty"`
 	// Ticket is the number of the ticket that set this resource last.
 	Ticket uint64 `json:"ticket" yaml:"-"`
 }
@@ -114,11 +137,15 @@
 	Services map[string]Service `json:"services"`
 	// Routes by name. Read only. Each names a service of Services.
 	Routes map[string]Route `json:"routes"`
+	// Firms by name. Read only.
+	Firms map[string]Firm `json:"firms,omitempty"`
 	// RemovedServices holds the ticket that removed a service, by name. Read only.
 	// A name is never both here and in Services.
 	RemovedServices map[string]uint64 `json:"removed-services,omitempty"`
 	// RemovedRoutes is the same for routes.
 	RemovedRoutes map[string]uint64 `json:"removed-routes,omitempty"`
+	// RemovedFirms is the same for firms.
+	RemovedFirms map[string]uint64 `json:"removed-firms,omitempty"`
 	// RemovedFloor is at least the ticket of every removal that is no longer
 	// listed. A ticket not above it cannot set a resource that does not exist.
 	RemovedFloor uint64 `json:"removed-floor,omitempty"`
@@ -127,6 +154,8 @@
 
 	// index is built from Routes and Services on first use.
 	index atomic.Pointer[routeIndex]
+	// keyOwners is built from Firms on first use.
+	keyOwners atomic.Pointer[map[Digest]string]
 	// shardDigests caches the digests of the shards; they are computed on first use.
 	shardDigests atomic.Pointer[[ShardCount]Digest]
 }
@@ -136,6 +165,8 @@
 type Change struct {
 	Services       []Service `json:"services,omitempty" yaml:"services,omitempty"`
 	Routes         []Route   `json:"routes,omitempty" yaml:"routes,omitempty"`
+	Firms          []Firm    `json:"firms,omitempty" yaml:"firms,omitempty"`
 	RemoveServices []string  `json:"remove-services,omitempty" yaml:"remove-services,omitempty"`
 	RemoveRoutes   []string  `json:"remove-routes,omitempty" yaml:"remove-routes,omitempty"`
+	RemoveFirms    []string  `json:"remove-firms,omitempty" yaml:"remove-firms,omitempty"`
 }
--- a/pkg/snapshotter/validate.go
+++ b/pkg/snapshotter/validate.go
@@ -20,6 +20,9 @@
 	MaxPriority    = 1000
 	MaxWeight      = 1_000_000
 	MaxHostBytes   = 255
+	MaxRate        = 100_000_000
+	// MaxKeys is the maximum number of access keys of a firm.
+	MaxKeys = 1000
 	// MaxViolations is the maximum number of violations that one RefusedError lists.
 	MaxViolations = 20
 )
@@ -62,7 +65,7 @@
 // Validate checks a snapshot against every rule. It returns *RefusedError.
 func Validate(s *Snapshot) error {
 	var v violations
-	v.checkSnapshot(s, maps.Keys(s.Services), maps.Keys(s.Routes))
+	v.checkSnapshot(s, maps.Keys(s.Services), maps.Keys(s.Routes), maps.Keys(s.Firms))
 	if len(v) == 0 {
 		return nil
 	}
@@ -71,11 +74,11 @@
 	v = nil
 	services := slices.Sorted(maps.Keys(s.Services))
 	routes := slices.Sorted(maps.Keys(s.Routes))
-	v.checkSnapshot(s, slices.Values(services), slices.Values(routes))
+	v.checkSnapshot(s, slices.Values(services), slices.Values(routes), sortedFirms(s))
 	return v.err()
 }
 
-func (v *violations) checkSnapshot(s *Snapshot, services, routes iter.Seq[string]) {
+func (v *violations) checkSnapshot(s *Snapshot, services, routes, firms iter.Seq[string]) {
 	for name := range services {
 		v.checkService(s.Services[name])
 	}
@@ -85,6 +88,10 @@
 		v.checkRouteServices(s, r)
 	}
 	v.checkPrefixes(s)
+	for name := range firms {
+		v.checkFirm(s.Firms[name])
+	}
+	v.checkKeyOwners(s, firms)
 }
 
 func serviceLabel(name string) string { return "service " + name }
