Read short answers whole before any of them is sent to the caller

What callers saw: a target broke off one answer, and the node closed the caller's connection. Requests that were pipelined behind it and had reached sound targets got no answer.

Cause: the first part of an answer was written to the caller's connection before its end had come, so nothing but the end of the connection could tell that it was cut. An answer of up to 32 kB is now read to its end at the caller's node first. One that breaks off counts as an attempt of unknown outcome: it is tried again where that does no harm, else answered 502, and the answers behind it follow in order.

--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -160,7 +160,7 @@
 	}
 	request.Leaving = rc.recordStart(t.host)
 	start := time.Now()
-	a := r.deliver(ctx, t, &request)
+	a := readWhole(ctx, &request, r.deliver(ctx, t, &request))
 	if a.TargetHost == "" && a.Outcome != retrier.OutcomeNotRun {
 		a.TargetHost = t.host
 	}
