Ask again whether a target takes a request before its first byte is sent

What callers saw: an upload whose body comes slowly reached a target 2.4 s after the node had acknowledged that the target drains. A target that ends soon after that loses it.

Cause: whether the target takes requests was looked at when the upload asked for its slot. Its head waits in a buffer until the body has filled it or ended. The executor now passes on a question that is asked when the first byte is about to leave. If the target drains by then, or another process has taken its place, nothing is sent, and the upload goes to another target.

--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -68,6 +68,8 @@
 	writing   sync.WaitGroup
 	// requestSent is set when the whole request has been written.
 	requestSent atomic.Bool
+	// targetLeaves is set when the target stopped taking requests before the first byte was sent.
+	targetLeaves atomic.Bool
 	// callerBodyFailed is set when reading the caller's body failed or it ended early.
 	callerBodyFailed atomic.Bool
 	once             sync.Once
@@ -139,6 +141,9 @@
 	if crossed != nil && x.ctx.Err() == nil {
 		reason, err = exchanger.ReasonCrossedAnswer, crossed
 	}
+	if x.targetLeaves.Load() {
+		reason = exchanger.ReasonTargetDraining
+	}
 	x.finish(false)
 	// The connection is closed: if no byte has been counted by now, none will be written.
 	if x.conn.written.Load() == x.writtenBefore {
--- a/internal/dispatcher/send.go
+++ b/internal/dispatcher/send.go
@@ -14,7 +14,7 @@
 // write sends the request. Errors are not reported here: the read of the answer
 // fails after them.
 func (x *exchange) write() {
-	w := bufio.NewWriterSize(x.conn, bufferBytes)
+	w := bufio.NewWriterSize(firstByteGuard{x}, bufferBytes)
 	x.writeHeader(w)
 	if err := x.writeBody(w); err != nil {
 		return
@@ -22,6 +22,27 @@
 	x.requestSent.Store(w.Flush() == nil)
 }
 
+// firstByteGuard writes to the target, but nothing if the target no longer takes the
+// request when the first byte is to be sent. The request can then still go elsewhere.
+type firstByteGuard struct{ exchange *exchange }
+
+// Write closes the connection and writes nothing if the target no longer takes the request.
+func (g firstByteGuard) Write(b []byte) (int, error) {
+	x := g.exchange
+	accepts := x.request.TargetAccepts
+	if accepts != nil && x.conn.written.Load() == x.writtenBefore && !accepts() {
+		x.targetLeaves.Store(true)
+		_ = x.conn.Close()
+		return 0, &TargetLeavesError{}
+	}
+	return x.conn.Write(b)
+}
+
+// TargetLeavesError reports that a target stopped taking requests before the first byte of one was sent.
+type TargetLeavesError struct{}
+
+func (*TargetLeavesError) Error() string { return "the target takes no further requests" }
+
 func (x *exchange) writeHeader(w *bufio.Writer) {
 	r, d := x.request, &x.client.dialect
 	_, _ = w.WriteString(r.Method + " " + r.Path + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -106,6 +106,9 @@
 	CallerService string
 	// TargetID is the id of the process that must run the request; empty means any at the address.
 	TargetID string
+	// TargetAccepts reports whether the target still takes the request. It is asked before the
+	// first byte is sent, since a slow body may hold that back for long; nil means always.
+	TargetAccepts func() bool
 	// Leaving is the process of the target that it is sent to as far as that has stated in
 	// answers to this node that it leaves; nil when it has not. The target's own node may
 	// have restarted since and not know.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -250,6 +250,9 @@
 		return exchanger.NotRun(reason, ctx.Err())
 	}
 	r.TargetID = t.ID
+	if r.Body != nil {
+		r.TargetAccepts = func() bool { return e.accepts(r, t) }
+	}
 	if e.cfg.ObserveSent != nil {
 		e.cfg.ObserveSent(r)
 	}
@@ -270,6 +273,13 @@
 	return a
 }
 
+// accepts reports whether the process of the target to which the request is about to be
+// sent still takes requests.
+func (e *Executor) accepts(r *exchanger.Request, sentTo blackboard.Target) bool {
+	t := e.cfg.Target()
+	return processOf(t) == processOf(sentTo) && phaseReason(t, r.Service, time.Now()) == exchanger.ReasonNone
+}
+
 // lateReason returns why a request that has a slot is not sent to the target any more, or
 // ReasonNone. The end of its context may not have been noticed yet in a process that is
 // short of processor time.
--- a/internal/receiver/leaving_test.go
+++ b/internal/receiver/leaving_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/explainer"
 	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/internal/targeter"
 )
 
 // TestLeavingTargetIsForgotten guards against a node that has passed on an answer of a
@@ -38,3 +41,27 @@
 	send("host-3")
 	assert.DeepEqual(t, sent, []*exchanger.TargetProcess{nil, nil, leaving, nil})
 }
+
+// TestSlowUploadToLeavingTarget guards against an upload whose body comes slowly: no byte of
+// it had left when its target began to drain, and the target got it with the rest of the
+// body, after it had been told to stop.
+func TestSlowUploadToLeavingTarget(t *testing.T) {
+	runInMesh(t, 2, targeter.Config{}, func(t *testing.T, m *mesh) {
+		m.nodes[0].setStatus(m.nodes[1].host, blackboard.MemberSuspect)
+		body, source := io.Pipe()
+		var group errgroup.Group
+		group.Go(func() error {
+			_, _ = source.Write([]byte("first"))
+			time.Sleep(time.Second)
+			m.nodes[0].setPhase(blackboard.TargetDraining)
+			m.shareMembers()
+			_, _ = source.Write([]byte(" and last"))
+			return source.Close()
+		})
+		r := m.send(t.Context(), 0, "POST", "/upload", body, withID("u-1"))
+		assert.NilError(t, group.Wait())
+		assertDone(t, r)
+		assert.Equal(t, m.nodes[0].target.Counts().ByRequest["u-1"], 0, "the leaving target ran it")
+		assert.Equal(t, m.nodes[1].target.Counts().ByRequest["u-1"], 1)
+	})
+}
