Keep the limits of firms over all nodes

Callers of a firm beyond its limit were served: TakeToken of the receiver was not set.

The test of the list of metrics registers the new ones as well.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -20,6 +20,7 @@
 
 	"gentianbarrow.example/internal/acceptor"
 	"gentianbarrow.example/internal/announcer"
+	"gentianbarrow.example/internal/apportioner"
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/dispatcher"
 	"gentianbarrow.example/internal/drainer"
@@ -60,6 +61,7 @@
 	forwarder *forwarder.Forwarder
 	receiver  *receiver.Receiver
 	callers   *acceptor.Server
+	limits    *apportioner.Apportioner
 	// closeTimeout bounds the shutdown of the servers.
 	closeTimeout time.Duration
 	// announcements handles the announcements of the target on this host.
@@ -99,6 +101,7 @@
 	} else {
 		n.buildBoard(storer.NewHTTPClient(settings.Platform))
 	}
+	n.buildLimits(adapter)
 	n.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return n, nil
 }
@@ -205,6 +208,7 @@
 	g := newRunGroup(ctx)
 	g.start("board", n.board.Run)
 	g.start("delay", n.delay.Run)
+	g.start("limits", n.limits.Run)
 	g.start("memory", func(ctx context.Context) error {
 		limitMemory(ctx)
 		return nil
--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -60,6 +60,8 @@
 		Match:        snapshotter.Match,
 		Execute:      n.executor.Execute,
 		Forward:      n.forwarder.Forward,
+		TakeToken:    n.takeToken,
+		ReturnToken:  n.returnToken,
 		Delay:        n.delay.MeanDelay,
 		Tracker:      n.tracker,
 		Explanations: n.explainer,
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -77,7 +77,7 @@
 func Metrics() []Metric {
 	return []Metric{
 		latency, queueWait, serviceTime, outcomes, attempts, targetRequests, targetRateLimit, unread, processorDelay, inFlight,
-		linkBytes, linkTransfers, packetBytes, packets,
+		linkBytes, linkTransfers, packetBytes, packets, limitedFirms, limitDecisions,
 	}
 }
 
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -28,6 +28,7 @@
 	traffic := NewTraffic(registry)
 	traffic.CountTransfer(linker.TrafficControl, linker.DirectionSent, 1)
 	traffic.CountPacket(linker.DirectionSent, 1)
+	NewLimits(registry, func() int { return 1 }, func() (admitted, refused, alone uint64) { return 5, 2, 1 })
 	families, err := registry.Gather()
 	assert.NilError(t, err)
 
