--- a/internal/rationer/account.go
+++ b/internal/rationer/account.go
@@ -69,7 +69,7 @@
 // nodes hear of it late.
 func (a *account) decide(now time.Time, firm Firm, margin Margin) {
 	rate := a.rate(now, firm)
-	demand := a.demand.decay(now, keeperDemandWindow)
+	demand := a.demand.rate(now, keeperDemandWindow)
 	size := a.share * margin.burst(firm)
 	expected := a.level - max(demand-rate, 0)*lag.Seconds()
 	pace := rate + a.level/paceWindow.Seconds()
--- a/internal/rationer/fleet_test.go
+++ b/internal/rationer/fleet_test.go
@@ -100,6 +100,8 @@
 	for i := range hosts {
 		h := &host{name: fmt.Sprintf("host-%d", i), dataCentre: i % 3, reportAt: f.now.Add(time.Duration(i%20) * step)}
 		f.hosts = append(f.hosts, h)
+	}
+	for _, h := range f.hosts {
 		f.start(h)
 	}
 	return f
--- a/internal/rationer/keeper.go
+++ b/internal/rationer/keeper.go
@@ -164,7 +164,7 @@
 func (k *Keeper) account(now time.Time, firm Firm) *account {
 	a := k.accounts[firm.Name]
 	if a == nil {
-		a = &account{share: k.share(), at: now, demand: flow{at: now}, ratio: 1, lent: map[string]loan{}, borrowed: map[string]loan{}}
+		a = &account{share: k.share(), at: now, demand: newFlow(now), ratio: 1, lent: map[string]loan{}, borrowed: map[string]loan{}}
 		a.level = k.margin.burst(firm) * a.share
 		if now.Sub(k.startedAt) < settleTime {
 			a.level *= startLevel
--- a/internal/rationer/load_test.go
+++ b/internal/rationer/load_test.go
@@ -103,7 +103,7 @@
 			}
 		}
 	case "slow":
-		slow := rapid.IntRange(50, 250).Draw(t, "delay")
+		slow := rapid.IntRange(50, 330).Draw(t, "delay")
 		f.delay = func() time.Duration { return time.Duration(slow/2+f.rnd.IntN(slow)) * time.Millisecond }
 	case "lower":
 		for _, l := range f.loads {
--- a/internal/rationer/loan.go
+++ b/internal/rationer/loan.go
@@ -10,8 +10,8 @@
 	lenderMargin = 500 * time.Millisecond
 	// LoanInterval is how often a keeper asks for a loan for a limited firm.
 	LoanInterval = time.Second
-	// lenderReserve is the share beyond its own demand that a lender keeps.
-	lenderReserve = 0.25
+	// loanReserve is the share beyond its own demand that a lender keeps and a borrower asks for.
+	loanReserve = 0.25
 )
 
 // Wish is the rate that a firm lacks in a data centre.
@@ -21,17 +21,19 @@
 	Rate float64
 }
 
-// Wishes returns what the limited firms of this keeper lack beyond its own part.
+// Wishes returns what the firms of this keeper lack beyond its own part, of those that are
+// limited or have loans. A little more than the demand is asked for, as it varies.
 func (k *Keeper) Wishes(now time.Time) []Wish {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var wishes []Wish
-	for name, a := range k.limited {
+	for name, a := range k.accounts {
 		firm, known := k.firmOf(name)
-		if !known || !a.limited {
+		if !known || !a.limited && len(a.borrowed) == 0 {
 			continue
 		}
-		if lack := a.demand.decay(now, keeperDemandWindow) - a.share*firm.Rate; lack > 0 {
+		lack := (1+loanReserve)*a.demand.rate(now, keeperDemandWindow) - a.share*firm.Rate
+		if lack > 0 {
 			wishes = append(wishes, Wish{Firm: name, Rate: lack})
 		}
 	}
@@ -57,7 +59,7 @@
 	if !now.Before(before.endsAt) {
 		before = loan{}
 	}
-	spare := a.rate(now, firm) + before.rate - (1+lenderReserve)*a.demand.decay(now, keeperDemandWindow)
+	spare := a.rate(now, firm) + before.rate - (1+loanReserve)*a.demand.rate(now, keeperDemandWindow)
 	rate := max(min(w.Rate, spare), 0)
 	if rate == 0 {
 		return 0
--- a/internal/rationer/node.go
+++ b/internal/rationer/node.go
@@ -15,7 +15,7 @@
 	answerTimeout = 500 * time.Millisecond
 	// capFactor is the local cap as a multiple of the node's part of the burst. Callers do
 	// not spread evenly over nodes.
-	capFactor = 1.6
+	capFactor = 0.6
 	// capPeriod is the time for which the local cap allows what the node saw lately.
 	capPeriod = 500 * time.Millisecond
 	// minCap is the least local cap. Requests of a page come together.
@@ -251,7 +251,7 @@
 	u := n.firms[firm.Name]
 	if u == nil {
 		u = &localUse{
-			keeper: n.keeperOf(firm.Name), demand: flow{at: now}, lastRequest: now,
+			keeper: n.keeperOf(firm.Name), demand: newFlow(now), lastRequest: now,
 			chance: float64(xxhash.Sum64String(n.host+"\x00"+firm.Name)>>11) / (1 << 53),
 		}
 		u.ratio, u.phase = n.keepers[u.keeper].ratio(firm.Name), u.chance
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -83,20 +83,34 @@
 
 // flow estimates how many events happen in a second, with an exponential window.
 type flow struct {
+	// since is when counting began. The first events are told apart from a window of which
+	// the rest is empty.
+	since time.Time
+	// perSecond is the estimate at the time at, as if there had been none before since.
 	perSecond float64
 	at        time.Time
 }
 
-// decay returns the estimate at the time.
-func (e *flow) decay(now time.Time, window time.Duration) float64 {
+func newFlow(now time.Time) flow { return flow{since: now, at: now} }
+
+// minFlowPeriod is the shortest time over which the first events are averaged: that between
+// two reports.
+const minFlowPeriod = 200 * time.Millisecond
+
+// rate returns the events a second at the time.
+func (e *flow) rate(now time.Time, window time.Duration) float64 {
 	if d := now.Sub(e.at); d > 0 {
 		e.perSecond *= math.Exp(-float64(d) / float64(window))
 		e.at = now
 	}
-	return e.perSecond
+	counted := max(now.Sub(e.since), minFlowPeriod)
+	if counted > 5*window {
+		return e.perSecond
+	}
+	return e.perSecond / (1 - math.Exp(-float64(counted)/float64(window)))
 }
 
 func (e *flow) add(now time.Time, events float64, window time.Duration) {
-	e.decay(now, window)
+	e.rate(now, window)
 	e.perSecond += events / window.Seconds()
 }
