Keep the candidates that were compared, not all, in the record of a request

A node keeps the records of its latest 2,048 requests, with the evaluation of each candidate of each attempt: 46 candidates of 136 bytes are 6 kB an attempt, so the ring grew to 12 MB and more of a heap that is marked by each collection of garbage, and each choice computed the cost of all targets of the service. Now the sampled candidates are kept, and 16 at most. TestExplanationIsBounded sees 400 evaluations without the change.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -37,7 +37,9 @@
 	ChoiceReason ChoiceReason     `json:"why"`
 	Outcome      retrier.Outcome  `json:"outcome"`
 	Reason       exchanger.Reason `json:"reason,omitempty"`
-	// Evaluations lists the candidates with what was known of them at the choice.
+	// Candidates is how many candidates there were at the choice.
+	Candidates int `json:"candidates,omitempty"`
+	// Evaluations lists those that were compared, and some others, with what was known of them.
 	Evaluations []router.Evaluation `json:"considered,omitempty"`
 }
 
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -102,11 +102,11 @@
 	state := r.receiver().cfg.State()
 	svc := r.receiver().index.find(state, r.call.service.Name)
 	var t target
-	var evaluations []router.Evaluation
+	var explanation router.Explanation
 	if r.usesKey() {
 		t = r.homeTarget(svc)
 	} else {
-		t, evaluations = r.cheapestTarget(svc)
+		t, explanation = r.cheapestTarget(svc)
 		t.choiceReason = choiceReason
 	}
 	if t.host == "" {
@@ -114,7 +114,8 @@
 	}
 	t.index = len(r.call.record.Attempts)
 	r.call.record.Attempts = append(r.call.record.Attempts, explainer.Attempt{
-		Host: t.host, Address: t.address, Chosen: time.Now(), ChoiceReason: t.choiceReason, Evaluations: evaluations,
+		Host: t.host, Address: t.address, Chosen: time.Now(), ChoiceReason: t.choiceReason,
+		Candidates: explanation.Candidates, Evaluations: explanation.Evaluations,
 	})
 	r.tried = append(r.tried, t.host)
 	r.receiver().cfg.Meter.RecordAttempt(string(t.choiceReason))
@@ -122,7 +123,7 @@
 }
 
 // cheapestTarget returns the candidate that the balancer chooses; empty when none is left.
-func (r *attemptSequence) cheapestTarget(svc *service) (target, []router.Evaluation) {
+func (r *attemptSequence) cheapestTarget(svc *service) (target, router.Explanation) {
 	rc := r.receiver()
 	request := router.Request{
 		Service: r.call.service.Name, Class: r.call.request.Class, Tried: r.tried, Explain: rc.cfg.Explanations != nil,
@@ -133,9 +134,9 @@
 	defer rc.mu.Unlock()
 	choice, explanation := rc.balancer.Choose(time.Now(), request, svc.candidates, rc.rnd)
 	if !choice.OK {
-		return target{}, explanation.Evaluations
+		return target{}, explanation
 	}
-	return target{host: choice.Host, address: choice.Address}, explanation.Evaluations
+	return target{host: choice.Host, address: choice.Address}, explanation
 }
 
 // noTargetAnswer returns the answer when no target is left: that of the last
--- a/internal/router/balancer.go
+++ b/internal/router/balancer.go
@@ -216,12 +216,22 @@
 	}
 }
 
-// explain returns the evaluation of every candidate.
+// explain returns the evaluations of the sampled candidates, with which the choice was
+// made, and of as many others as it may hold.
 func (s *selection) explain() Explanation {
-	e := Explanation{Evaluations: make([]Evaluation, 0, len(s.candidates))}
-	for i := range s.candidates {
+	e := Explanation{Candidates: len(s.candidates), Evaluations: make([]Evaluation, 0, min(len(s.candidates), maxEvaluations))}
+	sampled := s.sampled[:s.sampledCount]
+	for _, i := range sampled {
 		e.Evaluations = append(e.Evaluations, s.evaluate(i))
 	}
+	if s.best >= 0 && !slices.Contains(sampled, s.best) {
+		e.Evaluations = append(e.Evaluations, s.evaluate(s.best))
+	}
+	for i := 0; i < len(s.candidates) && len(e.Evaluations) < maxEvaluations; i++ {
+		if i != s.best && !slices.Contains(sampled, i) {
+			e.Evaluations = append(e.Evaluations, s.evaluate(i))
+		}
+	}
 	return e
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -94,9 +94,16 @@
 
 // Explanation is why a target was chosen. It is empty unless Request.Explain is set.
 type Explanation struct {
+	// Candidates is how many candidates there were.
+	Candidates int
+	// Evaluations holds the sampled candidates and further ones, at most maxEvaluations.
 	Evaluations []Evaluation
 }
 
+// maxEvaluations bounds the evaluations of one decision. A node keeps those of its latest
+// requests, and a service may have any number of candidates.
+const maxEvaluations = 16
+
 // Evaluation is the state of one candidate at the time of the decision.
 type Evaluation struct {
 	Host      string
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -269,6 +269,24 @@
 	})
 }
 
+// TestExplanationIsBounded guards against records of requests that fill the memory of a
+// node whose services have many targets.
+func TestExplanationIsBounded(t *testing.T) {
+	r := rosterRequest()
+	r.Explain = true
+	choice, e := New().Choose(at(0), r, near(400), newRand())
+	assert.Equal(t, e.Candidates, 400)
+	assert.Equal(t, len(e.Evaluations), maxEvaluations)
+	compared := 0
+	for _, c := range e.Evaluations {
+		if c.Cost > 0 {
+			compared++
+		}
+	}
+	assert.Equal(t, compared, sampleSize)
+	assert.Assert(t, slices.ContainsFunc(e.Evaluations, func(c Evaluation) bool { return c.Host == choice.Host && c.Rejection == RejectionNone }))
+}
+
 func TestForget(t *testing.T) {
 	balancer := New()
 	recordExchange(balancer, "near-0", at(0), answeredResult(time.Millisecond, 1))
