Spend fewer system calls on a caller's connection

Callers that come back open a connection for each try. Keep-alive probes cost four system calls for each accepted connection and are not needed where deadlines and idle timeouts bound it; a connection that the caller has closed is closed without shutting its write side and reading it once more.

--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -47,6 +47,9 @@
 	// requestArrived is when the first byte of the latest request arrived, by estimate. It
 	// is used by the reading goroutine only.
 	requestArrived time.Time
+	// peerClosed is set when the reading goroutine has read the end of the stream or an
+	// error: the caller sends nothing more.
+	peerClosed bool
 	// latestDone is closed when the answer to the latest request is complete.
 	latestDone chan struct{}
 }
@@ -70,7 +73,9 @@
 	}
 	c.group.Wait()
 	c.cancel()
-	c.linger()
+	if !c.peerClosed {
+		c.linger()
+	}
 	_ = c.nc.Close()
 }
 
@@ -106,6 +111,7 @@
 	}
 	c.source.setLimit(c.server.effectiveLimits().MaxHeaderBytes)
 	if _, err := c.r.Peek(1); err != nil {
+		c.peerClosed = errors.Is(err, io.EOF)
 		c.cancelUnlessClosing()
 		return false
 	}
--- a/internal/composer/listeners.go
+++ b/internal/composer/listeners.go
@@ -21,6 +21,14 @@
 	defaultCloseTimeout = 3 * time.Second
 )
 
+// Whether accepted connections are probed while they are idle. Setting the probes up costs
+// four system calls a connection, and callers open many. Those of the servers that use none
+// are bounded by deadlines of requests and by idle timeouts.
+const (
+	defaultKeepAlive time.Duration = 0
+	noKeepAlive      time.Duration = -1
+)
+
 // listeners holds the open listeners of a node.
 type listeners struct {
 	callers, nodes, targets, admin net.Listener
@@ -34,21 +42,22 @@
 // the error.
 func openListeners(ctx context.Context, l loader.Listen, api loader.PlatformAPI) (listeners, error) {
 	var out listeners
-	var lc net.ListenConfig
 	var opened []net.Listener
 	for _, entry := range []struct {
-		address string
-		to      *net.Listener
+		address   string
+		to        *net.Listener
+		keepAlive time.Duration
 	}{
-		{l.Callers, &out.callers},
-		{l.Nodes, &out.nodes},
-		{l.Targets, &out.targets},
-		{l.Admin, &out.admin},
-		{l.Readiness, &out.readiness},
+		{l.Callers, &out.callers, noKeepAlive},
+		{l.Nodes, &out.nodes, defaultKeepAlive},
+		{l.Targets, &out.targets, noKeepAlive},
+		{l.Admin, &out.admin, noKeepAlive},
+		{l.Readiness, &out.readiness, noKeepAlive},
 	} {
 		if entry.address == "" {
 			continue
 		}
+		lc := net.ListenConfig{KeepAlive: entry.keepAlive}
 		ln, err := lc.Listen(ctx, "tcp", entry.address)
 		if err != nil {
 			closeAll(opened)
