Reject requests that the processor has no time for before anything is spent on them

A node refused a request only if four times its lateness came to the deadline, which is 6 to 20 s there, while callers give up what is not read within a second and send it once more.

A node now measures how long work waits in the scheduler's queue (a probe; timers go ahead of that queue and saw none of it), rejects a growing share of new requests from a tolerance on that follows from the target latencies of the routes, and all at twice that; requests that work was spent on, from peers and for runs, from four times on. Rejections come before routing costs, without a line of log each; callers come back spread over the time that the shortage has lasted; hedges are left out; the load of a target carries the lateness of its node, and the router counts it as waiting.

Other tests fail to compile without the change.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -35,6 +35,7 @@
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/meter"
 	"gentianbarrow.example/internal/receiver"
+	"gentianbarrow.example/internal/shedder"
 	"gentianbarrow.example/internal/summarizer"
 	"gentianbarrow.example/internal/timekeeper"
 	"gentianbarrow.example/pkg/snapshotter"
@@ -67,6 +68,8 @@
 	metrics       *prometheus.Registry
 	// delay measures how late this process runs.
 	delay *timekeeper.DelayMeter
+	// guard rejects requests for which there is no processor time.
+	guard *shedder.Guard
 }
 
 // Listen opens the listeners of the settings and builds the node. It accepts no
@@ -253,6 +256,7 @@
 			return
 		case now := <-ticker.C:
 			n.board.Post(blackboard.Tick{Now: now})
+			n.guard.Tick(now)
 		case now := <-stops:
 			n.board.Post(blackboard.StopRequested{Now: now})
 		}
--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -22,6 +22,7 @@
 func (n *Node) buildRequestPath(a adapter) {
 	m := meter.New(n.metrics, func() int { return n.tracker.Count().Total }, n.delay.Delay)
 	o := &observer{post: func(msg blackboard.Msg) { n.board.Post(msg) }, now: time.Now}
+	n.guard = n.newGuard()
 	n.executor = executor.New(executor.Config{
 		Host:             n.settings.Host,
 		Target:           func() blackboard.Target { return n.board.Read().Target },
@@ -31,6 +32,7 @@
 		ObserveSent:      m.RecordSent,
 		ObserveRateLimit: m.RecordRateLimit,
 		ReportHealth:     o.observe,
+		Lateness:         n.delay.StandingDelay,
 		Log:              n.log,
 		ReportWrongTarget: func(id string) {
 			n.board.Post(blackboard.TargetMismatched{ID: id, Now: time.Now()})
@@ -51,6 +53,7 @@
 		Incarnation: n.self.Incarnation,
 		Clock:       timekeeper.Uptime,
 		Delay:       n.delay.MeanDelay,
+		Guard:       n.guard,
 		ObserveAge:  func(age time.Duration) { m.RecordUnread(meter.OriginNode, age) },
 		Log:         n.log,
 	})
@@ -61,6 +64,7 @@
 		Execute:      n.executor.Execute,
 		Forward:      n.forwarder.Forward,
 		Delay:        n.delay.MeanDelay,
+		Guard:        n.guard,
 		Tracker:      n.tracker,
 		Explanations: n.explainer,
 		Meter:        m,
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -62,6 +62,8 @@
 	FixedSlots, NoRamp bool
 	// Order is the order of waiting requests; empty means the limiter's default.
 	Order limiter.Order
+	// Lateness returns how late the process of this node runs; nil means never late.
+	Lateness func() time.Duration
 	// Log receives a line for each request that is not admitted to the target.
 	Log *logger.Logger
 	// ReportWrongTarget is called with the id of the process that answered in place
@@ -330,7 +332,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.gate != nil {
-		load := e.gate.Load()
+		load := e.load()
 		a.Load = &load
 	}
 	return a
@@ -392,7 +394,16 @@
 	if e.gate == nil {
 		return limiter.Load{}, false
 	}
-	return e.gate.Load(), true
+	return e.load(), true
+}
+
+// load returns the load of the target. The caller holds mu; gate is not nil.
+func (e *Executor) load() limiter.Load {
+	l := e.gate.Load()
+	if e.cfg.Lateness != nil {
+		l.NodeLateness = e.cfg.Lateness()
+	}
+	return l
 }
 
 // limiterResult returns how an exchange ended, for the limiter.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -35,6 +35,7 @@
 	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/logger"
+	"gentianbarrow.example/internal/shedder"
 	"gentianbarrow.example/internal/timekeeper"
 	"gentianbarrow.example/pkg/snapshotter"
 )
@@ -93,6 +94,9 @@
 	Clock func() time.Duration
 	// Delay returns how late this process runs; nil means never late.
 	Delay func() time.Duration
+	// Guard rejects requests of peers for which this node has no processor time; nil means
+	// that all are admitted.
+	Guard *shedder.Guard
 	// ObserveAge is called with the age of each request of a peer when it is read; nil means no call.
 	ObserveAge func(age time.Duration)
 	Log        *logger.Logger
--- a/internal/forwarder/late.go
+++ b/internal/forwarder/late.go
@@ -43,6 +43,9 @@
 func (x *incoming) rejectLate() *exchanger.Answer {
 	now, delay := time.Now(), x.forwarder.delay()
 	d := shedder.Decide(now, x.request.Deadline, delay, rand.Float64())
+	if !d.Rejected {
+		d = x.forwarder.cfg.Guard.Decide(now, shedder.Request{Deadline: x.request.Deadline, Priority: x.request.Priority, IsStarted: true})
+	}
 	if !d.Rejected {
 		return nil
 	}
--- a/internal/forwarder/late_test.go
+++ b/internal/forwarder/late_test.go
@@ -17,6 +17,7 @@
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/internal/shedder"
 )
 
 // heldConn is a connection whose reader gets nothing while it is held.
@@ -44,8 +45,8 @@
 	client *Forwarder
 	// remote is the serving node's end.
 	remote *heldConn
-	// delay is how late the serving node runs.
-	delay time.Duration
+	// delay is how late the serving node runs, standing by how much work always waits there.
+	delay, standing time.Duration
 	// answerTakes is how long the serving node takes for an answer, unless it is aborted.
 	answerTakes time.Duration
 	// ran holds the time left of each request that the serving node ran.
@@ -65,6 +66,12 @@
 			Tracker: drainer.NewTracker(),
 			Clock:   func() time.Duration { return time.Hour + time.Since(start) },
 			Delay:   func() time.Duration { return l.delay },
+			Guard: &shedder.Guard{
+				Lateness: func() shedder.Lateness {
+					return shedder.Lateness{Standing: l.standing, Tolerance: 10 * time.Millisecond}
+				},
+				Spread: func() float64 { return 0.5 },
+			},
 			Execute: func(ctx context.Context, r *exchanger.Request) *exchanger.Answer {
 				l.ran = append(l.ran, time.Until(r.Deadline))
 				select {
@@ -144,6 +151,17 @@
 			assert.Equal(t, len(l.ran), 1)
 		})
 	})
+	t.Run("a node that is short of processor time rejects requests of peers later than new ones", func(t *testing.T) {
+		runLateLink(t, func(t *testing.T, l *lateLink) {
+			l.standing = 30 * time.Millisecond
+			assert.Equal(t, l.forward(t).Outcome, retrier.OutcomeDone)
+			l.standing = 90 * time.Millisecond
+			a := l.forward(t)
+			assert.Equal(t, a.Outcome, retrier.OutcomeNotRun)
+			assert.Equal(t, a.Reason, exchanger.ReasonNodeLate)
+			assert.Equal(t, len(l.ran), 1)
+		})
+	})
 	t.Run("the first request of a sender counts as late as the node runs", func(t *testing.T) {
 		runLateLink(t, func(t *testing.T, l *lateLink) {
 			l.delay = 200 * time.Millisecond
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -173,4 +173,7 @@
 	// Service is the smoothed service time of short requests, without queueing, or of
 	// urgent ones before the first short one; 0 before the first sample.
 	Service time.Duration
+	// NodeLateness is how late the process of the target's node runs, by work that waits
+	// for the processor. A gate does not know it.
+	NodeLateness time.Duration
 }
--- a/internal/logger/events_request.go
+++ b/internal/logger/events_request.go
@@ -42,6 +42,16 @@
 		Meaning: "The node did not send a request to the target on its host. The load field holds the target's slots, running and waiting requests, or the number of request bodies that the node was receiving.",
 		Action:  "None, unless the target has failed or is draining. Then see the event target-changed.",
 	}
+	ProcessorShort = Event{
+		Number: 440, Name: "processor-short", Level: LevelWarn,
+		Meaning: "The node is short of processor time and rejects requests before it spends time on them. The event is written when that begins and once a second while it lasts. The count field holds the requests rejected since the event before, the node-late-ms field how long work waits for the processor.",
+		Action:  "Compare the load of this host with that of others. If many hosts are short of processor time at once, add hosts or give them more of the processor.",
+	}
+	ProcessorRecovered = Event{
+		Number: 441, Name: "processor-recovered", Level: LevelInfo,
+		Meaning: "The node has rejected no request for want of processor time for a second. The count field holds the requests rejected since the event before.",
+		Action:  "None.",
+	}
 	RequestPanicked = Event{
 		Number: 425, Name: "request-panicked", Level: LevelError,
 		Meaning: "A panic in the program ended a request and its connection. The stack field holds the stack trace.",
@@ -72,4 +82,5 @@
 var requestEvents = []Event{
 	DrainStarted, DrainWouldCut, DrainCut,
 	RequestOutcomeUnknown, AnswerTruncated, RequestAnswered, RequestRefused, RequestFailed, RequestNotAdmitted, RequestPanicked, RequestLinesSuppressed, AnswerCrossed, ForwardRejected,
+	ProcessorShort, ProcessorRecovered,
 }
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -150,6 +150,10 @@
 	if !ok {
 		return exchanger.NotRun(exchanger.ReasonBadRequest, nil)
 	}
+	isCall := depth > 1 || len(running.Firms) > 0 && firm.Name == ""
+	if refusal := c.admit(route, firm, deadline, isCall); refusal != nil {
+		return refusal
+	}
 	c.request = c.newRequest(route, service, depth, deadline, running.Version)
 	c.request.Path = target
 	if len(running.Firms) > 0 {
--- a/internal/receiver/hedge.go
+++ b/internal/receiver/hedge.go
@@ -100,8 +100,12 @@
 }
 
 // chooseHedge spends a token of the retry budget and chooses a target for a second attempt.
+// A node that is short of processor time makes none: it would be late for a first one.
 func (r *attemptSequence) chooseHedge() (target, bool) {
 	rc := r.receiver()
+	if rc.cfg.Guard.IsShort() {
+		return target{}, false
+	}
 	rc.mu.Lock()
 	ok := rc.budget(time.Now(), r.call.service).SpendHedge(time.Now())
 	rc.mu.Unlock()
--- a/internal/receiver/late_test.go
+++ b/internal/receiver/late_test.go
@@ -13,6 +13,8 @@
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/explainer"
 	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/internal/shedder"
+	"gentianbarrow.example/pkg/snapshotter"
 )
 
 // TestLateRequestIsNotForwarded guards against a request that is sent on, or sent once
@@ -92,3 +94,40 @@
 		})
 	}
 }
+
+// TestNodeShortOfProcessorTime sends requests to a node for whose processor work waits. It
+// guards against work for requests that will not be served in time, and against runs that
+// fail because a call of theirs is rejected like a new request.
+func TestNodeShortOfProcessorTime(t *testing.T) {
+	const tolerance = 20 * time.Millisecond
+	for name, c := range map[string]struct {
+		late   time.Duration
+		isCall bool
+		gone   bool
+		want   exchanger.Reason
+	}{
+		"a node that is in time":                   {late: tolerance, want: exchanger.ReasonNone},
+		"a new request":                            {late: 3 * tolerance, want: exchanger.ReasonNodeLate},
+		"a call that a run waits for":              {late: 3 * tolerance, isCall: true, want: exchanger.ReasonNone},
+		"a call, at a node that is far too late":   {late: 10 * tolerance, isCall: true, want: exchanger.ReasonNodeLate},
+		"a caller that has left":                   {late: 2 * tolerance, gone: true, want: exchanger.ReasonCancelled},
+		"one that has left a node that is in time": {late: 0, gone: true, want: exchanger.ReasonNone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			guard := &shedder.Guard{
+				Lateness: func() shedder.Lateness { return shedder.Lateness{Mean: c.late, Standing: c.late, Tolerance: tolerance} },
+				Spread:   func() float64 { return 0.5 },
+			}
+			call := &call{receiver: New(Config{Guard: guard}), caller: acceptor.Caller{IsGone: func() bool { return c.gone }}}
+			now := time.Now()
+			a := call.admit(snapshotter.Route{}, snapshotter.Firm{}, now.Add(6*time.Second), c.isCall)
+			if c.want == exchanger.ReasonNone {
+				assert.Assert(t, a == nil)
+				return
+			}
+			assert.Assert(t, a != nil, "it is admitted")
+			assert.Equal(t, a.Reason, c.want)
+			assert.Equal(t, a.Outcome, retrier.OutcomeNotRun)
+		})
+	}
+}
--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/explainer"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/retrier"
@@ -12,6 +13,11 @@
 
 // logOutcome logs one line on the request: its attempts, what they were decided on, and its outcome.
 func (c *call) logOutcome() {
+	if c.request == nil && c.record.Reason == exchanger.ReasonNodeLate {
+		// The guard reports how many requests it rejects. A line for each would cost as much
+		// as serving them.
+		return
+	}
 	event := logger.RequestAnswered
 	switch c.record.Outcome {
 	case retrier.OutcomeNotRun:
@@ -46,7 +52,7 @@
 		fmt.Fprintf(&b, "%s %s +%dms", a.Host, a.ChoiceReason, a.Chosen.Sub(r.Arrived).Milliseconds())
 		for _, candidate := range a.Evaluations {
 			if candidate.Host == a.Host {
-				fmt.Fprintf(&b, " of %d cost %.0fms in-flight %d load %d+%d/%d age %s", len(a.Evaluations),
+				fmt.Fprintf(&b, " of %d cost %.0fms in-flight %d load %d+%d/%d age %s", a.Candidates,
 					candidate.Cost/float64(time.Millisecond), candidate.InFlight, candidate.Load.InFlight, candidate.Load.Queued, candidate.Load.Slots,
 					formatAge(candidate.Reported, a.Chosen))
 			}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -29,6 +29,7 @@
 	"gentianbarrow.example/internal/meter"
 	"gentianbarrow.example/internal/retrier"
 	"gentianbarrow.example/internal/router"
+	"gentianbarrow.example/internal/shedder"
 	"gentianbarrow.example/pkg/snapshotter"
 )
 
@@ -58,6 +59,8 @@
 	ReturnToken func(now time.Time, firm snapshotter.Firm)
 	// Delay returns how late this process runs; nil means never late.
 	Delay func() time.Duration
+	// Guard rejects requests for which this node has no processor time; nil means that all are admitted.
+	Guard *shedder.Guard
 	// Tracker counts the requests of callers in flight.
 	Tracker *drainer.Tracker
 	// Explanations records how requests were routed; nil means no records.
--- a/internal/router/cost.go
+++ b/internal/router/cost.go
@@ -31,6 +31,7 @@
 	base *= 1 + failureCost*max(t.currentFailureRate(now)-toleratedFailureRate, 0)
 	slowness, distance := t.slowness(now, b), distanceCost(c, r.Bytes)
 	base *= stalenessFactor(now, c)
+	base += t.processorWait(now)
 	return cost{time: base*slowness + distance, penalised: base*slownessPenalty(slowness) + distance, hasFreeSlot: pending+1 <= slots}
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -141,6 +141,18 @@
 		}
 		assert.Equal(t, countChoices(balancer, at(1), rosterRequest(), near(3), isHost("near-2")), 1000)
 	})
+	t.Run("a target whose node is short of processor time is not preferred", func(t *testing.T) {
+		balancer := New()
+		for _, c := range near(3) {
+			r := answeredResult(50*time.Millisecond, 2)
+			if c.Host == "near-0" {
+				r.Load.NodeLateness = 60 * time.Millisecond
+			}
+			recordExchange(balancer, c.Host, at(0), r)
+		}
+		assert.Equal(t, countChoices(balancer, at(1), rosterRequest(), near(3), isHost("near-0")), 0)
+		assert.Assert(t, countChoices(balancer, at(5000), rosterRequest(), near(3), isHost("near-0")) > 0, "old reports are ignored")
+	})
 	t.Run("a cold target is chosen less often", func(t *testing.T) {
 		all := near(5)
 		all[0].Cold = true
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -267,6 +267,18 @@
 	return min(max(slow, minSlowness), maxSlowness)
 }
 
+// turnsAtNode is how often a request and its answer wait for the processor at the target's node.
+const turnsAtNode = 4
+
+// processorWait returns how long a request waits for the processor of the target's node,
+// in nanoseconds, by the latest report.
+func (t *target) processorWait(now time.Time) float64 {
+	if t == nil {
+		return 0
+	}
+	return turnsAtNode * float64(t.load.NodeLateness) * decayWeight(now.Sub(t.reportedAt), reportTimeConstant)
+}
+
 // observedSlowness returns the ratio shown by the answers to this node, which
 // decays towards fallback with age.
 func (t *target) observedSlowness(now time.Time, fallback float64) float64 {
--- a/internal/timekeeper/delay.go
+++ b/internal/timekeeper/delay.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -18,6 +20,9 @@
 	// delayRetention is how long a measured delay counts. What has arrived during a
 	// standstill is read within that time.
 	delayRetention = 100 * time.Millisecond
+	// standingMeasurements is the number of measurements after which a delay that never
+	// fell counts as standing.
+	standingMeasurements = 3
 )
 
 // DelayMeter measures for how long a goroutine that is ready waits for the processor: its
@@ -36,6 +41,15 @@
 	delay, expiresAt atomic.Int64
 	// mean is the moving average of the measured delays, in nanoseconds.
 	mean atomic.Int64
+	// latestDelay is the latest measured delay, in nanoseconds. It is used by one goroutine.
+	latestDelay int64
+	// probeStart is when the probe that is waiting was sent, by clock; 0 if there is none.
+	probeStart atomic.Int64
+	// recent holds the last delays with the waits of their probes, in nanoseconds. It is
+	// used by one goroutine.
+	recent [standingMeasurements]int64
+	// standing is the least of recent.
+	standing atomic.Int64
 }
 
 // NewDelayMeter returns a meter that reads the given clocks, Monotonic and Uptime in production.
@@ -46,20 +60,59 @@
 }
 
 // Run measures until ctx ends.
+//
+// A goroutine that a timer wakes goes ahead of those that wait in the scheduler's queue, so
+// each measurement also sends a probe through that queue.
 func (m *DelayMeter) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	probes, pushes := make(chan struct{}, 1), make(chan struct{}, 1)
+	defer close(probes)
+	defer close(pushes)
+	arrived := make(chan struct{}, 1)
+	group.Go(func() {
+		for range probes {
+			arrived <- struct{}{}
+		}
+	})
+	group.Go(func() {
+		for range pushes {
+		}
+	})
 	timer := time.NewTimer(measureInterval)
 	defer timer.Stop()
+	waiting := false
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-arrived:
+			waiting = false
+			m.endProbe()
+			continue
 		case <-timer.C:
 		}
 		m.measure()
+		if !waiting {
+			waiting = true
+			m.probeStart.Store(int64(m.clock()))
+			// The goroutine that was made ready last runs first. Making another one ready moves
+			// the probe to the end of the queue.
+			probes <- struct{}{}
+			pushes <- struct{}{}
+		}
 		timer.Reset(measureInterval)
 	}
 }
 
+// endProbe records how long the latest probe has waited.
+func (m *DelayMeter) endProbe() {
+	wait := int64(m.clock()) - m.probeStart.Swap(0)
+	copy(m.recent[1:], m.recent[:])
+	m.recent[0] = m.latestDelay + wait
+	m.standing.Store(slices.Min(m.recent[:]))
+}
+
 // measure records how late it is called.
 func (m *DelayMeter) measure() {
 	clock := m.clock()
@@ -67,6 +120,7 @@
 	late := max(now-m.due.Load(), 0) + int64(max(suspended-m.suspended, 0))
 	m.suspended = suspended
 	m.mean.Store((m.mean.Load() + late) / 2)
+	m.latestDelay = late
 	if late >= m.delay.Load() || now >= m.expiresAt.Load() {
 		m.delay.Store(late)
 		m.expiresAt.Store(now + int64(delayRetention))
@@ -94,3 +148,20 @@
 func (m *DelayMeter) MeanDelay() time.Duration {
 	return time.Duration(max(m.mean.Load(), int64(m.clock())-m.due.Load()))
 }
+
+// StandingDelay returns how long work waits for the processor that is ready although the
+// process has had time to catch up: the least of the last measurements. A single long task, or a
+// pause of the process, does not count. A probe counts that waits for longer than these
+// measurements would have taken.
+func (m *DelayMeter) StandingDelay() time.Duration {
+	standing := time.Duration(m.standing.Load())
+	start := m.probeStart.Load()
+	if start == 0 {
+		return standing
+	}
+	waiting := m.clock() - time.Duration(start)
+	if waiting < standingMeasurements*measureInterval {
+		return standing
+	}
+	return max(standing, waiting)
+}
--- a/internal/timekeeper/timekeeper_test.go
+++ b/internal/timekeeper/timekeeper_test.go
@@ -168,3 +168,28 @@
 	time.Sleep(time.Millisecond)
 	assert.Assert(t, Uptime() > before)
 }
+
+// TestStandingDelay tells a backlog from a single long task.
+func TestStandingDelay(t *testing.T) {
+	c := &fakeClock{now: time.Hour}
+	m := NewDelayMeter(c.read, c.readUptime)
+	measure := func(late time.Duration) time.Duration {
+		c.now += measureInterval + late/2
+		m.measure()
+		m.probeStart.Store(int64(c.now))
+		c.now += late / 2
+		m.endProbe()
+		m.due.Store(int64(c.now + measureInterval))
+		return m.StandingDelay()
+	}
+	assert.Equal(t, measure(3*time.Second), time.Duration(0), "one long pause")
+	assert.Equal(t, measure(0), time.Duration(0))
+	for range standingMeasurements - 1 {
+		assert.Equal(t, measure(80*time.Millisecond), time.Duration(0))
+	}
+	assert.Equal(t, measure(60*time.Millisecond), 60*time.Millisecond, "work waits all the time")
+	assert.Equal(t, measure(0), time.Duration(0), "the node has caught up")
+	m.probeStart.Store(int64(c.now))
+	c.now += time.Second
+	assert.Equal(t, m.StandingDelay(), time.Second, "a probe has not come through for long")
+}
