--- a/pkg/snapshotter/codec.go
+++ b/pkg/snapshotter/codec.go
@@ -1,6 +1,7 @@
 package snapshotter
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"slices"
@@ -248,8 +249,8 @@
 }
 
 // DecodeSnapshot decodes a whole snapshot without validating it. It returns
-// *MalformedError when data is not a snapshot message or a number in it is out
-// of range.
+// *MalformedError when data is not a snapshot message, a number in it is out of
+// range, or it is not the canonical encoding: a snapshot is never read in part.
 func DecodeSnapshot(data []byte) (*Snapshot, error) {
 	var m wirepb.Snapshot
 	if err := proto.Unmarshal(data, &m); err != nil {
@@ -266,9 +267,18 @@
 		return nil, &MalformedError{Subject: "snapshot", Cause: err}
 	}
 	c.addTo(s)
+	if !bytes.Equal(EncodeSnapshot(s), data) {
+		return nil, &MalformedError{Subject: "snapshot", Cause: &notCanonicalError{}}
+	}
 	return s, nil
 }
 
+// notCanonicalError reports an encoding that this program would not have written, such as
+// one with fields that a later program added.
+type notCanonicalError struct{}
+
+func (*notCanonicalError) Error() string { return "it holds more than this program reads" }
+
 // DecodeShards builds a snapshot from encoded shards without validating it. The
 // shards do not contain the caller limits, which stay zero. It returns
 // *MalformedError when a shard is not a resources message or a number in it is
--- a/pkg/snapshotter/delta_test.go
+++ b/pkg/snapshotter/delta_test.go
@@ -22,6 +22,8 @@
 	for _, n := range rapid.SliceOfNDistinct(name, 0, 2, rapid.ID).Draw(t, "routes") {
 		c.Routes = append(c.Routes, route(n, "/"+n, name.Draw(t, "to")))
 	}
+	c.Firms = drawFirms(t)
+	c.RemoveFirms = drawNames(t, slices.Sorted(maps.Keys(s.Firms)))
 	c.RemoveServices = drawNames(t, slices.Sorted(maps.Keys(s.Services)))
 	c.RemoveRoutes = drawNames(t, slices.Sorted(maps.Keys(s.Routes)))
 	return c
@@ -61,10 +63,17 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	s, err := Apply(Empty(), Change{Services: []Service{service("parts")}, Routes: []Route{route("parts", "/parts", "parts")}}, 1)
+	s, err := Apply(Empty(), Change{
+		Services: []Service{service("parts")}, Routes: []Route{route("parts", "/parts", "parts")},
+		Firms: []Firm{firm("rocklea", "a", "b"), firm("yatala")},
+	}, 1)
+	assert.NilError(f, err)
+	next, err := Apply(s, Change{Firms: []Firm{firm("rocklea", "c")}, RemoveFirms: []string{"yatala"}}, 2)
 	assert.NilError(f, err)
 	f.Add(EncodeSnapshot(s))
+	f.Add(EncodeSnapshot(next))
 	f.Add(EncodeDelta(Diff(Empty(), s)))
+	f.Add(EncodeDelta(Diff(s, next)))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if s, err := DecodeSnapshot(data); err == nil {
 			again, err := DecodeSnapshot(EncodeSnapshot(s))
@@ -79,6 +88,17 @@
 	})
 }
 
+// TestUnknownFieldsAreRefused guards against a node that puts a part of a version in force:
+// a node of a later program sends fields that this one does not know.
+func TestUnknownFieldsAreRefused(t *testing.T) {
+	encoded := EncodeSnapshot(sampleSnapshot(t))
+	_, err := DecodeSnapshot(encoded)
+	assert.NilError(t, err)
+	var malformed *MalformedError
+	_, err = DecodeSnapshot(appendNumber(encoded, 99, 1))
+	assert.Assert(t, errors.As(err, &malformed), "%v", err)
+}
+
 // TestDiffSeesEachFieldOfRoute guards against a new field of Route that sameRoute
 // does not compare: Diff would leave out a route in which only that field changed.
 func TestDiffSeesEachFieldOfRoute(t *testing.T) {
