Refuse requests with a space in the name of a header

http.ReadRequest keeps a name such as "Tenant " as it stands, unlike the server of net/http, which answers 400. Such a name passed the check for headers that nodes set themselves. It is answered 400 now.

TestMalformedRequests/a_space_behind_the_name_of_a_header failed before: 200, not 400.

--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -183,6 +184,13 @@
 	if r.Host == "" && r.ProtoAtLeast(1, 1) {
 		return &MalformedRequestError{Rule: "the Host header is missing"}
 	}
+	// http.ReadRequest accepts spaces in the name of a header, such as one before the
+	// colon. A target may read such a name as one that nodes set.
+	for name := range r.Header {
+		if strings.Contains(name, " ") {
+			return &MalformedRequestError{Rule: "the name of a header contains a space"}
+		}
+	}
 	return nil
 }
 
