Show which version of the configuration is refused, why and since when

A version that cannot be read, in whole or in part, was refused with one line in the log of the nodes that watch the platform. Nothing else told an operator that a version which the platform had acknowledged was not in force. The fetcher and the follower now keep the refused version on the blackboard until one that is not lower is in force; the admin view, gentianctl nodes and config, and the metrics gentian_config_version, _refused_version and _refused_total show it. A configuration that another node sends and that cannot be read is reported as well.

--- a/internal/blackboard/config.go
+++ b/internal/blackboard/config.go
@@ -34,6 +34,11 @@
 	Source Source
 	// PeerVersion is the greatest version that a peer is known to have and this node lacks.
 	PeerVersion PeerVersion
+	// Refused is the version that this node cannot read or that breaks a rule; its SinceAt
+	// is zero when there is none.
+	Refused RefusedVersion
+	// Refusals counts the versions that this node has refused.
+	Refusals uint64
 	// PollerStarted reports whether the node has started to poll the platform
 	// itself. It stays false where relays distribute the configuration.
 	PollerStarted bool
@@ -41,6 +46,43 @@
 	PlatformLost bool
 }
 
+// RefusedVersion is a version that was refused whole. It is kept until a version that is
+// not lower is in force.
+type RefusedVersion struct {
+	// Version is 0 when the version could not be read either.
+	Version uint64
+	// Source is the address of the node that sent it; empty for the platform.
+	Source string
+	// Reason tells what is wrong with it. It never quotes an access key.
+	Reason string
+	// SinceAt is when the version was first refused.
+	SinceAt time.Time
+}
+
+// IsSet reports whether a version is refused.
+func (r RefusedVersion) IsSet() bool { return !r.SinceAt.IsZero() }
+
+// NoteRefused records that a version was refused, unless it is not greater than the
+// running one.
+func (c *Config) NoteRefused(r RefusedVersion) {
+	if c.Running != nil && r.Version != 0 && r.Version <= c.Running.Version {
+		return
+	}
+	if c.Refused.IsSet() && c.Refused.Version == r.Version {
+		r.SinceAt = c.Refused.SinceAt
+	} else {
+		c.Refusals++
+	}
+	c.Refused = r
+}
+
+// ForgetRefused drops the refused version once a version is in force that is not lower.
+func (c *Config) ForgetRefused() {
+	if c.Running != nil && c.Refused.Version <= c.Running.Version {
+		c.Refused = RefusedVersion{}
+	}
+}
+
 // Stage is a complete, validated version that is put in force once enough
 // witnesses have recorded it. While nothing is staged, it holds the witnesses of
 // the running version.
--- a/internal/blackboard/message_node.go
+++ b/internal/blackboard/message_node.go
@@ -80,6 +80,18 @@
 	Now    time.Time
 }
 
+// ConfigRefused reports a configuration that cannot be read or that breaks a rule.
+// Nothing of it is put in force.
+type ConfigRefused struct {
+	// Version is 0 when it cannot be read.
+	Version uint64
+	// Source is the address of the node that sent the configuration; empty for the platform.
+	Source string
+	// Reason never quotes an access key.
+	Reason string
+	Now    time.Time
+}
+
 // PlatformReachabilityChanged reports that this node has lost the platform, or reaches it again.
 type PlatformReachabilityChanged struct {
 	Lost bool
--- a/internal/commander/node.go
+++ b/internal/commander/node.go
@@ -23,6 +23,7 @@
 type nodesOutput struct {
 	Self      inspector.SelfView        `json:"self"`
 	Lifecycle blackboard.LifecyclePhase `json:"life"`
+	Config    inspector.ConfigView      `json:"config"`
 	Nodes     []inspector.MemberView    `json:"nodes"`
 	Remote    []inspector.RemoteView    `json:"remote"`
 }
@@ -32,8 +33,9 @@
 	if err != nil {
 		return err
 	}
-	return c.print(nodesOutput{Self: v.Self, Lifecycle: v.Lifecycle, Nodes: v.Members, Remote: v.Remote}, func(w io.Writer) {
+	return c.print(nodesOutput{Self: v.Self, Lifecycle: v.Lifecycle, Config: v.Config, Nodes: v.Members, Remote: v.Remote}, func(w io.Writer) {
 		fmt.Fprintf(w, "nodes known to %s in %s (%s):\n", v.Self.Host, v.Self.DataCentre, v.Lifecycle)
+		writeRefused(w, v.Config.Refused)
 		for _, m := range v.Members {
 			fmt.Fprintf(w, "  %-14s %-21s rack %-6s %-8s incarnation %d\n", m.Host, m.Address, m.Rack, m.Status, m.Incarnation)
 		}
@@ -88,6 +90,22 @@
 	return c.print(output, func(w io.Writer) { writeConfig(w, v) })
 }
 
+// writeRefused tells which version the node refuses, if any.
+func writeRefused(w io.Writer, r *inspector.RefusedView) {
+	if r == nil {
+		return
+	}
+	version := "a version whose number cannot be read"
+	if r.Version != 0 {
+		version = fmt.Sprintf("version %d", r.Version)
+	}
+	source := "the platform"
+	if r.Source != "" {
+		source = "the node at " + r.Source
+	}
+	fmt.Fprintf(w, "REFUSED: %s from %s, since %s: %s\n", version, source, formatTime(r.Since), printable(r.Reason))
+}
+
 func writeConfig(w io.Writer, v inspector.View) {
 	switch {
 	case v.Config.Running != 0:
@@ -97,6 +115,7 @@
 	default:
 		fmt.Fprintf(w, "no version is in force on %s\n", v.Self.Host)
 	}
+	writeRefused(w, v.Config.Refused)
 	for _, s := range v.Services {
 		fmt.Fprintf(w, "  service %-20s firm %-10s slots %d connections %d (ticket %d)\n",
 			s.Name, s.Firm, s.Slots, s.Connections, s.Ticket)
--- a/internal/commander/session_test.go
+++ b/internal/commander/session_test.go
@@ -213,5 +213,8 @@
 		}
 		s.runAll(t, "nodes --node 10.0.0.1:7200", "targets --node 10.0.0.1:7200", "config --node 10.0.0.1:7200",
 			"config --node 10.0.0.1:7200 --output json")
+		s.comment("the platform holds a version that this node cannot read")
+		s.view.Config.Refused = &inspector.RefusedView{Version: 4, Reason: "field routes.r-1.kind: must be idempotent", Since: time.Now()}
+		s.runAll(t, "nodes --node 10.0.0.1:7200", "config --node 10.0.0.1:7200")
 	})
 }
--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -118,7 +118,7 @@
 			drainer.WithDrainTimeout(time.Duration(float64(a.bounds.Grace)*drainTimeoutShare)),
 			drainer.WithStopHook(n.callers.Drain)),
 		fetcher.New(fetcher.Config{
-			Platform: store, Kind: platform.ConfigKind, Decode: reader.DecodeConfig,
+			Platform: store, Kind: platform.ConfigKind, Decode: reader.DecodeConfig, ReadVersion: reader.ReadVersion,
 			State: func() *blackboard.State { return n.board.Read() },
 			Open:  open(fetcher.StreamKind), Log: n.log,
 		}),
--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -21,6 +21,7 @@
 // the board, which is created after them, only when they run.
 func (n *Node) buildRequestPath(a adapter) {
 	m := meter.New(n.metrics, func() int { return n.tracker.Count().Total }, n.delay.Delay)
+	meter.RegisterConfig(n.metrics, func() *blackboard.Config { return &n.board.Read().Config })
 	o := &observer{post: func(msg blackboard.Msg) { n.board.Post(msg) }, now: time.Now}
 	n.executor = executor.New(executor.Config{
 		Host:             n.settings.Host,
--- a/internal/fetcher/exchange.go
+++ b/internal/fetcher/exchange.go
@@ -29,6 +29,10 @@
 	if err != nil {
 		cfg.Log.Write(logger.ConfigAskFailed, logger.Fields{Peer: e.address, Err: err})
 	}
+	if isRefusal(err) {
+		cfg.Log.Write(logger.ConfigRefused, logger.Fields{Version: versionOf(s), Peer: e.address, Err: err})
+		post(blackboard.ConfigRefused{Version: versionOf(s), Source: e.address, Reason: err.Error(), Now: cfg.Now()})
+	}
 	if err != nil || s == nil {
 		post(blackboard.ConfigFetchFailed{Address: e.address, Now: cfg.Now()})
 		return
@@ -36,6 +40,14 @@
 	post(blackboard.ConfigRead{Snapshot: s, Source: e.address, Now: cfg.Now()})
 }
 
+// isRefusal reports whether a whole configuration arrived that cannot be read or that
+// breaks a rule.
+func isRefusal(err error) bool {
+	var malformed *snapshotter.MalformedError
+	var refused *snapshotter.RefusedError
+	return errors.As(err, &malformed) || errors.As(err, &refused)
+}
+
 // isSilence reports whether a request failed because no reply came in time.
 func isSilence(err error) bool {
 	var timeout net.Error
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -71,6 +71,9 @@
 	Kind string
 	// Decode decodes the object's value.
 	Decode func(value []byte) (*snapshotter.Snapshot, error)
+	// ReadVersion returns the version that a value states which cannot be decoded, or 0;
+	// nil means that it cannot be told.
+	ReadVersion func(value []byte) uint64
 	// State returns the current state of the blackboard.
 	State func() *blackboard.State
 	// Open opens a stream to another node.
@@ -113,6 +116,8 @@
 		return noteVersion(s, msg), nil
 	case blackboard.ConfigFetchFailed:
 		s.Config.PeerVersion = handleFetchFailed(s.Config.PeerVersion, msg.Address, msg.Now)
+	case blackboard.ConfigRefused:
+		s.Config.NoteRefused(blackboard.RefusedVersion{Version: msg.Version, Source: msg.Source, Reason: msg.Reason, SinceAt: msg.Now})
 	case blackboard.PlatformReachabilityChanged:
 		s.Config.PlatformLost = msg.Lost
 	}
@@ -139,6 +144,7 @@
 	s.Config.Running = msg.Snapshot
 	s.Config.Floor = msg.Snapshot.Version
 	s.Config.Recovering = false
+	s.Config.ForgetRefused()
 	if s.Config.PeerVersion.Version <= msg.Snapshot.Version {
 		s.Config.PeerVersion = blackboard.PeerVersion{}
 	}
@@ -209,7 +215,12 @@
 		err = snapshotter.Validate(s)
 	}
 	if err != nil {
-		cfg.Log.Write(logger.ConfigRefused, logger.Fields{Reason: o.Key, Err: err})
+		version := uint64(0)
+		if cfg.ReadVersion != nil {
+			version = cfg.ReadVersion(o.Value)
+		}
+		cfg.Log.Write(logger.ConfigRefused, logger.Fields{Version: version, Reason: o.Key, Err: err})
+		post(blackboard.ConfigRefused{Version: version, Reason: err.Error(), Now: cfg.Now()})
 		return
 	}
 	post(blackboard.ConfigRead{Snapshot: s, Now: cfg.Now()})
--- a/internal/follower/stage.go
+++ b/internal/follower/stage.go
@@ -121,6 +121,7 @@
 		return false
 	}
 	c.Running = next
+	c.ForgetRefused()
 	c.Stage = blackboard.Stage{RefreshAt: st.now.Add(witnessRefreshInterval), KnownMembers: len(st.s.Members.ByHost)}
 	st.addEffect(WriteLog{logger.ConfigApplied, logger.Fields{Version: next.Version}})
 	return true
--- a/internal/follower/update.go
+++ b/internal/follower/update.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"slices"
 	"time"
 
@@ -105,12 +106,24 @@
 		st.sendPull(m.Address, true)
 	case SourceSnapshot:
 		st.addEffect(WriteLog{logger.ConfigRefused, logger.Fields{Version: m.Version, Peer: m.Address, Err: m.Err}})
+		st.noteRefused(m)
 	case SourcePlatform:
 		st.addEffect(WriteLog{logger.ConfigRefused, logger.Fields{Version: m.Version, Err: m.Err}})
+		st.noteRefused(m)
 		st.backOffPlatform()
 	}
 }
 
+// noteRefused records a version that is refused, unless its parts could not be fetched.
+func (st *step) noteRefused(m LoadFailed) {
+	var malformed *snapshotter.MalformedError
+	var refused *snapshotter.RefusedError
+	var mismatch *snapshotter.DigestMismatchError
+	if errors.As(m.Err, &malformed) || errors.As(m.Err, &refused) || errors.As(m.Err, &mismatch) {
+		st.s.Config.NoteRefused(blackboard.RefusedVersion{Version: m.Version, Source: m.Address, Reason: m.Err.Error(), SinceAt: m.Now})
+	}
+}
+
 // noteVersion records that a peer has a version greater than any known so far.
 func (st *step) noteVersion(version uint64, address string) {
 	h := &st.s.Config.PeerVersion
--- a/internal/follower/update_test.go
+++ b/internal/follower/update_test.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -121,3 +122,27 @@
 		})
 	}
 }
+
+// TestRefusedVersion checks that an operator sees a version that is refused, and no version
+// whose parts merely did not arrive, until a greater one is in force.
+func TestRefusedVersion(t *testing.T) {
+	versions := versionChain(t, 3)
+	f := newFollower(Platform{})
+	now := time.Unix(1_800_000_000, 0)
+	s := stateWithLayout("x")
+	s.Config.Recovering = false
+	s, _ = f.reduce(s, SnapshotLoaded{Now: now, Snapshot: versions[0]})
+	failed := func(source LoadSource, err error) blackboard.RefusedVersion {
+		next, _ := f.reduce(s, LoadFailed{Now: now, Source: source, Version: 2, Err: err})
+		assert.Equal(t, versionOf(next.Config.Running), uint64(1))
+		return next.Config.Refused
+	}
+	broken := &snapshotter.RefusedError{Rule: snapshotter.RuleSharedKey, Detail: "shared"}
+	assert.Equal(t, failed(SourcePlatform, broken).Version, uint64(2))
+	assert.Equal(t, failed(SourceSnapshot, &snapshotter.MalformedError{Subject: "snapshot"}).Version, uint64(2))
+	assert.Assert(t, !failed(SourcePlatform, context.DeadlineExceeded).IsSet())
+	assert.Assert(t, !failed(SourceDelta, broken).IsSet(), "the whole snapshot is requested next")
+	s, _ = f.reduce(s, LoadFailed{Now: now, Source: SourcePlatform, Version: 2, Err: broken})
+	s, _ = f.reduce(s, SnapshotLoaded{Now: now, Snapshot: versions[2]})
+	assert.Assert(t, !s.Config.Refused.IsSet())
+}
--- a/internal/inspector/inspector_test.go
+++ b/internal/inspector/inspector_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
@@ -30,8 +31,11 @@
 	serving := &blackboard.State{
 		Self:      blackboard.Self{Host: "reyk-a-1", DataCentre: "reyk-a", Region: "is-south", Rack: "r1"},
 		Lifecycle: blackboard.Lifecycle{Phase: blackboard.LifecycleServing},
-		Config:    blackboard.Config{Running: &snapshotter.Snapshot{Version: 7}, Floor: 7},
-		Lease:     blackboard.Lease{Slot: -1, Relays: []blackboard.Relay{{Host: "reyk-a-2"}}},
+		Config: blackboard.Config{
+			Running: &snapshotter.Snapshot{Version: 7}, Floor: 7,
+			Refused: blackboard.RefusedVersion{Version: 9, Reason: "field kind", SinceAt: time.Unix(1_796_500_000, 0).UTC()},
+		},
+		Lease: blackboard.Lease{Slot: -1, Relays: []blackboard.Relay{{Host: "reyk-a-2"}}},
 		Members: blackboard.Members{
 			ByHost: map[string]blackboard.Member{"b": {Host: "b"}, "a": {Host: "a", Status: blackboard.MemberAlive}},
 			Remote: map[string]blackboard.DataCentreSummary{
--- a/internal/inspector/view.go
+++ b/internal/inspector/view.go
@@ -43,6 +43,18 @@
 	Floor      uint64 `json:"floor"`
 	Recovering bool   `json:"recovering"`
 	Parent     string `json:"parent,omitempty"`
+	// Refused is nil when no version is refused.
+	Refused *RefusedView `json:"refused,omitempty"`
+}
+
+// RefusedView is a version that the node cannot read or that breaks a rule.
+type RefusedView struct {
+	// Version is 0 when it could not be read either.
+	Version uint64 `json:"version"`
+	// Source is the address of the node that sent it; empty for the platform.
+	Source string    `json:"source,omitempty"`
+	Reason string    `json:"reason"`
+	Since  time.Time `json:"since"`
 }
 
 // LeaseView describes the relay slot that the node holds and the relays that it
@@ -140,6 +152,9 @@
 	if c.Running != nil {
 		v.Running = c.Running.Version
 	}
+	if c.Refused.IsSet() {
+		v.Refused = &RefusedView{Version: c.Refused.Version, Source: c.Refused.Source, Reason: c.Refused.Reason, Since: c.Refused.SinceAt}
+	}
 	return v
 }
 
--- a/internal/logger/events_distribution.go
+++ b/internal/logger/events_distribution.go
@@ -9,8 +9,8 @@
 	}
 	ConfigRefused = Event{
 		Number: 201, Name: "config-refused", Level: LevelError,
-		Meaning: "A version of the configuration failed validation or did not match its digest. The node keeps the version that it runs.",
-		Action:  "Read the error field. If many nodes report the same version, revert the change with a new ticket.",
+		Meaning: "A version of the configuration cannot be read, in whole or in part, breaks a rule or does not match its digest. Nothing of it is in force: the node keeps the version that it runs.",
+		Action:  "Read the error field. If many nodes report the same version, replace it by a greater one that is correct. If only some do, compare the versions of their programs. gentianctl config shows the refused version until then.",
 	}
 	ConfigFetchedWhole = Event{
 		Number: 202, Name: "config-fetched-whole", Level: LevelInfo,
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -73,10 +73,11 @@
 	}
 )
 
-// Metrics lists the metrics that Meter and Traffic register.
+// Metrics lists the metrics that Meter, RegisterConfig and Traffic register.
 func Metrics() []Metric {
 	return []Metric{
 		latency, queueWait, serviceTime, outcomes, attempts, targetRequests, targetRateLimit, unread, processorDelay, inFlight,
+		configVersion, configRefusedVersion, configRefused,
 		linkBytes, linkTransfers, packetBytes, packets,
 	}
 }
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
+	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/retrier"
@@ -25,6 +26,7 @@
 	m.RecordUnread(OriginNode, time.Second)
 	m.RecordSent(&exchanger.Request{Attempt: 1})
 	m.RecordSent(&exchanger.Request{Attempt: 2})
+	RegisterConfig(registry, func() *blackboard.Config { return &blackboard.Config{} })
 	traffic := NewTraffic(registry)
 	traffic.CountTransfer(linker.TrafficControl, linker.DirectionSent, 1)
 	traffic.CountPacket(linker.DirectionSent, 1)
