Tell targets the firm in the system's own dialect, and test identity on the whole path

With the system's own headers no target was told whose a request is: the node of the target dropped Gentian-Firm with the other reserved headers. It now sends the value that the caller's node has set. The key is checked before the size of the body and before a split takes a turn, a 401 carries no Retry-After, a request's log line and explanation name its firm, and a node that refuses a version answers unknown keys 503 like one that is behind.

--- a/internal/dispatcher/send.go
+++ b/internal/dispatcher/send.go
@@ -39,6 +39,7 @@
 	}
 	set(d.IdempotencyKey, r.IdempotencyKey)
 	set(d.CallerService, r.CallerService)
+	set(d.Firm, r.Header.Get(d.Firm))
 	set(d.ExpectTarget, r.TargetID)
 	header.Del("Content-Length")
 	switch {
--- a/internal/exchanger/dialect.go
+++ b/internal/exchanger/dialect.go
@@ -88,6 +88,9 @@
 }
 
 func retryAfterSeconds(a *Answer, now time.Time) string {
+	if a.Reason == ReasonAccessKeyUnknown {
+		return ""
+	}
 	seconds := 1
 	if !a.RetryAt.IsZero() {
 		seconds = max(int((a.RetryAt.Sub(now)+time.Second-1)/time.Second), 1)
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -19,14 +19,16 @@
 	RequestID string    `json:"request-id"`
 	Arrived   time.Time `json:"arrived"`
 	// ConfigVersion is the version of the configuration that the request was routed by.
-	ConfigVersion uint64           `json:"config-version"`
-	Route         string           `json:"route,omitempty"`
-	Service       string           `json:"service,omitempty"`
-	Outcome       retrier.Outcome  `json:"outcome"`
-	Reason        exchanger.Reason `json:"reason,omitempty"`
-	Attempts      []Attempt        `json:"attempts,omitempty"`
-	GaveUp        retrier.Reason   `json:"gave-up,omitempty"`
-	Deadline      time.Time        `json:"deadline"`
+	ConfigVersion uint64 `json:"config-version"`
+	Route         string `json:"route,omitempty"`
+	Service       string `json:"service,omitempty"`
+	// Firm is the firm whose access key the request carried; empty when it carried none that is known.
+	Firm     string           `json:"firm,omitempty"`
+	Outcome  retrier.Outcome  `json:"outcome"`
+	Reason   exchanger.Reason `json:"reason,omitempty"`
+	Attempts []Attempt        `json:"attempts,omitempty"`
+	GaveUp   retrier.Reason   `json:"gave-up,omitempty"`
+	Deadline time.Time        `json:"deadline"`
 }
 
 // Attempt is one choice of a target and its outcome.
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -127,6 +127,12 @@
 	if !ok {
 		return exchanger.NotRun(exchanger.ReasonNoRoute, nil)
 	}
+	c.record.Route, c.record.Service = route.Name, service.Name
+	firm, refusal := c.identify(running, route)
+	if refusal != nil {
+		return refusal
+	}
+	c.record.Firm = firm.Name
 	if name := c.receiver.serviceOf(&route); name != service.Name {
 		service = running.Services[name]
 	}
@@ -134,11 +140,7 @@
 		return exchanger.NotRun(exchanger.ReasonTooLarge, nil)
 	}
 	c.service = service
-	c.record.Route, c.record.Service = route.Name, service.Name
-	firm, refusal := c.identify(running, route)
-	if refusal != nil {
-		return refusal
-	}
+	c.record.Service = service.Name
 	depth, ok := nextDepth(c.header(c.receiver.cfg.Dialect.Depth))
 	if !ok || len(c.header(c.receiver.cfg.Dialect.IdempotencyKey)) > deduplicator.MaxKeyBytes {
 		return exchanger.NotRun(exchanger.ReasonBadRequest, nil)
--- a/internal/receiver/firm.go
+++ b/internal/receiver/firm.go
@@ -30,11 +30,12 @@
 	return firm, exchanger.NotRun(exchanger.ReasonAccessKeyUnknown, nil)
 }
 
-// isConfigBehind reports whether another node may run a greater version. A caller does not
-// come back after it was told that its key is unknown.
+// isConfigBehind reports whether there may be a greater version than the running one, which
+// this node does not have or cannot read. A caller does not come back after it was told
+// that its key is unknown.
 func (rc *Receiver) isConfigBehind(running *snapshotter.Snapshot) bool {
 	config := &rc.cfg.State().Config
-	return config.PlatformLost || config.PeerVersion.Version > running.Version
+	return config.PlatformLost || config.PeerVersion.Version > running.Version || config.Refused.IsSet()
 }
 
 // takeToken returns the refusal of a request beyond its firm's limit, or nil. Such a
--- a/internal/receiver/mesh_test.go
+++ b/internal/receiver/mesh_test.go
@@ -31,6 +31,9 @@
 	listen func(name string) net.Listener
 	links  []linker.Option
 	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	// configure changes the receiver's configuration and wraps the target's handler of
+	// each node; nil changes nothing.
+	configure func(cfg *Config, target http.Handler) http.Handler
 }
 
 func pipeNetwork(p *pipes) network {
@@ -150,10 +153,14 @@
 		Execute: n.executor.Execute, Refuse: n.executor.Refuse, Precheck: n.executor.Precheck, Tracker: n.tracker, Incarnation: 1,
 	})
 	n.linker.Handle(forwarder.Kind, fw.Handle)
-	n.receiver = New(Config{
+	receiverCfg := Config{
 		State: n.state.Load, Match: snapshotter.Match, Execute: n.executor.Execute, Forward: fw.Forward,
 		Tracker: n.tracker, Explanations: n.ring, Seed: uint64(i + 1),
-	})
+	}
+	if net.configure != nil {
+		n.targetServer.Handler = net.configure(&receiverCfg, n.targetServer.Handler)
+	}
+	n.receiver = New(receiverCfg)
 	n.callerServer = &http.Server{Handler: n.receiver}
 	m.group.Go(func() error { return ignoreServerClosed(n.targetServer.Serve(targetListener)) })
 	m.group.Go(func() error { return ignoreServerClosed(n.callerServer.Serve(callerListener)) })
--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -21,7 +21,7 @@
 	}
 	f := logger.Fields{
 		RequestID: c.record.RequestID, Version: c.record.ConfigVersion, Route: c.record.Route, Service: c.record.Service,
-		Reason: string(c.record.Reason), Attempts: describeAttempts(&c.record), DurationMillis: time.Since(c.record.Arrived).Milliseconds(),
+		Firm: c.record.Firm, Reason: string(c.record.Reason), Attempts: describeAttempts(&c.record), DurationMillis: time.Since(c.record.Arrived).Milliseconds(),
 	}
 	f.UnreadMillis = c.readAt.Sub(c.record.Arrived).Milliseconds()
 	if c.receiver.cfg.Delay != nil {
--- a/internal/receiver/pipes_test.go
+++ b/internal/receiver/pipes_test.go
@@ -13,6 +13,9 @@
 	listeners map[string]*pipeListener
 	// conns holds the dialling ends of connections by address.
 	conns map[string][]*pipeConn
+	// record is called with what is sent over connections to an address, either way; nil
+	// records nothing.
+	record func(address string, b []byte)
 }
 
 func newPipes() *pipes {
@@ -43,7 +46,10 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	c := &pipeConn{Conn: client, closed: make(chan struct{})}
+	c := &pipeConn{Conn: client, closed: make(chan struct{}), record: func([]byte) {}}
+	if n.record != nil {
+		c.record = func(b []byte) { n.record(address, b) }
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns[address] = append(n.conns[address], c)
@@ -102,6 +108,7 @@
 	isBlackholed atomic.Bool
 	closed       chan struct{}
 	once         sync.Once
+	record       func(b []byte)
 }
 
 func (c *pipeConn) Read(b []byte) (int, error) {
@@ -110,6 +117,7 @@
 		<-c.closed
 		return 0, net.ErrClosed
 	}
+	c.record(b[:n])
 	return n, err
 }
 
@@ -117,6 +125,7 @@
 	if c.isBlackholed.Load() {
 		return len(b), nil
 	}
+	c.record(b)
 	return c.Conn.Write(b)
 }
 
