Read firms in ticket files, and show them without their keys

A ticket file with a firm ended gentianctl with a panic: the decoder took a digest for a text. Digests are decoded as hexadecimal digits; no problem quotes what stands there, as somebody may write the key itself by mistake. "gentianctl key digest" makes a digest of a key from the standard input, as the arguments of a process are visible to others. Plans name a key by the first eight digits of its digest, ticket show and config by their number; the admin view holds no digest.

TestFirmSession plays a firm's key from digest to rotation.

--- a/examples/tickets/main.go
+++ b/examples/tickets/main.go
@@ -2,6 +2,8 @@
 // in memory, and reads back the configuration that a node would run.
 //
 //	go run ./examples/tickets
+//
+// The file firms.yaml is a ticket file for gentianctl.
 package main
 
 import (
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -123,6 +123,7 @@
 		{"ticket show", 1, "N     shows ticket N, and on how many nodes it is in force", showTicket},
 		{"ticket list", 0, "      lists the latest tickets; --last sets how many", listTickets},
 		{"ticket trim", 0, "      deletes configuration that no recent version uses", trimShards},
+		{"key digest", 0, "      reads an access key from the standard input and prints its digest, for a ticket", digestKey},
 		{"nodes", 0, "      lists the nodes that the node at --node knows", showNodes},
 		{"targets", 0, "      lists the targets that the node at --node knows", showTargets},
 		{"config", 0, "      shows the configuration in force on the node at --node", showConfig},
--- a/internal/commander/node.go
+++ b/internal/commander/node.go
@@ -79,6 +79,7 @@
 	Config   inspector.ConfigView  `json:"config"`
 	Services []snapshotter.Service `json:"services"`
 	Routes   []snapshotter.Route   `json:"routes"`
+	Firms    []inspector.FirmView  `json:"firms,omitempty"`
 }
 
 func showConfig(ctx context.Context, c invocation) error {
@@ -86,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	output := configOutput{Config: v.Config, Services: v.Services, Routes: v.Routes}
+	output := configOutput{Config: v.Config, Services: v.Services, Routes: v.Routes, Firms: v.Firms}
 	return c.print(output, func(w io.Writer) { writeConfig(w, v) })
 }
 
@@ -125,7 +126,18 @@
 		if len(r.Methods) > 0 {
 			methods = strings.Join(r.Methods, ",")
 		}
-		fmt.Fprintf(w, "  route   %-20s %s (%s) to %s, class %s, idempotent %t, timeout %d ms (ticket %d)\n",
-			r.Name, r.Prefix, methods, r.Service, r.Class, r.Idempotent, r.TimeoutMs, r.Ticket)
+		keyless := ""
+		if r.Keyless {
+			keyless = ", keyless"
+		}
+		fmt.Fprintf(w, "  route   %-20s %s (%s) to %s, class %s, idempotent %t, timeout %d ms%s (ticket %d)\n",
+			r.Name, r.Prefix, methods, r.Service, r.Class, r.Idempotent, r.TimeoutMs, keyless, r.Ticket)
+	}
+	for _, f := range v.Firms {
+		limit := "no limit"
+		if f.Rate > 0 {
+			limit = fmt.Sprintf("%d a second, burst %d", f.Rate, f.Burst)
+		}
+		fmt.Fprintf(w, "  firm    %-20s keys: %d, %s, priority %d (ticket %d)\n", f.Name, f.Keys, limit, f.Priority, f.Ticket)
 	}
 }
--- a/internal/commander/session_test.go
+++ b/internal/commander/session_test.go
@@ -26,6 +26,8 @@
 	fake   *storer.Fake
 	view   inspector.View
 	record bytes.Buffer
+	// stdin is what commands read from the standard input.
+	stdin string
 	// operationCount is the number of operation IDs returned.
 	operationCount int
 	// beforeHeadUpdate, if set, runs once before the next update of the head.
@@ -62,7 +64,12 @@
 	var out, errOut bytes.Buffer
 	c := &Commander{
 		Out: &out, Err: &errOut, NewTicketer: s.newTicketer,
-		ReadFile:  func(path string) ([]byte, error) { return os.ReadFile(filepath.Join("testdata", path)) },
+		ReadFile: func(path string) ([]byte, error) {
+			if path == "-" {
+				return []byte(s.stdin), nil
+			}
+			return os.ReadFile(filepath.Join("testdata", path))
+		},
 		FetchView: func(context.Context, string) (inspector.View, error) { return s.view, nil },
 	}
 	fmt.Fprintf(&s.record, "$ gentianctl %s\n", line)
@@ -218,3 +225,29 @@
 		s.runAll(t, "nodes --node 10.0.0.1:7200", "config --node 10.0.0.1:7200")
 	})
 }
+
+// TestFirmSession checks that an operator gives a firm keys and takes one away without
+// showing any to the commands or seeing one.
+func TestFirmSession(t *testing.T) {
+	runSession(t, "firms", func(t *testing.T, s *session) {
+		s.comment("the standard input holds a key")
+		s.stdin = "key-of-rocklea-1\n"
+		s.runAll(t, "key digest", "key digest --output json", "key digest key-of-rocklea-1")
+		s.stdin = "two keys"
+		s.runAll(t, "key digest")
+		s.stdin = "\n"
+		s.runAll(t, "key digest", "ticket file --author sigga first.yaml", "ticket approve 1 --author jon",
+			"ticket plan firms.yaml", "ticket file --author sigga firms.yaml", "ticket approve 2 --author jon",
+			"ticket plan rotate.yaml", "ticket file --author sigga rotate.yaml", "ticket show 3",
+			"ticket approve 3 --author jon", "ticket plan shared.yaml")
+		_, _, running, err := ticketer.Load(t.Context(), s.fake.Client(), nil)
+		assert.NilError(t, err)
+		s.view = inspector.NewView(&blackboard.State{Self: blackboard.Self{Host: "reyk-a-1"}, Config: blackboard.Config{Running: running}})
+		s.runAll(t, "config --node 10.0.0.1:7200")
+		firm, ok := snapshotter.KeyOwner(running, "key-of-rocklea-2")
+		assert.Assert(t, ok)
+		assert.Equal(t, firm.Name, "rocklea")
+		_, ok = snapshotter.KeyOwner(running, "key-of-rocklea-1")
+		assert.Assert(t, !ok)
+	})
+}
--- a/internal/commander/text.go
+++ b/internal/commander/text.go
@@ -57,12 +57,18 @@
 	for _, r := range c.Routes {
 		sets = append(sets, "route "+r.Name)
 	}
+	for _, f := range c.Firms {
+		sets = append(sets, fmt.Sprintf("firm %s (keys: %d)", f.Name, len(f.Keys)))
+	}
 	for _, name := range c.RemoveServices {
 		removes = append(removes, "service "+name)
 	}
 	for _, name := range c.RemoveRoutes {
 		removes = append(removes, "route "+name)
 	}
+	for _, name := range c.RemoveFirms {
+		removes = append(removes, "firm "+name)
+	}
 	if len(sets) > 0 {
 		fmt.Fprintf(w, "  sets:     %s\n", strings.Join(sets, ", "))
 	}
--- a/internal/decoder/decoder.go
+++ b/internal/decoder/decoder.go
@@ -33,13 +33,21 @@
 	reported map[string]bool
 }
 
+// anchorProblem is the problem of a file with anchors or aliases.
+const anchorProblem = "anchors and aliases are not allowed: a file is read as it stands"
+
 // Decode fills the struct that v points to, and calls check to report problems
 // that the tags cannot express. It returns *InvalidError with all problems, in
 // order of line.
 func Decode(data []byte, v any, check func(d *Decoder)) error {
 	var doc yaml.Node
 	if err := yaml.Unmarshal(data, &doc); err != nil {
-		return &InvalidError{Problems: []Problem{{Line: 1, Key: "file", Text: err.Error()}}}
+		text := err.Error()
+		if strings.Contains(text, "unknown anchor") {
+			// The error quotes what follows the asterisk, which may be a secret.
+			text = anchorProblem
+		}
+		return &InvalidError{Problems: []Problem{{Line: 1, Key: "file", Text: text}}}
 	}
 	root := &yaml.Node{Kind: yaml.MappingNode, Line: 1}
 	if len(doc.Content) > 0 {
--- a/internal/decoder/value.go
+++ b/internal/decoder/value.go
@@ -1,6 +1,7 @@
 package decoder
 
 import (
+	"encoding/hex"
 	"fmt"
 	"reflect"
 	"slices"
@@ -12,7 +13,7 @@
 
 func (d *Decoder) decode(n *yaml.Node, f field, key string) {
 	if n.Kind == yaml.AliasNode || n.Anchor != "" {
-		d.reportAt(n.Line, key, "anchors and aliases are not allowed: a file is read as it stands")
+		d.reportAt(n.Line, key, anchorProblem)
 		return
 	}
 	switch f.value.Kind() {
@@ -22,6 +23,8 @@
 		d.decodeList(n, f.value, key)
 	case reflect.Int:
 		d.decodeInt(n, f, key)
+	case reflect.Array:
+		d.decodeHex(n, f.value, key)
 	case reflect.Bool:
 		d.decodeBool(n, f.value, key)
 	default:
@@ -64,6 +67,17 @@
 	return errMin == nil && i < lowest || errMax == nil && i > highest
 }
 
+// decodeHex decodes an array of bytes. A problem does not quote the value, as digests stand
+// in place of secrets, and somebody may write a secret there by mistake.
+func (d *Decoder) decodeHex(n *yaml.Node, v reflect.Value, key string) {
+	raw, err := hex.DecodeString(n.Value)
+	if n.Kind != yaml.ScalarNode || err != nil || len(raw) != v.Len() {
+		d.reportAt(n.Line, key, "expected %d hexadecimal digits", hex.EncodedLen(v.Len()))
+		return
+	}
+	reflect.Copy(v, reflect.ValueOf(raw))
+}
+
 func (d *Decoder) decodeBool(n *yaml.Node, v reflect.Value, key string) {
 	if n.Kind != yaml.ScalarNode || !slices.Contains([]string{"true", "false"}, n.Value) {
 		d.reportAt(n.Line, key, "expected true or false, not %q", n.Value)
--- a/internal/inspector/inspector_test.go
+++ b/internal/inspector/inspector_test.go
@@ -32,7 +32,9 @@
 		Self:      blackboard.Self{Host: "reyk-a-1", DataCentre: "reyk-a", Region: "is-south", Rack: "r1"},
 		Lifecycle: blackboard.Lifecycle{Phase: blackboard.LifecycleServing},
 		Config: blackboard.Config{
-			Running: &snapshotter.Snapshot{Version: 7}, Floor: 7,
+			Running: &snapshotter.Snapshot{Version: 7, Firms: map[string]snapshotter.Firm{
+				"rocklea": {Name: "rocklea", Keys: []snapshotter.Digest{snapshotter.DigestKey("k")}, Rate: 30, Burst: 40, Priority: 1, Ticket: 3},
+			}}, Floor: 7,
 			Refused: blackboard.RefusedVersion{Version: 9, Reason: "field kind", SinceAt: time.Unix(1_796_500_000, 0).UTC()},
 		},
 		Lease: blackboard.Lease{Slot: -1, Relays: []blackboard.Relay{{Host: "reyk-a-2"}}},
--- a/internal/inspector/view.go
+++ b/internal/inspector/view.go
@@ -22,6 +22,18 @@
 	Remote    []RemoteView              `json:"remote"`
 	Routes    []snapshotter.Route       `json:"routes"`
 	Services  []snapshotter.Service     `json:"services"`
+	Firms     []FirmView                `json:"firms,omitempty"`
+}
+
+// FirmView is a firm without its access keys and their digests.
+type FirmView struct {
+	Name string `json:"name"`
+	// Keys is how many access keys the firm has.
+	Keys     int    `json:"keys"`
+	Rate     int    `json:"rate"`
+	Burst    int    `json:"burst"`
+	Priority int    `json:"priority"`
+	Ticket   uint64 `json:"ticket"`
 }
 
 // SelfView identifies the node.
@@ -133,6 +145,11 @@
 	if running := s.Config.Running; running != nil {
 		v.Routes = sorted(running.Routes, func(r snapshotter.Route) string { return r.Name })
 		v.Services = sorted(running.Services, func(sv snapshotter.Service) string { return sv.Name })
+		for _, f := range sorted(running.Firms, func(f snapshotter.Firm) string { return f.Name }) {
+			v.Firms = append(v.Firms, FirmView{
+				Name: f.Name, Keys: len(f.Keys), Rate: f.Rate, Burst: f.Burst, Priority: f.Priority, Ticket: f.Ticket,
+			})
+		}
 	}
 	return v
 }
--- a/internal/parser/parser.go
+++ b/internal/parser/parser.go
@@ -17,7 +17,16 @@
 // Parse parses a ticket file. It returns *decoder.InvalidError.
 func Parse(data []byte) (ticketer.Draft, error) {
 	var draft ticketer.Draft
-	err := decoder.Decode(data, &draft, func(d *decoder.Decoder) { checkChange(d, draft.Change) })
+	err := decoder.Decode(data, &draft, func(d *decoder.Decoder) {
+		for i, f := range draft.Change.Firms {
+			snapshotter.SortKeys(f.Keys)
+			if len(f.Keys) > 1 && f.Keys[1] == (snapshotter.Digest{}) {
+				// More than one digest was not read, which the decoder has reported.
+				draft.Change.Firms[i].Keys = nil
+			}
+		}
+		checkChange(d, draft.Change)
+	})
 	if err != nil {
 		return ticketer.Draft{}, err
 	}
@@ -61,5 +70,10 @@
 			return fmt.Sprintf("routes[%d]", i)
 		}
 	}
+	for i, f := range slices.Backward(c.Firms) {
+		if resource == "firm "+f.Name {
+			return fmt.Sprintf("firms[%d]", i)
+		}
+	}
 	return ""
 }
--- a/pkg/ticketer/plan.go
+++ b/pkg/ticketer/plan.go
@@ -85,15 +85,39 @@
 		old, exists := base.Routes[r.Name]
 		list = append(list, compareResource("route "+r.Name, old.Ticket, exists, old, next.Routes[r.Name]))
 	}
+	for _, f := range c.Firms {
+		old, exists := base.Firms[f.Name]
+		list = append(list, compareResource("firm "+f.Name, old.Ticket, exists, newFirmSummary(old), newFirmSummary(next.Firms[f.Name])))
+	}
 	for _, name := range c.RemoveServices {
 		list = append(list, Effect{Action: ActionRemove, Resource: "service " + name, SetBy: base.Services[name].Ticket})
 	}
 	for _, name := range c.RemoveRoutes {
 		list = append(list, Effect{Action: ActionRemove, Resource: "route " + name, SetBy: base.Routes[name].Ticket})
 	}
+	for _, name := range c.RemoveFirms {
+		list = append(list, Effect{Action: ActionRemove, Resource: "firm " + name, SetBy: base.Firms[name].Ticket})
+	}
 	return list
 }
 
+// firmSummary is a firm with the beginnings of its keys' digests, which tell keys apart.
+type firmSummary struct {
+	snapshotter.Firm
+	Keys []string `json:"keys"`
+}
+
+// summaryDigits is how many digits of the digest of a key a summary shows.
+const summaryDigits = 8
+
+func newFirmSummary(f snapshotter.Firm) firmSummary {
+	s := firmSummary{Firm: f, Keys: []string{}}
+	for _, k := range f.Keys {
+		s.Keys = append(s.Keys, k.String()[:summaryDigits])
+	}
+	return s
+}
+
 func compareResource(resource string, setBy uint64, exists bool, old, current any) Effect {
 	if !exists {
 		return Effect{Action: ActionAdd, Resource: resource}
