Give the firms with the most requests metrics of their own

The first 32 firms that a node saw kept their series for good. With 82 firms that was whoever came first, and a firm that began to send many times its usual was counted with the others. Values are now counted, 128 at most, and compared each 512 requests: one that is used twice as much takes the series of the least used one. The number of series stays bounded, also under concurrent use, as none is written after its drop.

TestFirmsByUse fails without the comparison: no series for firm-0, which sends 20 times as much as the others.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -99,7 +99,7 @@
 	targetRateLimit prometheus.Gauge
 	unread          *prometheus.HistogramVec
 
-	firms   boundedLabels
+	firms   *rankedLabels
 	reasons boundedLabels
 }
 
@@ -113,8 +113,15 @@
 		unread:          newHistogram(unread),
 		targetRateLimit: prometheus.NewGauge(prometheus.GaugeOpts{Name: targetRateLimit.Name, Help: targetRateLimit.Help}),
 
-		firms: boundedLabels{limit: maxFirms}, reasons: boundedLabels{limit: maxReasons},
+		reasons: boundedLabels{limit: maxReasons},
 	}
+	m.firms = newRankedLabels(maxFirms, func(firm string) {
+		match := prometheus.Labels{"firm": firm}
+		m.latency.DeletePartialMatch(match)
+		m.queueWait.DeletePartialMatch(match)
+		m.serviceTime.DeletePartialMatch(match)
+		m.outcomes.DeletePartialMatch(match)
+	})
 	gauge := prometheus.NewGaugeFunc(
 		prometheus.GaugeOpts{Name: inFlight.Name, Help: inFlight.Help},
 		func() float64 { return float64(countInFlight()) },
@@ -141,7 +148,8 @@
 	if m == nil {
 		return
 	}
-	f, c := m.firms.resolve(firm), classLabel(class)
+	f, c := m.firms.acquire(firm), classLabel(class)
+	defer m.firms.release()
 	m.latency.WithLabelValues(f, c).Observe(duration.Seconds())
 	m.outcomes.WithLabelValues(f, c, string(outcome), m.reasons.resolve(string(reason))).Inc()
 }
@@ -151,7 +159,8 @@
 	if m == nil {
 		return
 	}
-	f, c := m.firms.resolve(r.Firm), classLabel(r.Class)
+	f, c := m.firms.acquire(r.Firm), classLabel(r.Class)
+	defer m.firms.release()
 	m.queueWait.WithLabelValues(f, c).Observe(queued.Seconds())
 	m.serviceTime.WithLabelValues(f, c).Observe(served.Seconds())
 }
