Share the room of a target by priority, then in fair parts among firms, then by soft deadline

Short calls were refused while reports of 1.2 s held all slots.

The gate now keeps a decaying sum of what each firm used, against its limit as weight, and the load of each kind of request. Requests of a firm beyond its part go behind the others of their priority; long requests leave room for shorter, more urgent ones; a kind that is started half as often as all goes first; at its last target a request may wait past its soft deadline; refused callers return one after the other. A refusal of a less urgent request no longer keeps its node from sending more urgent ones to that target.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -88,7 +88,9 @@
 	Service string
 	Route   string
 	Firm    string
-	Class   snapshotter.Class
+	// FirmRate is the firm's limit in requests a second; 0 when it has none.
+	FirmRate int
+	Class    snapshotter.Class
 	// Priority orders waiting requests of a class; 0 goes first.
 	Priority int
 	// Idempotent is set if running the request twice is harmless.
@@ -124,6 +126,9 @@
 	Attempt int
 	// NoWait is set if the request is refused when there is no free slot.
 	NoWait bool
+	// WaitPastSoftDeadline is set if the request may wait for a slot although its answer
+	// will come after SoftDeadline.
+	WaitPastSoftDeadline bool
 	// RetriedAbove is set if the request is part of a retry by a node nearer the caller.
 	RetriedAbove bool
 	// IdempotencyKey is empty when the caller sent none.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -287,6 +287,7 @@
 func limiterRequest(r *exchanger.Request) limiter.Request {
 	return limiter.Request{
 		Class: r.Class, Firm: r.Firm, Deadline: r.Deadline, Priority: r.Priority, SoftDeadline: r.SoftDeadline, Route: r.Route, NoWait: r.NoWait,
+		FirmRate: r.FirmRate, WaitPastSoftDeadline: r.WaitPastSoftDeadline,
 	}
 }
 
--- a/internal/limiter/bench_test.go
+++ b/internal/limiter/bench_test.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"strconv"
 	"testing"
 
 	"gentianbarrow.example/pkg/snapshotter"
@@ -32,3 +33,34 @@
 		oldest++
 	}
 }
+
+// BenchmarkRanked offers requests of 82 firms to a gate in which a hundred wait by rank, and
+// ends the oldest.
+func BenchmarkRanked(b *testing.B) {
+	l := pazaLimits()
+	l.Order, l.Queue, l.BulkPercent = OrderSoftDeadline, 200, 100
+	g, id := NewGate(l), uint64(0)
+	firms := make([]string, 82)
+	for i := range firms {
+		firms[i] = "firm-" + strconv.Itoa(i)
+	}
+	var running []uint64
+	offer := func(ms int) {
+		id++
+		r := request(id, snapshotter.ClassShort, firms[id%82])
+		r.FirmRate, r.Route, r.Priority, r.SoftDeadline = 10, "lookup", int(id%2), at(ms+60_000)
+		r.Deadline, r.WaitPastSoftDeadline = at(ms+120_000), true
+		if d := g.Offer(at(ms), r); d.Verdict == VerdictAdmitted {
+			running = append(running, id)
+		}
+	}
+	for g.Load(at(0)).Queued < 100 {
+		offer(0)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		offer(i / 100)
+		c := g.Done(at(i/100), running[0], done())
+		running = append(running[1:], c.Started...)
+	}
+}
--- a/internal/limiter/estimator.go
+++ b/internal/limiter/estimator.go
@@ -75,6 +75,15 @@
 	e.startTimeSums[c] -= started.UnixMicro()
 }
 
+// ageSum returns the sum of the ages of the running requests.
+func (e *estimator) ageSum(now time.Time, running *requestCounts) time.Duration {
+	micros := int64(running.total) * now.UnixMicro()
+	for _, sum := range e.startTimeSums {
+		micros -= sum
+	}
+	return time.Duration(micros) * time.Microsecond
+}
+
 // currentServiceTime returns the service time expected of the class now: the
 // smoothed mean, or more if the age of the running requests suggests it.
 func (e *estimator) currentServiceTime(now time.Time, c class, running int) time.Duration {
--- a/internal/limiter/gate.go
+++ b/internal/limiter/gate.go
@@ -20,6 +20,10 @@
 	firm    string
 	route   string
 	started time.Time
+	// expected, use and kind are those of its queue entry.
+	expected time.Duration
+	use      *firmUse
+	kind     *kind
 }
 
 // Gate admits requests to one target. It is not safe for concurrent use.
@@ -32,7 +36,10 @@
 	adaptiveLimit adaptiveLimit
 	ramp          ramp
 	bucket        tokenBucket
-	draining      bool
+	// room and returns are used with OrderSoftDeadline only.
+	room     room
+	returns  returns
+	draining bool
 	// changes is returned to the caller and reused by the next call.
 	changes Changes
 }
@@ -47,42 +54,53 @@
 		queue:         newQueue(l),
 		adaptiveLimit: newAdaptiveLimit(l),
 		estimator:     newEstimator(),
+		room:          newRoom(),
 	}
 }
 
 // Offer admits, queues or refuses a new request.
 func (g *Gate) Offer(now time.Time, r Request) Decision {
 	g.resetChanges()
+	g.advance(now)
 	c := classOf(r.Class)
 	if g.contains(r.ID) {
-		return g.refuse(now, r, ReasonDuplicate)
+		w := g.newWaiting(r, c)
+		return g.refuse(now, &w, ReasonDuplicate)
 	}
 	if g.draining {
 		return Decision{Verdict: VerdictRefused, Reason: ReasonDraining}
 	}
 	g.processQueue(now)
+	w := g.newWaiting(r, c)
+	if g.isRanked() {
+		g.room.recordArrival(now, &w, r.FirmRate)
+	}
 	if g.missesDeadline(now, r, c) {
-		return g.refuse(now, r, ReasonMissesDeadline)
+		return g.refuse(now, &w, ReasonMissesDeadline)
 	}
-	if g.mayStart(now, r, c) {
-		g.start(now, r.ID, runningRequest{class: c, firm: r.Firm, route: r.Route})
+	if g.mayStart(now, r, &w) {
+		g.start(now, &w)
 		return Decision{Verdict: VerdictAdmitted, Changes: g.changes}
 	}
-	return g.enqueue(now, r, c)
+	return g.enqueue(now, r, w)
 }
 
+// isRanked reports whether waiting requests start by rank.
+func (g *Gate) isRanked() bool { return g.queue.order == OrderSoftDeadline }
+
 // Precheck decides on a request that will be offered after the given number of others.
 // If refused is true, the rate limit would let it start too late even if it were
 // offered now.
 func (g *Gate) Precheck(now time.Time, r Request, ahead int) (d Decision, refused bool) {
 	g.resetChanges()
+	g.advance(now)
 	c := classOf(r.Class)
-	w := r.toWaiting()
-	ahead += g.queue.countAhead(c, &w)
-	if !g.bucket.availableAt(now, ahead).After(g.startBy(now, r, c)) {
+	w := g.newWaiting(r, c)
+	ahead += g.countAhead(now, &w)
+	if !g.bucket.availableAt(now, ahead).After(g.startBy(now, &w)) {
 		return Decision{}, false
 	}
-	return g.refuse(now, r, ReasonRateLimited), true
+	return g.refuse(now, &w, ReasonRateLimited), true
 }
 
 // Done releases the slot of a request and returns the waiting requests that
@@ -93,9 +111,11 @@
 	if !ok {
 		return g.changes
 	}
+	g.advance(now)
 	limitReached := !g.capacity(now).admits(short, g.runningCounts)
 	delete(g.running, id)
 	g.runningCounts.remove(run.class, run.firm)
+	g.room.recordEnd(&run, len(g.running))
 	g.estimator.removeRunning(run.class, run.started)
 	if res.Outcome == retrier.OutcomeDone {
 		g.estimator.recordServiceTime(run.class, run.route, now.Sub(run.started))
@@ -110,7 +130,8 @@
 // waiting: one that holds a slot keeps it until Done.
 func (g *Gate) Cancel(now time.Time, id uint64) (Changes, bool) {
 	g.resetChanges()
-	ok := g.queue.remove(id)
+	g.advance(now)
+	ok := g.removeWaiting(id)
 	g.processQueue(now)
 	return g.changes, ok
 }
@@ -119,6 +140,7 @@
 // for which the ramp-up has made a slot available.
 func (g *Gate) Expire(now time.Time) Changes {
 	g.resetChanges()
+	g.advance(now)
 	g.processQueue(now)
 	return g.changes
 }
@@ -128,6 +150,7 @@
 	g.resetChanges()
 	g.draining = true
 	for _, w := range g.queue.clear() {
+		g.room.recordWaiting(&w, -1)
 		g.changes.Dropped = append(g.changes.Dropped, Drop{ID: w.id, Reason: ReasonDraining})
 	}
 	return g.changes
@@ -149,6 +172,7 @@
 // waiting ones that can no longer start in time are dropped.
 func (g *Gate) SetRate(now time.Time, r Rate) Changes {
 	g.resetChanges()
+	g.advance(now)
 	g.bucket.set(now, r)
 	g.processQueue(now)
 	for c := range classCount {
@@ -171,9 +195,11 @@
 // ones that exceed the new queue limits are dropped.
 func (g *Gate) SetLimits(now time.Time, l Limits) Changes {
 	g.resetChanges()
+	g.advance(now)
 	g.limits = l.normalised()
 	g.adaptiveLimit.resize(g.limits)
 	for _, w := range g.queue.resize(g.limits) {
+		g.room.recordWaiting(&w, -1)
 		g.drop(now, w, ReasonQueueFull)
 	}
 	g.processQueue(now)
@@ -191,6 +217,13 @@
 	}
 }
 
+// advance moves the clock of what is known of the use of the target.
+func (g *Gate) advance(now time.Time) {
+	if g.isRanked() {
+		g.room.advance(now)
+	}
+}
+
 func (g *Gate) resetChanges() {
 	g.changes.Started = g.changes.Started[:0]
 	g.changes.Dropped = g.changes.Dropped[:0]
@@ -229,11 +262,15 @@
 // mayStart reports whether a new request starts at once. While the target states a
 // rate limit, one that must not wait does not start: it would take the place of
 // another request's first attempt.
-func (g *Gate) mayStart(now time.Time, r Request, c class) bool {
+func (g *Gate) mayStart(now time.Time, r Request, w *waitingRequest) bool {
 	if r.NoWait && g.bucket.isLimited() {
 		return false
 	}
-	return g.capacity(now).admits(c, g.runningCounts) && g.bucket.admits(now)
+	available := g.capacity(now)
+	if !available.admits(w.class, g.runningCounts) || !g.bucket.admits(now) {
+		return false
+	}
+	return g.room.demand.mayStart(w.kind, g.room.decay.factor, available.slots)
 }
 
 func (g *Gate) capacity(now time.Time) capacity { return newCapacity(g.limits, g.slots(now)) }
@@ -246,7 +283,7 @@
 		if !ok {
 			break
 		}
-		g.queue.remove(w.id)
+		g.removeWaiting(w.id)
 		g.drop(now, w, g.expiryReason(now, w.class, w.route, w.startBy, w.deadline))
 	}
 	if g.draining {
@@ -254,12 +291,12 @@
 	}
 	available := g.capacity(now)
 	for g.bucket.admits(now) {
-		w, ok := g.queue.next(available, &g.runningCounts)
+		w, ok := g.next(now, available)
 		if !ok {
 			return
 		}
-		g.queue.remove(w.id)
-		g.start(now, w.id, runningRequest{class: w.class, firm: w.firm, route: w.route})
+		g.removeWaiting(w.id)
+		g.start(now, &w)
 		g.changes.Started = append(g.changes.Started, w.id)
 	}
 }
@@ -277,23 +314,53 @@
 	return ReasonMissesDeadline
 }
 
-func (g *Gate) start(now time.Time, id uint64, run runningRequest) {
+// next returns the waiting request that starts next, if there is a slot for any.
+func (g *Gate) next(now time.Time, available capacity) (waitingRequest, bool) {
+	if !g.isRanked() {
+		return g.queue.next(available, &g.runningCounts)
+	}
+	if g.queue.len() == 0 {
+		return waitingRequest{}, false
+	}
+	for _, c := range available.startOrder(g.runningCounts) {
+		if len(g.queue.byClass[c]) == 0 || !available.admits(c, g.runningCounts) {
+			continue
+		}
+		if w, ok := g.room.next(now, g.queue.byClass[c], available.slots); ok {
+			return w, true
+		}
+	}
+	return waitingRequest{}, false
+}
+
+func (g *Gate) removeWaiting(id uint64) bool {
+	w, ok := g.queue.take(id)
+	if ok {
+		g.room.recordWaiting(&w, -1)
+	}
+	return ok
+}
+
+func (g *Gate) start(now time.Time, w *waitingRequest) {
 	if len(g.running) == 0 {
 		g.estimator.recordFreedSlot(now)
 	}
-	run.started = now
+	run := runningRequest{class: w.class, firm: w.firm, route: w.route, started: now, expected: w.expected, use: w.use, kind: w.kind}
 	g.bucket.take(now)
-	g.running[id] = run
+	g.running[w.id] = run
 	g.runningCounts.add(run.class, run.firm)
+	g.room.recordStart(&run)
 	g.estimator.addRunning(run.class, now)
 }
 
-func (g *Gate) refuse(now time.Time, r Request, reason Reason) Decision {
-	retryAfter := g.retryAfter(now, classOf(r.Class), r.toWaiting(), reason)
+func (g *Gate) refuse(now time.Time, w *waitingRequest, reason Reason) Decision {
+	reason = g.reasonByRoom(w, reason)
+	retryAfter := g.retryAfter(now, w, reason)
 	return Decision{Verdict: VerdictRefused, Reason: reason, RetryAfter: retryAfter, Changes: g.changes}
 }
 
 func (g *Gate) drop(now time.Time, w waitingRequest, reason Reason) {
-	retryAfter := g.retryAfter(now, w.class, w, reason)
+	reason = g.reasonByRoom(&w, reason)
+	retryAfter := g.retryAfter(now, &w, reason)
 	g.changes.Dropped = append(g.changes.Dropped, Drop{ID: w.id, Reason: reason, RetryAfter: retryAfter})
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -73,6 +73,9 @@
 	Class snapshotter.Class
 	// Firm is the firm that sent the request.
 	Firm string
+	// FirmRate is the firm's limit in requests a second, by which its part of the room is
+	// weighted; 0 if it has none.
+	FirmRate int
 	// Route is the route that the request matched. Service times are estimated by
 	// route, or by class if it is empty.
 	Route string
@@ -81,8 +84,11 @@
 	// Priority orders the waiting requests of a class; the lowest value starts first.
 	Priority int
 	// SoftDeadline is the time until which the answer has its full value; zero if
-	// unknown. A request that would wait past it is dropped.
+	// unknown. A request that would wait past it is dropped unless WaitPastSoftDeadline is set.
 	SoftDeadline time.Time
+	// WaitPastSoftDeadline lets the request wait past its soft deadline, since it is tried
+	// at no further target.
+	WaitPastSoftDeadline bool
 	// Deadline is the time by which the caller needs the answer.
 	Deadline time.Time
 }
@@ -114,6 +120,9 @@
 	ReasonMissesDeadline Reason = "too-late"
 	// ReasonWaitedTooLong means that the request exceeded, or would exceed, its wait limit.
 	ReasonWaitedTooLong Reason = "waited-too-long"
+	// ReasonFirmOverPart means that the request's firm has used more than its part of the
+	// target, and that the requests of others go first.
+	ReasonFirmOverPart Reason = "firm-over-part"
 	// ReasonRateLimited means that the rate limit of the target does not let the request
 	// start in time.
 	ReasonRateLimited Reason = "rate-limited"
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -17,6 +17,13 @@
 	deadline     time.Time
 	// startBy is when the request is dropped; not after deadline.
 	startBy time.Time
+	// waitPastSoftDeadline is set if the request is tried at no further target.
+	waitPastSoftDeadline bool
+	// expected is the service time that was expected when the request was offered; 0 if unknown.
+	expected time.Duration
+	// use and kind are what the gate knows of the request's firm and kind; nil if nothing.
+	use  *firmUse
+	kind *kind
 }
 
 // queue holds the waiting requests of each class in order of arrival. It is
@@ -111,7 +118,12 @@
 }
 
 func (q *queue) indexOf(c class, id uint64) int {
-	return slices.IndexFunc(q.byClass[c], func(w waitingRequest) bool { return w.id == id })
+	for i := range q.byClass[c] {
+		if q.byClass[c][i].id == id {
+			return i
+		}
+	}
+	return -1
 }
 
 func (q *queue) push(w waitingRequest) {
@@ -120,6 +132,12 @@
 }
 
 func (q *queue) remove(id uint64) bool {
+	_, ok := q.take(id)
+	return ok
+}
+
+// take removes a waiting request and returns it.
+func (q *queue) take(id uint64) (waitingRequest, bool) {
 	for c := range q.byClass {
 		i := q.indexOf(class(c), id)
 		if i < 0 {
@@ -128,17 +146,17 @@
 		w := q.byClass[c][i]
 		q.byClass[c] = slices.Delete(q.byClass[c], i, i+1)
 		q.counts.remove(w.class, w.firm)
-		return true
+		return w, true
 	}
-	return false
+	return waitingRequest{}, false
 }
 
 // expired returns a waiting request whose startBy has passed.
 func (q *queue) expired(now time.Time) (waitingRequest, bool) {
 	for c := range q.byClass {
-		for _, w := range q.byClass[c] {
-			if !now.Before(w.startBy) {
-				return w, true
+		for i := range q.byClass[c] {
+			if w := &q.byClass[c][i]; !now.Before(w.startBy) {
+				return *w, true
 			}
 		}
 	}
--- a/internal/limiter/wait.go
+++ b/internal/limiter/wait.go
@@ -25,29 +25,40 @@
 
 // enqueue queues a request for which no slot is free, or refuses it. It evicts
 // another waiting request if the queue is full and the new one takes precedence.
-func (g *Gate) enqueue(now time.Time, r Request, c class) Decision {
-	startBy := g.startBy(now, r, c)
+func (g *Gate) enqueue(now time.Time, r Request, w waitingRequest) Decision {
+	c := w.class
+	w.startBy = g.startBy(now, &w)
 	switch {
 	case r.NoWait:
-		return g.refuse(now, r, ReasonQueueFull)
-	case g.rateStart(now, c, r.toWaiting()).After(startBy):
-		return g.refuse(now, r, ReasonRateLimited)
-	case g.queue.order != OrderLIFO && g.expectedStart(now, c, r.toWaiting()).After(startBy):
-		return g.refuse(now, r, g.expiryReason(now, c, r.Route, startBy, r.Deadline))
+		return g.refuse(now, &w, ReasonQueueFull)
+	case g.rateStart(now, &w).After(w.startBy):
+		return g.refuse(now, &w, ReasonRateLimited)
+	case g.queue.order != OrderLIFO && g.expectedStart(now, &w).After(w.startBy):
+		return g.refuse(now, &w, g.expiryReason(now, c, r.Route, w.startBy, r.Deadline))
 	}
 	if !g.queue.hasSpace(c) {
-		victim, ok := g.queue.victim(c, r.Firm, r.Priority)
+		victim, ok := g.victim(now, &w)
 		if !ok {
-			return g.refuse(now, r, ReasonQueueFull)
+			return g.refuse(now, &w, ReasonQueueFull)
 		}
-		g.queue.remove(victim.id)
+		g.removeWaiting(victim.id)
 		g.drop(now, victim, ReasonQueueFull)
 	}
-	w := r.toWaiting()
-	w.class, w.startBy = c, startBy
 	g.queue.push(w)
+	g.room.recordWaiting(&w, 1)
 	g.dropUnservable(now, c)
-	return Decision{Verdict: VerdictQueued, StartBy: startBy, Changes: g.changes}
+	return Decision{Verdict: VerdictQueued, StartBy: w.startBy, Changes: g.changes}
+}
+
+// victim returns the waiting request that gives up its place to a new one.
+func (g *Gate) victim(now time.Time, w *waitingRequest) (waitingRequest, bool) {
+	list := g.queue.byClass[w.class]
+	if !g.isRanked() || len(list) == 0 {
+		return g.queue.victim(w.class, w.firm, w.priority)
+	}
+	last, lastRank := g.room.last(now, list)
+	own := g.room.rank(now, w)
+	return last, own.compare(&lastRank) < 0
 }
 
 // dropUnservable drops the waiting requests of a class that the rate limit no longer
@@ -56,73 +67,163 @@
 	if !g.bucket.isLimited() {
 		return
 	}
+	if g.isRanked() {
+		ahead := 0
+		for _, w := range g.room.inOrder(now, g.queue.byClass[c]) {
+			if !g.dropUnlessInTime(now, w, ahead) {
+				ahead++
+			}
+		}
+		return
+	}
 	aheadByFirm := map[string]int{}
 	for _, w := range g.queue.inStartOrder(c) {
-		ahead := aheadByFirm[w.firm] * g.queue.countFirms(c, w.firm)
-		if g.bucket.availableAt(now, ahead).After(w.startBy) {
-			g.queue.remove(w.id)
-			g.drop(now, w, ReasonRateLimited)
-			continue
+		if !g.dropUnlessInTime(now, w, aheadByFirm[w.firm]*g.queue.countFirms(c, w.firm)) {
+			aheadByFirm[w.firm]++
 		}
-		aheadByFirm[w.firm]++
 	}
 }
 
+// dropUnlessInTime drops a waiting request if the rate limit lets it start too late
+// behind the given number of others.
+func (g *Gate) dropUnlessInTime(now time.Time, w waitingRequest, ahead int) (dropped bool) {
+	if !g.bucket.availableAt(now, ahead).After(w.startBy) {
+		return false
+	}
+	g.removeWaiting(w.id)
+	g.drop(now, w, ReasonRateLimited)
+	return true
+}
+
+// countAhead counts the waiting requests of the class that start before w.
+func (g *Gate) countAhead(now time.Time, w *waitingRequest) int {
+	if !g.isRanked() {
+		return g.queue.countAhead(w.class, w)
+	}
+	n, _ := g.room.ahead(now, g.queue.byClass[w.class], w)
+	return n
+}
+
 // rateStart returns when the rate limit lets a further request start.
-func (g *Gate) rateStart(now time.Time, c class, w waitingRequest) time.Time {
-	ahead := g.queue.countAhead(c, &w) * g.queue.countFirms(c, w.firm)
-	if c != urgent {
-		ahead += g.queue.len() - len(g.queue.byClass[c])
+func (g *Gate) rateStart(now time.Time, w *waitingRequest) time.Time {
+	if !g.bucket.isLimited() {
+		return now
+	}
+	ahead := g.countAhead(now, w)
+	if !g.isRanked() {
+		ahead *= g.queue.countFirms(w.class, w.firm)
+	}
+	if w.class != urgent {
+		ahead += g.queue.len() - len(g.queue.byClass[w.class])
 	}
 	return g.bucket.availableAt(now, ahead)
 }
 
+// reasonByRoom returns the reason of a refusal. It names the firm's use where that is what
+// puts the request behind others. It counts the last refusal of a request for its kind.
+func (g *Gate) reasonByRoom(w *waitingRequest, reason Reason) Reason {
+	if !g.isRanked() || reason == ReasonDuplicate {
+		return reason
+	}
+	if w.waitPastSoftDeadline {
+		g.room.demand.recordRefusal(w.kind, g.room.decay.factor)
+	}
+	isShort := reason == ReasonQueueFull || reason == ReasonWaitedTooLong || reason == ReasonMissesDeadline
+	if isShort && g.room.parts.excess(w.use, g.room.decay.factor) > 0 {
+		return ReasonFirmOverPart
+	}
+	return reason
+}
+
 // retryAfter returns when a request that was not run should come back. Under a rate
 // limit the refused requests come back one after the other, and each in the first
 // half of the time to its deadline, so that it can still be served then.
-func (g *Gate) retryAfter(now time.Time, c class, w waitingRequest, reason Reason) time.Time {
-	expected := g.expectedStart(now, c, w)
-	if reason != ReasonRateLimited {
+func (g *Gate) retryAfter(now time.Time, w *waitingRequest, reason Reason) time.Time {
+	expected := g.expectedStart(now, w)
+	if reason == ReasonRateLimited {
+		latest := now.Add(w.deadline.Sub(now) / 2)
+		return g.bucket.reserveReturn(w.priority, expected, laterTime(latest, expected))
+	}
+	if !g.isRanked() || !w.waitPastSoftDeadline {
+		// The request is sent to another target, or its class has a short queue.
 		return expected
 	}
-	latest := now.Add(w.deadline.Sub(now) / 2)
-	return g.bucket.reserveReturn(w.priority, expected, laterTime(latest, expected))
+	latest := now.Add(w.deadline.Sub(now) / returnShareDivisor)
+	return g.returns.book(w.priority, expected, laterTime(latest, now), g.startInterval(now, w))
 }
 
-// expectedStart returns when a further request of the firm would start: after
-// the firm's own waiting requests, at the rate of its fair share of the slots and
-// within the rate limit.
-func (g *Gate) expectedStart(now time.Time, c class, w waitingRequest) time.Time {
+// startInterval returns the time between the starts of requests like w.
+func (g *Gate) startInterval(now time.Time, w *waitingRequest) time.Duration {
+	room := g.room.demand.roomFor(w.kind, w.priority, g.room.decay.factor, g.slotsFor(now, w.class))
+	return time.Duration(float64(w.expected) * g.slowness(now) / room)
+}
+
+func (g *Gate) slotsFor(now time.Time, c class) int {
 	available := g.capacity(now)
-	slots := available.nonUrgentSlots
 	if c == bulk {
-		slots = available.bulkSlots
+		return available.bulkSlots
 	}
-	serviceTime := g.estimator.currentServiceTime(now, c, g.runningCounts.byClass[c])
-	ahead := g.queue.countAhead(c, &w) * g.queue.countFirms(c, w.firm)
-	return laterTime(now.Add(g.estimator.expectedWait(now, ahead, slots, serviceTime)), g.rateStart(now, c, w))
+	return available.nonUrgentSlots
+}
+
+// slowness returns how much longer than expected the running requests take.
+func (g *Gate) slowness(now time.Time) float64 {
+	return g.room.demand.slowness(g.estimator.ageSum(now, &g.runningCounts))
 }
 
-// toWaiting returns the request as a queue entry, without its class and startBy.
-func (r Request) toWaiting() waitingRequest {
-	return waitingRequest{id: r.ID, firm: r.Firm, route: r.Route, priority: r.Priority, softDeadline: r.SoftDeadline, deadline: r.Deadline}
+// expectedStart returns when a further request would start, within the rate limit.
+func (g *Gate) expectedStart(now time.Time, w *waitingRequest) time.Time {
+	return laterTime(now.Add(g.expectedWait(now, w)), g.rateStart(now, w))
 }
 
+// expectedWait returns how long a further request waits for a slot. Without ranks that is
+// after the firm's own waiting requests, at the rate of its fair share of the slots; else
+// after the work that ranks before it, in the room that the load of more urgent kinds leaves.
+func (g *Gate) expectedWait(now time.Time, w *waitingRequest) time.Duration {
+	slots := g.slotsFor(now, w.class)
+	releases := g.room.demand.releaseRate
+	if !g.isRanked() || releases <= 0 {
+		serviceTime := g.estimator.currentServiceTime(now, w.class, g.runningCounts.byClass[w.class])
+		ahead := g.queue.countAhead(w.class, w) * g.queue.countFirms(w.class, w.firm)
+		return g.estimator.expectedWait(now, ahead, slots, serviceTime)
+	}
+	slow := g.slowness(now)
+	untilNextFree := max(time.Duration(slow/releases*float64(time.Second)), now.Sub(g.estimator.lastFreed))
+	_, work := g.room.ahead(now, g.queue.byClass[w.class], w)
+	room := g.room.demand.roomFor(w.kind, w.priority, g.room.decay.factor, slots)
+	return untilNextFree + time.Duration(float64(work)*slow/room)
+}
+
+// newWaiting returns a request as a queue entry, without its startBy.
+func (g *Gate) newWaiting(r Request, c class) waitingRequest {
+	return waitingRequest{
+		id: r.ID, class: c, firm: r.Firm, route: r.Route, priority: r.Priority, softDeadline: r.SoftDeadline, deadline: r.Deadline,
+		waitPastSoftDeadline: r.WaitPastSoftDeadline, expected: g.estimator.expectedForRoute(c, r.Route),
+	}
+}
+
+// maxPatienceDivisor divides the time until a request must start to give that for which it
+// may wait past its soft deadline, since the load may grow while it waits.
+const maxPatienceDivisor = 2
+
 // startBy returns when a waiting request is dropped: when it could no longer
 // end in time, or when it has waited so long that another target is likely to be faster.
-func (g *Gate) startBy(now time.Time, r Request, c class) time.Time {
-	expected := g.estimator.expectedForRoute(c, r.Route)
-	by := r.Deadline.Add(-expected)
+func (g *Gate) startBy(now time.Time, w *waitingRequest) time.Time {
+	by := w.deadline.Add(-w.expected)
 	if by.Before(now) {
-		by = r.Deadline
+		by = w.deadline
 	}
-	if !r.SoftDeadline.IsZero() {
-		return earlierTime(by, laterTime(r.SoftDeadline.Add(-expected), now.Add(minWaitLimit)))
+	if !w.softDeadline.IsZero() {
+		soft := earlierTime(by, laterTime(w.softDeadline.Add(-w.expected), now.Add(minWaitLimit)))
+		if !w.waitPastSoftDeadline {
+			return soft
+		}
+		return laterTime(soft, now.Add(by.Sub(now)/maxPatienceDivisor))
 	}
-	if c == bulk {
+	if w.class == bulk {
 		return by
 	}
-	baseline := time.Duration(g.adaptiveLimit.baseline[c])
+	baseline := time.Duration(g.adaptiveLimit.baseline[w.class])
 	if limit := now.Add(max(minWaitLimit, waitLimitFactor*baseline)); limit.Before(by) {
 		return limit
 	}
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -126,7 +126,8 @@
 	rc := r.receiver()
 	request := router.Request{
 		Service: r.call.service.Name, Class: r.call.request.Class, Tried: r.tried, Explain: rc.cfg.Explanations != nil,
-		Route: r.call.request.Route, Bytes: rc.expectedBytes(r.call.request.Route, r.call.request.ContentLength),
+		Priority: r.call.request.Priority,
+		Route:    r.call.request.Route, Bytes: rc.expectedBytes(r.call.request.Route, r.call.request.ContentLength),
 		FreeSlotOnly: r.isHedging,
 	}
 	rc.mu.Lock()
@@ -155,6 +156,7 @@
 	}
 	request := *r.call.request
 	request.Attempt, request.NoWait = attempt, t.choiceReason == explainer.ChoiceByHedge
+	request.WaitPastSoftDeadline = !request.NoWait && r.isLastAttempt()
 	if body != nil {
 		request.Body = body
 	}
@@ -199,8 +201,13 @@
 	if a.Leaving != nil {
 		rc.leaving[host] = leavingTarget{process: *a.Leaving, forgetAt: time.Now().Add(targetExpiry)}
 	}
+	retryAfter := a.RetryAt
+	if a.Reason == exchanger.Reason(limiter.ReasonFirmOverPart) {
+		// The refusal says nothing of other firms.
+		retryAfter = time.Time{}
+	}
 	rc.balancer.RecordResult(time.Now(), r.Service, host, router.Result{
-		Outcome: a.Outcome, Class: r.Class, Route: r.Route, Latency: took, Load: a.Load, RetryAfter: a.RetryAt,
+		Outcome: a.Outcome, Class: r.Class, Route: r.Route, Priority: r.Priority, Latency: took, Load: a.Load, RetryAfter: retryAfter,
 		Cancelled: a.Reason == exchanger.ReasonCancelled || a.Reason == exchanger.ReasonDeadline,
 		Failed:    a.Status >= http.StatusInternalServerError || a.Reason == exchanger.ReasonTargetShed,
 	})
@@ -222,7 +229,7 @@
 // isFull reports whether a node refused the request because its target has no capacity for it.
 func isFull(reason exchanger.Reason) bool {
 	switch reason {
-	case exchanger.Reason(limiter.ReasonQueueFull), exchanger.Reason(limiter.ReasonWaitedTooLong), exchanger.Reason(limiter.ReasonMissesDeadline),
+	case exchanger.Reason(limiter.ReasonQueueFull), exchanger.Reason(limiter.ReasonFirmOverPart), exchanger.Reason(limiter.ReasonWaitedTooLong), exchanger.Reason(limiter.ReasonMissesDeadline),
 		exchanger.Reason(limiter.ReasonRateLimited), exchanger.ReasonNodeLate:
 		return true
 	default:
@@ -273,6 +280,13 @@
 	return sleepUntil(ctx, action.At)
 }
 
+// isLastAttempt reports whether a refusal of the present attempt for lack of room would be
+// the caller's answer.
+func (r *attemptSequence) isLastAttempt() bool {
+	return r.fullReroutes >= maxFullReroutes || r.reroutes >= maxReroutes || r.usesKey() ||
+		len(r.tried) >= len(r.receiver().index.find(r.receiver().cfg.State(), r.call.service.Name).candidates)
+}
+
 // isRetryForbidden reports whether another attempt could run the request twice.
 func (r *attemptSequence) isRetryForbidden() bool { return r.mayHaveRun && !r.call.request.Idempotent }
 
--- a/internal/receiver/firm.go
+++ b/internal/receiver/firm.go
@@ -64,7 +64,7 @@
 func (c *call) setFirm(firm snapshotter.Firm) {
 	d := &c.receiver.cfg.Dialect
 	c.firm = firm
-	c.request.Firm = firm.Name
+	c.request.Firm, c.request.FirmRate = firm.Name, firm.Rate
 	c.request.Priority += firm.Priority * (snapshotter.MaxPriority + 1)
 	delete(c.request.Header, http.CanonicalHeaderKey(d.AccessKey))
 	delete(c.request.Header, http.CanonicalHeaderKey(d.Firm))
--- a/internal/router/balancer.go
+++ b/internal/router/balancer.go
@@ -189,7 +189,7 @@
 		return RejectionTried
 	case c.Draining || t.reportsDraining(s.now):
 		return RejectionDraining
-	case t.isBackingOff(s.now, s.request.Class):
+	case t.isBackingOff(s.now, s.request.Class, s.request.Priority):
 		return RejectionRefused
 	}
 	return RejectionNone
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -48,6 +48,8 @@
 	// route, or by service if it is empty.
 	Route string
 	Class snapshotter.Class
+	// Priority of the request; 0 is the most urgent.
+	Priority int
 	// Bytes is the size of the request and its answer, as far as known in advance.
 	Bytes int
 	// FreeSlotOnly asks for a target that is expected to have a free slot, or for none.
@@ -120,6 +122,8 @@
 	Class   snapshotter.Class
 	// Route of the request.
 	Route string
+	// Priority of the request. A refusal says nothing of more urgent ones.
+	Priority int
 	// Latency is the time from sending the request to its answer.
 	Latency time.Duration
 	// Load is the load reported with the answer; nil when there was none.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -315,7 +315,7 @@
 			return false
 		}
 		lastResort := len(r.Tried) == 0 && c.Distance == all[0].Distance
-		return lastResort || !balancer.targets[c.Host].isBackingOff(now, r.Class)
+		return lastResort || !balancer.targets[c.Host].isBackingOff(now, r.Class, r.Priority)
 	})
 	if choice.OK != usable {
 		t.Fatalf("chosen: %v, usable candidates: %v", choice.OK, usable)
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -120,6 +120,8 @@
 	lastProgress time.Time
 	// backoffUntil holds, for each class, when the target may be chosen again.
 	backoffUntil [classCount]time.Time
+	// backoffPriority holds, for each class, the most urgent priority that backs off.
+	backoffPriority [classCount]int
 	// consecutiveFailures counts the attempts without an answer since the last
 	// complete answer.
 	consecutiveFailures int
@@ -209,24 +211,29 @@
 // times longer than the rest.
 const maxRatio = 4.0
 
-// backOff avoids the target: after a refusal for the request's class and a
-// fraction of the time that the refusal names, and when no answer came for all
-// classes and a time that doubles with each failure.
+// backOff avoids the target: after a refusal for the request's class, for requests that
+// are no more urgent and a fraction of the time that the refusal names, and when no
+// answer came for all requests and a time that doubles with each failure.
 func (t *target) backOff(now time.Time, r Result) {
 	if r.Load != nil {
 		backoff := min(max(r.RetryAfter.Sub(now)/refusalBackoffDivisor, minBackoff), maxBackoff)
-		t.backoffUntil[classIndex(r.Class)] = now.Add(backoff)
+		i := classIndex(r.Class)
+		if now.Before(t.backoffUntil[i]) && r.Priority > t.backoffPriority[i] {
+			return
+		}
+		t.backoffUntil[i], t.backoffPriority[i] = now.Add(backoff), r.Priority
 		return
 	}
 	backoff := min(initialFailureBackoff<<min(t.consecutiveFailures, 10), maxBackoff)
 	t.consecutiveFailures++
 	for i := range t.backoffUntil {
-		t.backoffUntil[i] = now.Add(backoff)
+		t.backoffUntil[i], t.backoffPriority[i] = now.Add(backoff), 0
 	}
 }
 
-func (t *target) isBackingOff(now time.Time, c snapshotter.Class) bool {
-	return t != nil && now.Before(t.backoffUntil[classIndex(c)])
+func (t *target) isBackingOff(now time.Time, c snapshotter.Class, priority int) bool {
+	i := classIndex(c)
+	return t != nil && now.Before(t.backoffUntil[i]) && priority >= t.backoffPriority[i]
 }
 
 // resetOnNewIncarnation discards what was observed of an earlier incarnation of
