--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -30,6 +30,7 @@
 		Observe:          m.RecordService,
 		ObserveSent:      m.RecordSent,
 		ObserveRateLimit: m.RecordRateLimit,
+		ObserveShortage:  m.RecordShortage,
 		ReportHealth:     o.observe,
 		Log:              n.log,
 		ReportWrongTarget: func(id string) {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -58,6 +58,8 @@
 	// ObserveRateLimit is called when the target states another limit on the requests a
 	// second that it accepts, or none; nil means no call.
 	ObserveRateLimit func(perSecond float64, isLimited bool)
+	// ObserveShortage is called now and then with who is put behind at the target; nil means no call.
+	ObserveShortage func(s limiter.Shortage)
 	// FixedSlots and NoRamp are copied to the limits of the target.
 	FixedSlots, NoRamp bool
 	// Order is the order of waiting requests; empty means the limiter's default.
@@ -91,6 +93,8 @@
 	rate    statedRate
 	// leavingReported is set once process has stated that it leaves. Guarded by mu.
 	leavingReported bool
+	// shortage is what was last reported of the gate. Guarded by mu.
+	shortage shortageLog
 }
 
 // New returns an executor.
@@ -338,7 +342,11 @@
 }
 
 // Sync applies the current target and configuration to waiting requests.
-func (e *Executor) Sync() { e.sync(e.cfg.Target()) }
+func (e *Executor) Sync() {
+	t := e.cfg.Target()
+	e.sync(t)
+	e.reportShortage(time.Now(), t)
+}
 
 // sync applies the target's state and the configuration to the gate and returns it;
 // nil when the service is not known.
--- a/internal/limiter/gate.go
+++ b/internal/limiter/gate.go
@@ -40,6 +40,8 @@
 	room     room
 	returns  returns
 	draining bool
+	// starts counts the requests that started, by order. Only kept with OrderSoftDeadline.
+	starts map[StartOrder]int
 	// changes is returned to the caller and reused by the next call.
 	changes Changes
 }
@@ -55,6 +57,7 @@
 		adaptiveLimit: newAdaptiveLimit(l),
 		estimator:     newEstimator(),
 		room:          newRoom(),
+		starts:        map[StartOrder]int{},
 	}
 }
 
@@ -79,6 +82,7 @@
 		return g.refuse(now, &w, ReasonMissesDeadline)
 	}
 	if g.mayStart(now, r, &w) {
+		g.countStart(StartAtOnce)
 		g.start(now, &w)
 		return Decision{Verdict: VerdictAdmitted, Changes: g.changes}
 	}
@@ -296,6 +300,10 @@
 			return
 		}
 		g.removeWaiting(w.id)
+		if g.isRanked() {
+			r := g.room.rank(now, &w)
+			g.countStart(r.startOrder())
+		}
 		g.start(now, &w)
 		g.changes.Started = append(g.changes.Started, w.id)
 	}
@@ -333,6 +341,12 @@
 	return waitingRequest{}, false
 }
 
+func (g *Gate) countStart(o StartOrder) {
+	if g.isRanked() {
+		g.starts[o]++
+	}
+}
+
 func (g *Gate) removeWaiting(id uint64) bool {
 	w, ok := g.queue.take(id)
 	if ok {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -5,6 +5,33 @@
 // A Gate has no I/O and no clock. Every request that is offered ends exactly
 // once: it is done, refused, dropped or cancelled.
 //
+// The load pattern: demand swings to several times what the target can run within a
+// second, by one firm or by all, with requests that run from milliseconds to seconds.
+// These parts act together, in the order in which a request meets them:
+//
+//   - Slots. capacity divides them among urgent, short and bulk requests. ramp gives a
+//     target that has just become ready fewer, and adaptiveLimit one that is slower than
+//     usual, as long as that keeps its throughput. The least of these counts.
+//   - Rate. tokenBucket paces the requests to a target that states how many a second it
+//     accepts. Until its first answer it gets as many as a slow one.
+//   - Queue. A request that finds no slot, or no token, waits if estimator expects that it
+//     starts in time, and is refused at once if not. It is dropped when its time to start
+//     has passed. A full queue gives the place of one that would start last to one that
+//     would start before it.
+//   - Order. By class, then by priority. Within these either by the fewest running requests of
+//     a firm and then by Order, or, with OrderSoftDeadline, by rank:
+//   - Fair parts. fairParts sums what each firm used of the target. Firms beyond their part
+//     go behind the others of their priority, and take what these leave. Within that, requests
+//     that can meet their soft deadline go first, the earliest before the others.
+//   - Demand. demand follows the load of each kind of request. Long ones leave room for
+//     shorter and more urgent ones that cannot wait until a long one ends, and a kind that
+//     starves goes first. The expected wait of a request counts the work that ranks before
+//     it, in the room that the load of more urgent kinds leaves.
+//   - Returns. returns spreads the callers that are refused at their last target over the
+//     room that there will be for them.
+//
+// Use and demand are forgotten within seconds, and bounded in size.
+//
 //	gate := limiter.NewGate(limiter.LimitsOf(service))
 //	d := gate.Offer(now, limiter.Request{ID: 1, Class: snapshotter.ClassShort, Firm: "paza", Deadline: deadline})
 //	if d.Verdict == limiter.VerdictAdmitted {
--- a/internal/logger/events_request.go
+++ b/internal/logger/events_request.go
@@ -42,6 +42,21 @@
 		Meaning: "The node did not send a request to the target on its host. The load field holds the target's slots, running and waiting requests, or the number of request bodies that the node was receiving.",
 		Action:  "None, unless the target has failed or is draining. Then see the event target-changed.",
 	}
+	FirmOverPart = Event{
+		Number: 450, Name: "firm-over-part", Level: LevelInfo,
+		Meaning: "Requests wait for the target on this host, and the firm has used more than its part of it. Its requests go behind those of other firms of the same priority. Refusals that follow from this have the reason firm-over-part.",
+		Action:  "None: other firms keep their parts. If the firm complains, compare its requests a second with its limit.",
+	}
+	LongRequestsHeld = Event{
+		Number: 451, Name: "long-requests-held", Level: LevelInfo,
+		Meaning: "Requests of the route wait although the target on this host has a free slot. They run for longer than more urgent requests can wait, and leave room for these.",
+		Action:  "None, if it ends after seconds. Otherwise the service needs more targets.",
+	}
+	RouteStarved = Event{
+		Number: 452, Name: "route-starved", Level: LevelWarn,
+		Meaning: "Less than half as many of the route's requests are started by the target on this host as of all. They go before more urgent ones until that is no longer so.",
+		Action:  "Add targets, or lower the limits of the firms whose requests are more urgent.",
+	}
 	RequestPanicked = Event{
 		Number: 425, Name: "request-panicked", Level: LevelError,
 		Meaning: "A panic in the program ended a request and its connection. The stack field holds the stack trace.",
@@ -71,5 +86,5 @@
 
 var requestEvents = []Event{
 	DrainStarted, DrainWouldCut, DrainCut,
-	RequestOutcomeUnknown, AnswerTruncated, RequestAnswered, RequestRefused, RequestFailed, RequestNotAdmitted, RequestPanicked, RequestLinesSuppressed, AnswerCrossed, ForwardRejected,
+	RequestOutcomeUnknown, AnswerTruncated, RequestAnswered, RequestRefused, RequestFailed, RequestNotAdmitted, FirmOverPart, LongRequestsHeld, RouteStarved, RequestPanicked, RequestLinesSuppressed, AnswerCrossed, ForwardRejected,
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -76,7 +76,7 @@
 // Metrics lists the metrics that Meter and Traffic register.
 func Metrics() []Metric {
 	return []Metric{
-		latency, queueWait, serviceTime, outcomes, attempts, targetRequests, targetRateLimit, unread, processorDelay, inFlight,
+		latency, queueWait, serviceTime, outcomes, attempts, targetRequests, targetRateLimit, targetStarts, firmsOverPart, unread, processorDelay, inFlight,
 		linkBytes, linkTransfers, packetBytes, packets,
 	}
 }
@@ -97,6 +97,7 @@
 	targetRequests  *prometheus.CounterVec
 	targetRateLimit prometheus.Gauge
 	unread          *prometheus.HistogramVec
+	shortage        *shortage
 
 	firms   boundedLabels
 	reasons boundedLabels
@@ -110,6 +111,7 @@
 		outcomes: newCounter(outcomes), attempts: newCounter(attempts),
 		targetRequests:  newCounter(targetRequests),
 		unread:          newHistogram(unread),
+		shortage:        newShortage(registry),
 		targetRateLimit: prometheus.NewGauge(prometheus.GaugeOpts{Name: targetRateLimit.Name, Help: targetRateLimit.Help}),
 
 		firms: boundedLabels{limit: maxFirms}, reasons: boundedLabels{limit: maxReasons},
