Pace long answers to the speed of the link, and count links in the choice of target

Answers of 90 kB and more share links of 11 Mbit/s with answers of 400 bytes. Sockets send in order, so each short answer waited behind whatever long ones had been written, and nothing on the way of a request knew the speed of a link or what waited for it.

Long answers are cut into pieces of 6 ms of the link, which go in turn at nine tenths of its speed; requests of routes with large answers use the session of bulk traffic; a target's load tells how long a piece waits for its link, and the choice of target counts that and the time that the answer takes. Without a known speed nothing changes.

--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -12,6 +12,7 @@
 	"gentianbarrow.example/internal/forwarder"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/meter"
+	"gentianbarrow.example/internal/pacer"
 	"gentianbarrow.example/internal/receiver"
 	"gentianbarrow.example/internal/timekeeper"
 	"gentianbarrow.example/pkg/snapshotter"
@@ -21,6 +22,8 @@
 // the board, which is created after them, only when they run.
 func (n *Node) buildRequestPath(a adapter) {
 	m := meter.New(n.metrics, func() int { return n.tracker.Count().Total }, n.delay.Delay)
+	link := pacer.New(a.bounds.LinkMbit)
+	m.WatchLink(n.metrics, link.Queue)
 	o := &observer{post: func(msg blackboard.Msg) { n.board.Post(msg) }, now: time.Now}
 	n.executor = executor.New(executor.Config{
 		Host:             n.settings.Host,
@@ -31,6 +34,7 @@
 		ObserveSent:      m.RecordSent,
 		ObserveRateLimit: m.RecordRateLimit,
 		ObserveShortage:  m.RecordShortage,
+		LinkQueue:        link.Queue,
 		ReportHealth:     o.observe,
 		Log:              n.log,
 		ReportWrongTarget: func(id string) {
@@ -53,6 +57,7 @@
 		Clock:       timekeeper.Uptime,
 		Delay:       n.delay.MeanDelay,
 		ObserveAge:  func(age time.Duration) { m.RecordUnread(meter.OriginNode, age) },
+		Link:        link,
 		Log:         n.log,
 	})
 	n.links.Handle(forwarder.Kind, n.forwarder.Handle)
@@ -64,6 +69,7 @@
 		Delay:        n.delay.MeanDelay,
 		Tracker:      n.tracker,
 		Explanations: n.explainer,
+		Link:         link,
 		Meter:        m,
 		Log:          n.log,
 
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -137,6 +137,8 @@
 	LookupOnly bool
 	// ContentLength is -1 when unknown.
 	ContentLength int64
+	// LargeAnswer is set if the answers of the route are large. It is known at the caller's node only.
+	LargeAnswer bool
 	// ConfigVersion is the version of the configuration that the request was routed by.
 	ConfigVersion uint64
 	// Body ends with io.EOF only when it is complete. It is nil when ContentLength is 0.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -60,6 +60,9 @@
 	ObserveRateLimit func(perSecond float64, isLimited bool)
 	// ObserveShortage is called now and then with who is put behind at the target; nil means no call.
 	ObserveShortage func(s limiter.Shortage)
+	// LinkQueue returns for how long a further piece of a long answer waits for the link of
+	// this host; nil means that it never waits.
+	LinkQueue func() time.Duration
 	// FixedSlots and NoRamp are copied to the limits of the target.
 	FixedSlots, NoRamp bool
 	// Order is the order of waiting requests; empty means the limiter's default.
@@ -335,7 +338,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.gate != nil {
-		load := e.gate.Load()
+		load := e.load()
 		a.Load = &load
 	}
 	return a
@@ -401,7 +404,16 @@
 	if e.gate == nil {
 		return limiter.Load{}, false
 	}
-	return e.gate.Load(), true
+	return e.load(), true
+}
+
+// load returns the load of the target and of the link. The caller holds mu and has checked gate.
+func (e *Executor) load() limiter.Load {
+	l := e.gate.Load()
+	if e.cfg.LinkQueue != nil {
+		l.LinkQueue = e.cfg.LinkQueue()
+	}
+	return l
 }
 
 // limiterResult returns how an exchange ended, for the limiter.
--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -67,8 +67,8 @@
 func (c *chunkReader) isComplete() bool { return c.err == io.EOF && len(c.unread) == 0 } //nolint:errorlint // set by readChunk
 
 // sendChunks sends a body and flushes after each read, so that no bytes are delayed.
-// It calls mayReuse once, before the last chunk.
-func sendChunks(w *bufio.Writer, body io.Reader, buf []byte, mayReuse func() bool) error {
+// It calls mayReuse once, before the last chunk, and mayGo before each one.
+func sendChunks(w *bufio.Writer, body io.Reader, buf []byte, mayGo func(bytes int) error, mayReuse func() bool) error {
 	var total int64
 	for {
 		n, err := body.Read(buf)
@@ -77,6 +77,11 @@
 		if err != nil && !last {
 			return err
 		}
+		if n > 0 {
+			if err := mayGo(n); err != nil {
+				return err
+			}
+		}
 		if last {
 			return sendChunk(w, encoder.Chunk{Data: buf[:n], End: true, Total: total, Reuse: mayReuse()})
 		}
@@ -89,6 +94,9 @@
 	}
 }
 
+// atOnce lets each chunk go at once.
+func atOnce(int) error { return nil }
+
 func sendChunk(w *bufio.Writer, c encoder.Chunk) error {
 	if err := encoder.WriteChunk(w, c); err != nil {
 		return err
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -41,7 +41,7 @@
 func (f *Forwarder) openStream(ctx context.Context, address string, r *exchanger.Request) (*linker.Stream, error) {
 	m := encodeRequest(r)
 	f.stamp(m)
-	traffic := trafficFor(r.Class)
+	traffic := trafficFor(r)
 	if traffic == linker.TrafficShort {
 		if s := f.idle.take(address); s != nil {
 			return s, startExchange(s, address, m)
@@ -88,7 +88,7 @@
 // stream, which cancels the request.
 func (x *outgoing) upload() {
 	withSendBuffers(x.stream, x.request.ContentLength, func(s *sendBuffers) {
-		if err := sendChunks(s.w, x.request.Body, s.chunk, neverReuse); err != nil {
+		if err := sendChunks(s.w, x.request.Body, s.chunk, atOnce, neverReuse); err != nil {
 			x.stream.Abort()
 			return
 		}
@@ -147,7 +147,7 @@
 			// The peer has received the whole body, so the goroutine that sent it ends soon.
 			x.uploads.Wait()
 		}
-		if reuse && notAborted && x.uploaded.Load() && trafficFor(x.request.Class) == linker.TrafficShort {
+		if reuse && notAborted && x.uploaded.Load() && trafficFor(x.request) == linker.TrafficShort {
 			x.forwarder.idle.put(x.address, x.stream, received)
 			return
 		}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -35,6 +35,7 @@
 	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/logger"
+	"gentianbarrow.example/internal/pacer"
 	"gentianbarrow.example/internal/timekeeper"
 	"gentianbarrow.example/pkg/snapshotter"
 )
@@ -95,7 +96,9 @@
 	Delay func() time.Duration
 	// ObserveAge is called with the age of each request of a peer when it is read; nil means no call.
 	ObserveAge func(age time.Duration)
-	Log        *logger.Logger
+	// Link paces long answers; nil means that they are not paced.
+	Link *pacer.Link
+	Log  *logger.Logger
 }
 
 // Forwarder implements both ends of the protocol.
@@ -118,10 +121,10 @@
 	return f
 }
 
-// trafficFor returns the traffic class of a request. Bulk requests have a class of their own, so that
-// long bodies do not share a connection with short requests.
-func trafficFor(c snapshotter.Class) linker.Traffic {
-	if c == snapshotter.ClassBulk {
+// trafficFor returns the traffic class of a request. Bulk requests and those with large answers have a
+// class of their own, so that long bodies do not share a connection with short requests.
+func trafficFor(r *exchanger.Request) linker.Traffic {
+	if r.Class == snapshotter.ClassBulk || r.LargeAnswer {
 		return linker.TrafficBulk
 	}
 	return linker.TrafficShort
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -99,7 +99,7 @@
 	done, ok := x.forwarder.cfg.Tracker.BeginPeer(x.request.Class)
 	if !ok {
 		a := x.forwarder.cfg.Refuse(x.request, exchanger.ReasonNodeDraining)
-		x.sendAnswer(a)
+		x.sendAnswer(ctx, a)
 		a.Close()
 		return false
 	}
@@ -110,7 +110,7 @@
 
 func (x *incoming) serve(ctx context.Context) {
 	if a := x.rejectLate(); a != nil {
-		x.sendAnswer(a)
+		x.sendAnswer(ctx, a)
 		a.Close()
 		return
 	}
@@ -140,7 +140,7 @@
 			x.forwarder.answerTimes.add(x.request.Route, time.Since(start))
 		}
 	}
-	x.sendAnswer(a)
+	x.sendAnswer(ctx, a)
 	a.Close()
 	if spooled, ok := x.request.Body.(*spool); ok {
 		spooled.close()
@@ -200,13 +200,13 @@
 
 // sendAnswer sends the answer. If the answer is truncated, the stream ends without
 // an end chunk, which tells the peer.
-func (x *incoming) sendAnswer(a *exchanger.Answer) {
+func (x *incoming) sendAnswer(ctx context.Context, a *exchanger.Answer) {
 	length := int64(0)
 	if a.Outcome == retrier.OutcomeDone {
 		length = bodyLength(x.request.Method, a.Status, a.ContentLength)
 	}
 	withSendBuffers(x.stream, length, func(s *sendBuffers) {
-		if err := x.writeAnswer(s, a, length); err != nil {
+		if err := x.writeAnswer(ctx, s, a, length); err != nil {
 			x.reusable = false
 			fields := logger.Fields{RequestID: x.request.ID, Service: x.request.Service, Err: err}
 			x.forwarder.cfg.Log.Write(logger.AnswerTruncated, fields)
@@ -221,7 +221,7 @@
 	return load.InFlight + load.Queued
 }
 
-func (x *incoming) writeAnswer(s *sendBuffers, a *exchanger.Answer, length int64) error {
+func (x *incoming) writeAnswer(ctx context.Context, s *sendBuffers, a *exchanger.Answer, length int64) error {
 	m := encodeAnswer(x.request, a, x.forwarder.cfg.Incarnation)
 	if m.Load != nil {
 		m.Load.Queued += uint32(x.forwarder.PendingBodies())
@@ -239,5 +239,7 @@
 			return err
 		}
 	}
-	return sendChunks(s.w, a.Body, s.chunk, x.decideReuse)
+	paced := x.forwarder.cfg.Link.Pace(length)
+	mayGo := func(bytes int) error { return paced.Wait(ctx, bytes) }
+	return sendChunks(s.w, a.Body, paced.Piece(s.chunk), mayGo, x.decideReuse)
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -209,4 +209,7 @@
 	// Service is the smoothed service time of short requests, without queueing, or of
 	// urgent ones before the first short one; 0 before the first sample.
 	Service time.Duration
+	// LinkQueue is for how long a further piece of a long answer waits for the link of the
+	// target's host; 0 if nothing waits or the speed of the link is not known.
+	LinkQueue time.Duration
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -76,7 +76,7 @@
 // Metrics lists the metrics that Meter and Traffic register.
 func Metrics() []Metric {
 	return []Metric{
-		latency, queueWait, serviceTime, outcomes, attempts, targetRequests, targetRateLimit, targetStarts, firmsOverPart, unread, processorDelay, inFlight,
+		latency, queueWait, serviceTime, outcomes, attempts, targetRequests, targetRateLimit, targetStarts, firmsOverPart, linkQueue, unread, processorDelay, inFlight,
 		linkBytes, linkTransfers, packetBytes, packets,
 	}
 }
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -25,6 +25,7 @@
 	m.RecordUnread(OriginNode, time.Second)
 	m.RecordSent(&exchanger.Request{Attempt: 1})
 	m.RecordSent(&exchanger.Request{Attempt: 2})
+	m.WatchLink(registry, func() time.Duration { return time.Millisecond })
 	traffic := NewTraffic(registry)
 	traffic.CountTransfer(linker.TrafficControl, linker.DirectionSent, 1)
 	traffic.CountPacket(linker.DirectionSent, 1)
--- a/internal/meter/shortage.go
+++ b/internal/meter/shortage.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -17,6 +18,10 @@
 		Name: "gentian_target_firms_over_part",
 		Help: "Firms with waiting requests that have used more than their part of the target on this host.",
 	}
+	linkQueue = Metric{
+		Name: "gentian_link_queue_seconds",
+		Help: "Time for which a further piece of a long answer waits for the link of this host.",
+	}
 )
 
 // shortage counts the starts of requests at the target of this host.
@@ -42,6 +47,14 @@
 	return s
 }
 
+// WatchLink registers the queue of the link of this host.
+func (m *Meter) WatchLink(registry prometheus.Registerer, queue func() time.Duration) {
+	registry.MustRegister(prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Name: linkQueue.Name, Help: linkQueue.Help},
+		func() float64 { return queue().Seconds() },
+	))
+}
+
 // RecordShortage records who is put behind at the target, and the starts since the last
 // call. Counts that are lower than then are those of a new gate.
 func (m *Meter) RecordShortage(current limiter.Shortage) {
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -171,7 +171,8 @@
 		RetriedAbove:   isPartOfRetry(c.header(d.Attempt)),
 		IdempotencyKey: c.header(d.IdempotencyKey),
 		ContentLength:  r.ContentLength, ConfigVersion: version,
-		Priority: route.Priority, CallerService: c.receiver.cfg.CallerService, MaxAttempts: route.MaxAttempts,
+		LargeAnswer: route.LargeAnswers,
+		Priority:    route.Priority, CallerService: c.receiver.cfg.CallerService, MaxAttempts: route.MaxAttempts,
 	}
 	if c.caller.IsGone != nil {
 		out.CallerGone = c.isCallerGone
--- a/internal/receiver/candidates.go
+++ b/internal/receiver/candidates.go
@@ -148,8 +148,13 @@
 	if m.Status == blackboard.MemberSuspect {
 		return
 	}
+	linkMbit := m.LinkMbit
+	if m.Host == b.self.Host {
+		linkMbit = 0
+	}
 	found.candidates = append(found.candidates, router.Candidate{
-		Host: m.Host, Address: m.Address, DataCentre: m.DataCentre, Distance: b.distance(m.DataCentre, m.Region),
+		LinkMbit: linkMbit,
+		Host:     m.Host, Address: m.Address, DataCentre: m.DataCentre, Distance: b.distance(m.DataCentre, m.Region),
 		Slots: max(m.Target.Slots, 1), Cold: m.Target.Phase == blackboard.TargetCold,
 		Incarnation: m.Incarnation,
 	})
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -27,6 +27,7 @@
 	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/meter"
+	"gentianbarrow.example/internal/pacer"
 	"gentianbarrow.example/internal/retrier"
 	"gentianbarrow.example/internal/router"
 	"gentianbarrow.example/pkg/snapshotter"
@@ -62,8 +63,10 @@
 	Tracker *drainer.Tracker
 	// Explanations records how requests were routed; nil means no records.
 	Explanations *explainer.Ring
-	Meter        *meter.Meter
-	Log          *logger.Logger
+	// Link paces long answers to callers; nil means that they are not paced.
+	Link  *pacer.Link
+	Meter *meter.Meter
+	Log   *logger.Logger
 	// Seed seeds the choice of targets; 0 means a random seed.
 	Seed uint64
 }
--- a/internal/receiver/reply.go
+++ b/internal/receiver/reply.go
@@ -157,11 +157,16 @@
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
 	streamed := a.ContentLength < 0
+	answer := c.receiver.cfg.Link.Pace(a.ContentLength)
+	piece := answer.Piece(*buf)
 	sent := int64(0)
 	for {
-		n, err := a.Body.Read(*buf)
+		n, err := a.Body.Read(piece)
 		if n > 0 {
-			if writeErr := c.write((*buf)[:n], streamed); writeErr != nil {
+			if waitErr := answer.Wait(c.httpRequest.Context(), n); waitErr != nil {
+				return sent, waitErr
+			}
+			if writeErr := c.write(piece[:n], streamed); writeErr != nil {
 				return sent, writeErr
 			}
 		}
--- a/internal/router/cost.go
+++ b/internal/router/cost.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"gentianbarrow.example/internal/pacer"
+)
 
 // cost is the estimated cost of sending a request to a candidate.
 type cost struct {
@@ -29,11 +33,24 @@
 	}
 	base := latencyOrDefault(b, r.Route) * (1 + utilisationCost*min((pending+1)/slots, 1) + max(pending+1-slots, 0)/slots)
 	base *= 1 + failureCost*max(t.currentFailureRate(now)-toleratedFailureRate, 0)
-	slowness, distance := t.slowness(now, b), distanceCost(c, r.Bytes)
+	slowness, distance := t.slowness(now, b), distanceCost(c, r.Bytes)+t.linkTime(now, c, r.Bytes)
 	base *= stalenessFactor(now, c)
 	return cost{time: base*slowness + distance, penalised: base*slownessPenalty(slowness) + distance, hasFreeSlot: pending+1 <= slots}
 }
 
+// linkTime returns the time in nanoseconds for which the answer waits for the link of the
+// target's host and occupies it. Short answers do not wait behind long ones.
+func (t *target) linkTime(now time.Time, c *Candidate, bytes int) float64 {
+	if c.LinkMbit <= 0 {
+		return 0
+	}
+	occupied := float64(bytes) * 8 / float64(c.LinkMbit) * 1e3
+	if t == nil || bytes <= pacer.LongAnswerBytes {
+		return occupied
+	}
+	return occupied + max(float64(t.load.LinkQueue-now.Sub(t.reportedAt)), 0)
+}
+
 // latencyOrDefault returns the usual latency of the route in nanoseconds, or
 // defaultLatency if it is unknown.
 func latencyOrDefault(b *baseline, route string) float64 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,9 @@
 	Distance int
 	// Slots is how many slots the target announced; at least 1.
 	Slots int
+	// LinkMbit is the speed of the link of the target's host in Mbit/s; 0 if unknown, or if
+	// the answer does not cross it on its way here.
+	LinkMbit int
 	// Cold reports whether the target announced that it is starting.
 	Cold bool
 	// Draining reports whether the target accepts no new requests.
