--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -12,6 +12,7 @@
 	"gentianbarrow.example/internal/forwarder"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/meter"
+	"gentianbarrow.example/internal/pacer"
 	"gentianbarrow.example/internal/receiver"
 	"gentianbarrow.example/internal/timekeeper"
 	"gentianbarrow.example/pkg/snapshotter"
@@ -22,6 +23,8 @@
 func (n *Node) buildRequestPath(a adapter) {
 	m := meter.New(n.metrics, func() int { return n.tracker.Count().Total }, n.delay.Delay)
 	meter.RegisterConfig(n.metrics, func() *blackboard.Config { return &n.board.Read().Config })
+	link := pacer.New(a.bounds.LinkMbit)
+	m.WatchLink(n.metrics, link.Queue)
 	o := &observer{post: func(msg blackboard.Msg) { n.board.Post(msg) }, now: time.Now}
 	n.guard = n.newGuard()
 	n.executor = executor.New(executor.Config{
@@ -32,6 +35,8 @@
 		Observe:          m.RecordService,
 		ObserveSent:      m.RecordSent,
 		ObserveRateLimit: m.RecordRateLimit,
+		ObserveShortage:  m.RecordShortage,
+		LinkQueue:        link.Queue,
 		ReportHealth:     o.observe,
 		Lateness:         n.delay.StandingDelay,
 		Log:              n.log,
@@ -56,6 +61,7 @@
 		Delay:       n.delay.MeanDelay,
 		Guard:       n.guard,
 		ObserveAge:  func(age time.Duration) { m.RecordUnread(meter.OriginNode, age) },
+		Link:        link,
 		Log:         n.log,
 	})
 	n.links.Handle(forwarder.Kind, n.forwarder.Handle)
@@ -70,6 +76,7 @@
 		Guard:        n.guard,
 		Tracker:      n.tracker,
 		Explanations: n.explainer,
+		Link:         link,
 		Meter:        m,
 		Log:          n.log,
 
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -88,7 +88,9 @@
 	Service string
 	Route   string
 	Firm    string
-	Class   snapshotter.Class
+	// FirmRate is the firm's limit in requests a second; 0 when it has none.
+	FirmRate int
+	Class    snapshotter.Class
 	// Priority orders waiting requests of a class; 0 goes first.
 	Priority int
 	// Idempotent is set if running the request twice is harmless.
@@ -127,6 +129,9 @@
 	Attempt int
 	// NoWait is set if the request is refused when there is no free slot.
 	NoWait bool
+	// WaitPastSoftDeadline is set if the request may wait for a slot although its answer
+	// will come after SoftDeadline.
+	WaitPastSoftDeadline bool
 	// RetriedAbove is set if the request is part of a retry by a node nearer the caller.
 	RetriedAbove bool
 	// IdempotencyKey is empty when the caller sent none.
@@ -135,6 +140,8 @@
 	LookupOnly bool
 	// ContentLength is -1 when unknown.
 	ContentLength int64
+	// LargeAnswer is set if the answers of the route are large. It is known at the caller's node only.
+	LargeAnswer bool
 	// ConfigVersion is the version of the configuration that the request was routed by.
 	ConfigVersion uint64
 	// Body ends with io.EOF only when it is complete. It is nil when ContentLength is 0.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -58,6 +58,11 @@
 	// ObserveRateLimit is called when the target states another limit on the requests a
 	// second that it accepts, or none; nil means no call.
 	ObserveRateLimit func(perSecond float64, isLimited bool)
+	// ObserveShortage is called now and then with who is put behind at the target; nil means no call.
+	ObserveShortage func(s limiter.Shortage)
+	// LinkQueue returns for how long a further piece of a long answer waits for the link of
+	// this host; nil means that it never waits.
+	LinkQueue func() time.Duration
 	// FixedSlots and NoRamp are copied to the limits of the target.
 	FixedSlots, NoRamp bool
 	// Order is the order of waiting requests; empty means the limiter's default.
@@ -93,6 +98,8 @@
 	rate    statedRate
 	// leavingReported is set once process has stated that it leaves. Guarded by mu.
 	leavingReported bool
+	// shortage is what was last reported of the gate. Guarded by mu.
+	shortage shortageLog
 }
 
 // New returns an executor.
@@ -299,6 +306,7 @@
 func limiterRequest(r *exchanger.Request) limiter.Request {
 	return limiter.Request{
 		Class: r.Class, Firm: r.Firm, Deadline: r.Deadline, Priority: r.Priority, SoftDeadline: r.SoftDeadline, Route: r.Route, NoWait: r.NoWait,
+		FirmRate: r.FirmRate, WaitPastSoftDeadline: r.WaitPastSoftDeadline,
 	}
 }
 
@@ -349,7 +357,11 @@
 }
 
 // Sync applies the current target and configuration to waiting requests.
-func (e *Executor) Sync() { e.sync(e.cfg.Target()) }
+func (e *Executor) Sync() {
+	t := e.cfg.Target()
+	e.sync(t)
+	e.reportShortage(time.Now(), t)
+}
 
 // sync applies the target's state and the configuration to the gate and returns it;
 // nil when the service is not known.
@@ -407,12 +419,16 @@
 	return e.load(), true
 }
 
-// load returns the load of the target. The caller holds mu; gate is not nil.
+// load returns the load of the target, of its node and of the host's link. The caller holds
+// mu; gate is not nil.
 func (e *Executor) load() limiter.Load {
 	l := e.gate.Load()
 	if e.cfg.Lateness != nil {
 		l.NodeLateness = e.cfg.Lateness()
 	}
+	if e.cfg.LinkQueue != nil {
+		l.LinkQueue = e.cfg.LinkQueue()
+	}
 	return l
 }
 
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -5,6 +5,33 @@
 // A Gate has no I/O and no clock. Every request that is offered ends exactly
 // once: it is done, refused, dropped or cancelled.
 //
+// The load pattern: demand swings to several times what the target can run within a
+// second, by one firm or by all, with requests that run from milliseconds to seconds.
+// These parts act together, in the order in which a request meets them:
+//
+//   - Slots. capacity divides them among urgent, short and bulk requests. ramp gives a
+//     target that has just become ready fewer, and adaptiveLimit one that is slower than
+//     usual, as long as that keeps its throughput. The least of these counts.
+//   - Rate. tokenBucket paces the requests to a target that states how many a second it
+//     accepts. Until its first answer it gets as many as a slow one.
+//   - Queue. A request that finds no slot, or no token, waits if estimator expects that it
+//     starts in time, and is refused at once if not. It is dropped when its time to start
+//     has passed. A full queue gives the place of one that would start last to one that
+//     would start before it.
+//   - Order. By class, then by priority. Within these either by the fewest running requests of
+//     a firm and then by Order, or, with OrderSoftDeadline, by rank:
+//   - Fair parts. fairParts sums what each firm used of the target. Firms beyond their part
+//     go behind the others of their priority, and take what these leave. Within that, requests
+//     that can meet their soft deadline go first, the earliest before the others.
+//   - Demand. demand follows the load of each kind of request. Long ones leave room for
+//     shorter and more urgent ones that cannot wait until a long one ends, and a kind that
+//     starves goes first. The expected wait of a request counts the work that ranks before
+//     it, in the room that the load of more urgent kinds leaves.
+//   - Returns. returns spreads the callers that are refused at their last target over the
+//     room that there will be for them.
+//
+// Use and demand are forgotten within seconds, and bounded in size.
+//
 //	gate := limiter.NewGate(limiter.LimitsOf(service))
 //	d := gate.Offer(now, limiter.Request{ID: 1, Class: snapshotter.ClassShort, Firm: "paza", Deadline: deadline})
 //	if d.Verdict == limiter.VerdictAdmitted {
@@ -73,6 +100,9 @@
 	Class snapshotter.Class
 	// Firm is the firm that sent the request.
 	Firm string
+	// FirmRate is the firm's limit in requests a second, by which its part of the room is
+	// weighted; 0 if it has none.
+	FirmRate int
 	// Route is the route that the request matched. Service times are estimated by
 	// route, or by class if it is empty.
 	Route string
@@ -81,8 +111,11 @@
 	// Priority orders the waiting requests of a class; the lowest value starts first.
 	Priority int
 	// SoftDeadline is the time until which the answer has its full value; zero if
-	// unknown. A request that would wait past it is dropped.
+	// unknown. A request that would wait past it is dropped unless WaitPastSoftDeadline is set.
 	SoftDeadline time.Time
+	// WaitPastSoftDeadline lets the request wait past its soft deadline, since it is tried
+	// at no further target.
+	WaitPastSoftDeadline bool
 	// Deadline is the time by which the caller needs the answer.
 	Deadline time.Time
 }
@@ -114,6 +147,9 @@
 	ReasonMissesDeadline Reason = "too-late"
 	// ReasonWaitedTooLong means that the request exceeded, or would exceed, its wait limit.
 	ReasonWaitedTooLong Reason = "waited-too-long"
+	// ReasonFirmOverPart means that the request's firm has used more than its part of the
+	// target, and that the requests of others go first.
+	ReasonFirmOverPart Reason = "firm-over-part"
 	// ReasonRateLimited means that the rate limit of the target does not let the request
 	// start in time.
 	ReasonRateLimited Reason = "rate-limited"
@@ -176,4 +212,7 @@
 	// NodeLateness is how late the process of the target's node runs, by work that waits
 	// for the processor. A gate does not know it.
 	NodeLateness time.Duration
+	// LinkQueue is for how long a further piece of a long answer waits for the link of the
+	// target's host; 0 if nothing waits or the speed of the link is not known.
+	LinkQueue time.Duration
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -76,8 +76,8 @@
 // Metrics lists the metrics that Meter, RegisterConfig and Traffic register.
 func Metrics() []Metric {
 	return []Metric{
-		latency, queueWait, serviceTime, outcomes, attempts, targetRequests, targetRateLimit, unread, processorDelay, inFlight,
-		configVersion, configRefusedVersion, configRefused,
+		latency, queueWait, serviceTime, outcomes, attempts, targetRequests, targetRateLimit, targetStarts, firmsOverPart, linkQueue,
+		unread, processorDelay, inFlight, configVersion, configRefusedVersion, configRefused,
 		linkBytes, linkTransfers, packetBytes, packets, limitedFirms, limitDecisions,
 	}
 }
@@ -98,6 +98,7 @@
 	targetRequests  *prometheus.CounterVec
 	targetRateLimit prometheus.Gauge
 	unread          *prometheus.HistogramVec
+	shortage        *shortage
 
 	firms   *rankedLabels
 	reasons boundedLabels
@@ -111,6 +112,7 @@
 		outcomes: newCounter(outcomes), attempts: newCounter(attempts),
 		targetRequests:  newCounter(targetRequests),
 		unread:          newHistogram(unread),
+		shortage:        newShortage(registry),
 		targetRateLimit: prometheus.NewGauge(prometheus.GaugeOpts{Name: targetRateLimit.Name, Help: targetRateLimit.Help}),
 
 		reasons: boundedLabels{limit: maxReasons},
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,9 @@
 	Distance int
 	// Slots is how many slots the target announced; at least 1.
 	Slots int
+	// LinkMbit is the speed of the link of the target's host in Mbit/s; 0 if unknown, or if
+	// the answer does not cross it on its way here.
+	LinkMbit int
 	// Cold reports whether the target announced that it is starting.
 	Cold bool
 	// Draining reports whether the target accepts no new requests.
@@ -48,6 +51,8 @@
 	// route, or by service if it is empty.
 	Route string
 	Class snapshotter.Class
+	// Priority of the request; 0 is the most urgent.
+	Priority int
 	// Bytes is the size of the request and its answer, as far as known in advance.
 	Bytes int
 	// FreeSlotOnly asks for a target that is expected to have a free slot, or for none.
@@ -127,6 +132,8 @@
 	Class   snapshotter.Class
 	// Route of the request.
 	Route string
+	// Priority of the request. A refusal says nothing of more urgent ones.
+	Priority int
 	// Latency is the time from sending the request to its answer.
 	Latency time.Duration
 	// Load is the load reported with the answer; nil when there was none.
