Count a probe that still waits for the processor at each measurement

A process that stood still while a probe was under way took the whole pause for a backlog and rejected the requests that it read next. The wait now counts once a measurement, so a pause is one high measurement and a backlog is many.

--- a/internal/timekeeper/delay.go
+++ b/internal/timekeeper/delay.go
@@ -43,8 +43,8 @@
 	mean atomic.Int64
 	// latestDelay is the latest measured delay, in nanoseconds. It is used by one goroutine.
 	latestDelay int64
-	// probeStart is when the probe that is waiting was sent, by clock; 0 if there is none.
-	probeStart atomic.Int64
+	// probeStart is when the latest probe was sent, by clock. It is used by one goroutine.
+	probeStart int64
 	// recent holds the last delays with the waits of their probes, in nanoseconds. It is
 	// used by one goroutine.
 	recent [standingMeasurements]int64
@@ -88,14 +88,16 @@
 			return nil
 		case <-arrived:
 			waiting = false
-			m.endProbe()
+			m.recordWait()
 			continue
 		case <-timer.C:
 		}
 		m.measure()
-		if !waiting {
+		if waiting {
+			m.recordWait()
+		} else {
 			waiting = true
-			m.probeStart.Store(int64(m.clock()))
+			m.probeStart = int64(m.clock())
 			// The goroutine that was made ready last runs first. Making another one ready moves
 			// the probe to the end of the queue.
 			probes <- struct{}{}
@@ -105,9 +107,9 @@
 	}
 }
 
-// endProbe records how long the latest probe has waited.
-func (m *DelayMeter) endProbe() {
-	wait := int64(m.clock()) - m.probeStart.Swap(0)
+// recordWait records how long the latest probe has waited. It may still be waiting.
+func (m *DelayMeter) recordWait() {
+	wait := int64(m.clock()) - m.probeStart
 	copy(m.recent[1:], m.recent[:])
 	m.recent[0] = m.latestDelay + wait
 	m.standing.Store(slices.Min(m.recent[:]))
@@ -151,17 +153,7 @@
 
 // StandingDelay returns how long work waits for the processor that is ready although the
 // process has had time to catch up: the least of the last measurements. A single long task, or a
-// pause of the process, does not count. A probe counts that waits for longer than these
-// measurements would have taken.
+// pause of the process, does not count.
 func (m *DelayMeter) StandingDelay() time.Duration {
-	standing := time.Duration(m.standing.Load())
-	start := m.probeStart.Load()
-	if start == 0 {
-		return standing
-	}
-	waiting := m.clock() - time.Duration(start)
-	if waiting < standingMeasurements*measureInterval {
-		return standing
-	}
-	return max(standing, waiting)
+	return time.Duration(m.standing.Load())
 }
