Let refused callers return while an answer has full worth, and report less often to many keepers

They return after 0.05 to 0.5 s now; the chance of a token is the same.

With more than 8 keepers in a data centre the report interval grows, and a part counts for six intervals.

--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -29,7 +29,7 @@
 	checkInterval = 250 * time.Millisecond
 	// lostPeriod is how long a keeper that did not answer is passed over, so that nodes do
 	// not return to one that is short of processor time again and again.
-	lostPeriod = 3 * time.Second
+	lostPeriod = 10 * time.Second
 )
 
 // Config holds what an Apportioner needs.
--- a/internal/apportioner/codec.go
+++ b/internal/apportioner/codec.go
@@ -11,6 +11,9 @@
 	"gentianbarrow.example/internal/wirepb"
 )
 
+// maxReportInterval bounds what a node may tell of its interval, and so how long its part counts.
+const maxReportInterval = 5 * time.Second
+
 func write(s *linker.Stream, m proto.Message) error {
 	if err := s.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
@@ -19,7 +22,7 @@
 }
 
 func encodeReport(r rationer.Report) *wirepb.LimitReport {
-	m := &wirepb.LimitReport{Sequence: r.Sequence, Nodes: uint32(max(r.Nodes, 0))}
+	m := &wirepb.LimitReport{Sequence: r.Sequence, Nodes: uint32(max(r.Nodes, 0)), IntervalMs: uint32(r.Interval.Milliseconds())}
 	for _, u := range r.Uses {
 		m.Uses = append(m.Uses, &wirepb.FirmUse{Firm: u.Firm, Used: int64(u.Used), Refused: uint64(u.Refused), Limited: u.Limited})
 	}
@@ -27,7 +30,8 @@
 }
 
 func decodeReport(m *wirepb.LimitReport) rationer.Report {
-	r := rationer.Report{Sequence: m.GetSequence(), Nodes: int(m.GetNodes())}
+	interval := time.Duration(m.GetIntervalMs()) * time.Millisecond
+	r := rationer.Report{Sequence: m.GetSequence(), Nodes: int(m.GetNodes()), Interval: min(interval, maxReportInterval)}
 	for _, u := range m.GetUses() {
 		r.Uses = append(r.Uses, rationer.Use{Firm: u.GetFirm(), Used: int(u.GetUsed()), Refused: int(u.GetRefused()), Limited: u.GetLimited()})
 	}
--- a/internal/apportioner/exchange.go
+++ b/internal/apportioner/exchange.go
@@ -9,17 +9,11 @@
 	"gentianbarrow.example/internal/encoder"
 	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/logger"
+	"gentianbarrow.example/internal/rationer"
 	"gentianbarrow.example/internal/wirepb"
 )
 
 const (
-	// reportInterval is the time between two reports of a node that has something to tell.
-	// With the delays of messages, a firm that exceeds its limit is noticed in half of the
-	// time in which it uses up its burst.
-	reportInterval = 200 * time.Millisecond
-	// beatInterval is the longest time between two reports, so that the part of this node
-	// counts at the keeper.
-	beatInterval = 500 * time.Millisecond
 	// minReportInterval is the time between two reports at least.
 	minReportInterval = 20 * time.Millisecond
 	// openTimeout bounds how long a keeper may take to accept a stream.
@@ -36,6 +30,8 @@
 	host    string
 	address string
 	cancel  context.CancelFunc
+	// interval is the time between two reports that have something to tell.
+	interval time.Duration
 	// wake asks for a report before the next regular one.
 	wake chan struct{}
 }
@@ -63,17 +59,16 @@
 // every calls send when a report is due. It returns when the keeper does not answer, send
 // fails or ctx ends.
 func (e *exchange) every(ctx context.Context, send func(now time.Time) error) error {
-	ticker := time.NewTicker(reportInterval)
+	ticker := time.NewTicker(e.interval)
 	defer ticker.Stop()
 	lastReport := time.Now()
 	for {
 		now := time.Now()
-		wakes := e.wake
 		select {
 		case <-ctx.Done():
 			return nil
 		case now = <-ticker.C:
-		case <-wakes:
+		case <-e.wake:
 			now = time.Now()
 			if now.Sub(lastReport) < minReportInterval {
 				continue
@@ -82,7 +77,7 @@
 		if e.a.node.Overdue(now, e.host) {
 			return &OverdueError{Host: e.host}
 		}
-		if !e.a.node.HasNews(e.host) && now.Sub(lastReport) < beatInterval-reportInterval/2 {
+		if !e.a.node.HasNews(e.host) && now.Sub(lastReport) < rationer.BeatInterval(e.interval)-e.interval/2 {
 			continue
 		}
 		lastReport = now
@@ -92,9 +87,15 @@
 	}
 }
 
+func (e *exchange) report(now time.Time) rationer.Report {
+	r := e.a.node.Report(now, e.host)
+	r.Interval = e.interval
+	return r
+}
+
 // reportToSelf reports to the keeper in this process.
 func (e *exchange) reportToSelf(now time.Time) error {
-	r := e.a.node.Report(now, e.host)
+	r := e.report(now)
 	e.a.receive(now, e.host, r)
 	pace, released := e.a.keeper.Pace(now, r.Sequence)
 	e.a.logReleased(released)
@@ -104,7 +105,7 @@
 
 // reportToPeer reports over a stream, until that fails or ctx ends.
 func (e *exchange) reportToPeer(ctx context.Context) error {
-	first := encodeReport(e.a.node.Report(time.Now(), e.host))
+	first := encodeReport(e.report(time.Now()))
 	first.Host = e.a.cfg.State().Self.Host
 	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
 	s, err := e.a.cfg.Open(openCtx, e.address, StreamKind, first)
@@ -119,7 +120,7 @@
 	defer s.Abort()
 	reading.Go(func() { e.readPaces(s) })
 	return e.every(ctx, func(now time.Time) error {
-		return write(s, encodeReport(e.a.node.Report(now, e.host)))
+		return write(s, encodeReport(e.report(now)))
 	})
 }
 
--- a/internal/apportioner/keepers.go
+++ b/internal/apportioner/keepers.go
@@ -11,6 +11,7 @@
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/ranker"
+	"gentianbarrow.example/internal/rationer"
 	"gentianbarrow.example/pkg/snapshotter"
 )
 
@@ -112,7 +113,7 @@
 			continue
 		}
 		exchangeCtx, cancel := context.WithCancel(ctx)
-		e := &exchange{a: a, host: m.Host, address: m.Address, cancel: cancel, wake: make(chan struct{}, 1)}
+		e := &exchange{a: a, host: m.Host, address: m.Address, cancel: cancel, wake: make(chan struct{}, 1), interval: rationer.ReportInterval(len(hosts))}
 		a.exchanges[m.Host] = e
 		group.Go(func() { e.run(exchangeCtx) })
 	}
--- a/internal/rationer/fleet_test.go
+++ b/internal/rationer/fleet_test.go
@@ -13,13 +13,12 @@
 )
 
 const (
-	step           = 10 * time.Millisecond
-	reportInterval = 200 * time.Millisecond
+	step = 10 * time.Millisecond
 	// silenceNoticed is when membership tells that a host is silent, endNoticed that its
 	// process has ended.
 	silenceNoticed = 2500 * time.Millisecond
 	endNoticed     = 100 * time.Millisecond
-	lostPeriod     = 3 * time.Second
+	lostPeriod     = 10 * time.Second
 )
 
 var testMargin = Margin{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
@@ -210,7 +209,7 @@
 	if !h.node.HasNews(keeper.name) && f.now.Before(h.beatAt) {
 		return
 	}
-	h.beatAt = f.now.Add(500 * time.Millisecond)
+	h.beatAt = f.now.Add(BeatInterval(reportInterval))
 	r := h.node.Report(f.now, keeper.name)
 	f.send(h, keeper, func() { f.receive(keeper, h, r) })
 }
--- a/internal/rationer/keeper.go
+++ b/internal/rationer/keeper.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// partTimeout is how long a node's part counts at a keeper after a report. Nodes report
-	// at least each half second.
-	partTimeout = 1200 * time.Millisecond
 	// restTimeout is how long a keeper may be without any report before it begins anew: it
 	// may have stood still, and others have kept the limits meanwhile.
 	restTimeout = 2 * time.Second
@@ -47,7 +44,7 @@
 	mu sync.Mutex
 	// nodes is how many nodes are known in all data centres; 0 when unknown. Guarded by mu.
 	nodes int
-	// reporters holds when each node reported last, by host. Guarded by mu.
+	// reporters holds until when the part of each node counts, by host. Guarded by mu.
 	reporters map[string]time.Time
 	// accounts holds the firms with recent requests by name. Guarded by mu.
 	accounts map[string]*account
@@ -85,7 +82,7 @@
 		clear(k.reporters)
 	}
 	k.lastReport = now
-	k.reporters[host] = now
+	k.reporters[host] = now.Add(partIntervals * max(r.Interval, reportInterval))
 	k.nodes = max(k.nodes, r.Nodes)
 	k.sweep(now)
 	for _, use := range r.Uses {
@@ -187,9 +184,9 @@
 	if now.Before(k.sweepAt) {
 		return
 	}
-	k.sweepAt = now.Add(partTimeout / 8)
-	for host, at := range k.reporters {
-		if now.Sub(at) > partTimeout {
+	k.sweepAt = now.Add(reportInterval)
+	for host, until := range k.reporters {
+		if now.After(until) {
 			delete(k.reporters, host)
 		}
 	}
--- a/internal/rationer/node.go
+++ b/internal/rationer/node.go
@@ -27,9 +27,11 @@
 	ownRateShare = 0.8
 	// idleTimeout is how long a node keeps the state of a firm without requests.
 	idleTimeout = 10 * time.Second
-	// minReturnDelay and maxReturnDelay bound when a refused caller may return.
-	minReturnDelay = 200 * time.Millisecond
-	maxReturnDelay = 2 * time.Second
+	// minReturnDelay and maxReturnDelay bound when a refused caller may return. Each
+	// request has the same chance of a token; the sooner it has one, the more its answer is
+	// worth. So callers return within the time in which most answers still have full worth.
+	minReturnDelay = 100 * time.Millisecond
+	maxReturnDelay = 500 * time.Millisecond
 )
 
 // Node is the part of the decision at the node that requests reach. It is safe for
@@ -226,15 +228,15 @@
 	}
 }
 
-// returnDelay returns when a refused caller may come back: later the fewer are admitted,
-// and spread over half of that time.
+// returnDelay returns after which time a refused caller may come back: later the fewer are
+// admitted, and spread over half of that time.
 func (u *localUse) returnDelay(ratio float64) time.Duration {
 	delay := maxReturnDelay
 	if ratio > float64(minReturnDelay)/float64(maxReturnDelay) {
 		delay = time.Duration(float64(minReturnDelay) / ratio)
 	}
 	spread := float64(u.refused%8) / 8
-	return delay/2 + time.Duration(spread*float64(delay)/2) + minReturnDelay/2
+	return delay/2 + time.Duration(spread*float64(delay)/2)
 }
 
 // Return gives back the token of a request that no target has run.
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -49,6 +49,28 @@
 // burst returns the size of the bucket of a whole firm.
 func (m Margin) burst(f Firm) float64 { return f.Burst + slackInBurst*m.Slack }
 
+// reportInterval is the time between two reports of a node that has something to tell. With
+// the delays of messages, a firm that exceeds its limit is noticed in half of the time in
+// which it uses up its burst.
+const reportInterval = 200 * time.Millisecond
+
+// keepersAtFullPace is how many keepers a data centre may have for a node to report to each
+// in reportInterval. With more the interval grows, so that the messages of a node do not:
+// firms that are spread over so many nodes use up less of their burst at each.
+const keepersAtFullPace = 8
+
+// ReportInterval returns the time between two reports to one of a number of keepers.
+func ReportInterval(keepers int) time.Duration {
+	return reportInterval * time.Duration(max(keepersAtFullPace, keepers)) / keepersAtFullPace
+}
+
+// BeatInterval returns the longest time between two reports at a report interval, so that
+// the part of a node counts at the keeper.
+func BeatInterval(interval time.Duration) time.Duration { return 5 * interval / 2 }
+
+// partIntervals is for how many report intervals a part counts at a keeper after a report.
+const partIntervals = 6
+
 // Use counts the requests of a firm at a node since its report before.
 type Use struct {
 	Firm string
@@ -65,6 +87,8 @@
 	// Sequence is greater than that of the report before to the same keeper.
 	Sequence uint64
 	Uses     []Use
+	// Interval is the time between two reports that have something to tell.
+	Interval time.Duration
 	// Nodes is how many nodes the sender knows in all data centres, itself included; 0
 	// when it cannot tell.
 	Nodes int
