Answer no 401 where no node of the data centre reaches the platform

A node that does not watch the platform itself learns of versions from those that do. While its data centre is cut off, these lose the platform and say so to the others, but the others answered a key that is new in a version they could not have 401, after which a caller does not come back. They answer 503 now, like the nodes that have lost the platform themselves. The members are looked at once for each state of the blackboard.

TestIsWatched; in the mesh, TestNodeThatIsBehind/no_node_of_the_data_centre_reaches_the_platform.

--- a/internal/poller/watch_policy.go
+++ b/internal/poller/watch_policy.go
@@ -78,11 +78,50 @@
 	return watchersBefore < watchers && watchersBefore+lostBefore < watchers+maxSubstitutes
 }
 
+// IsWatched reports whether a node of this node's data centre, which may be this one,
+// watches the platform and reaches it as far as is known. A node of a data centre that is
+// not watched may miss changes that others know.
+func IsWatched(s *blackboard.State, platformLost bool) bool {
+	if !platformLost && IsWatcher(s) {
+		return true
+	}
+	// first are the nodes that watch, or would if those before them did not reach the
+	// platform, in their order.
+	var first [maxIsolatedWatchers + maxSubstitutes]blackboard.Member
+	count := 0
+	for host, m := range s.Members.ByHost {
+		if m.Status != blackboard.MemberAlive || m.DataCentre != s.Self.DataCentre {
+			continue
+		}
+		m.Host = host
+		for i := range first {
+			if i == count {
+				first[i] = m
+				count++
+				break
+			}
+			if precedes(m, first[i]) {
+				m, first[i] = first[i], m
+			}
+		}
+	}
+	for _, m := range first[:count] {
+		if !m.PlatformLost {
+			return true
+		}
+	}
+	return false
+}
+
 // Precedes reports whether another node comes before this one in the order in which the
 // nodes of a data centre take on work for the others.
 func Precedes(host string, linkMbit int, self *blackboard.Self) bool {
-	if linkMbit != self.LinkMbit {
-		return linkMbit > self.LinkMbit
+	return precedes(blackboard.Member{Host: host, LinkMbit: linkMbit}, blackboard.Member{Host: self.Host, LinkMbit: self.LinkMbit})
+}
+
+func precedes(a, b blackboard.Member) bool {
+	if a.LinkMbit != b.LinkMbit {
+		return a.LinkMbit > b.LinkMbit
 	}
-	return host < self.Host
+	return a.Host < b.Host
 }
--- a/internal/poller/watch_policy_test.go
+++ b/internal/poller/watch_policy_test.go
@@ -95,3 +95,31 @@
 		assert.Equal(t, slept, 4*watchCheckPeriod)
 	})
 }
+
+func TestIsWatched(t *testing.T) {
+	lost := func(m blackboard.Member) blackboard.Member {
+		return with(m, func(m *blackboard.Member) { m.PlatformLost = true })
+	}
+	allLost := []blackboard.Member{lost(member("a-0")), lost(member("a-1")), lost(member("a-2")), lost(member("a-3")), lost(member("a-4"))}
+	for name, c := range map[string]struct {
+		members []blackboard.Member
+		lost    bool
+		want    bool
+	}{
+		"a node without peers":                         {nil, false, true},
+		"a node without peers that lost the platform":  {nil, true, false},
+		"others watch":                                 {[]blackboard.Member{member("a-1"), member("a-2")}, false, true},
+		"others watch, and this one lost the platform": {[]blackboard.Member{member("a-1")}, true, true},
+		"those that watch lost it":                     {allLost, false, false},
+		"one that is not to watch has not lost it":     {append([]blackboard.Member{member("a-9")}, allLost...), false, false},
+		"one that stands in for them has not lost it":  {append([]blackboard.Member{member("a-11")}, allLost[:3]...), false, true},
+		"nodes that are dead or of other data centres: nobody": {
+			[]blackboard.Member{
+				with(member("a-1"), func(m *blackboard.Member) { m.Status = blackboard.MemberDead }),
+				with(member("b-1"), func(m *blackboard.Member) { m.DataCentre = "b" }),
+			}, true, false,
+		},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, IsWatched(dataCentre(c.members...), c.lost), c.want) })
+	}
+}
--- a/internal/receiver/firm.go
+++ b/internal/receiver/firm.go
@@ -4,8 +4,10 @@
 	"net/http"
 	"time"
 
+	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/identifier"
+	"gentianbarrow.example/internal/poller"
 	"gentianbarrow.example/internal/retrier"
 	"gentianbarrow.example/pkg/snapshotter"
 )
@@ -34,8 +36,26 @@
 // this node does not have or cannot read. A caller does not come back after it was told
 // that its key is unknown.
 func (rc *Receiver) isConfigBehind(running *snapshotter.Snapshot) bool {
-	config := &rc.cfg.State().Config
-	return config.PlatformLost || config.PeerVersion.Version > running.Version || config.Refused.IsSet()
+	state := rc.cfg.State()
+	config := &state.Config
+	return config.PlatformLost || config.PeerVersion.Version > running.Version || config.Refused.IsSet() || !rc.isWatched(state)
+}
+
+// watchedState is a state with what poller.IsWatched returns for it.
+type watchedState struct {
+	state   *blackboard.State
+	watched bool
+}
+
+// isWatched looks at all members of the data centre once for each state, so that unknown
+// keys cost little while many come.
+func (rc *Receiver) isWatched(state *blackboard.State) bool {
+	if last := rc.watched.Load(); last != nil && last.state == state {
+		return last.watched
+	}
+	next := &watchedState{state: state, watched: poller.IsWatched(state, state.Config.PlatformLost)}
+	rc.watched.Store(next)
+	return next.watched
 }
 
 // takeToken returns the refusal of a request beyond its firm's limit, or nil. Such a
--- a/internal/receiver/firm_test.go
+++ b/internal/receiver/firm_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -364,6 +365,30 @@
 			})
 		})
 	}
+	t.Run("no node of the data centre reaches the platform", func(t *testing.T) {
+		runWithFirms(t, 4, targeter.Config{}, func(t *testing.T, m *firmMesh) {
+			last := m.nodes[3]
+			lose := func(hosts ...int) {
+				last.change(func(s *blackboard.State) {
+					byHost := maps.Clone(s.Members.ByHost)
+					for _, i := range hosts {
+						member := byHost[m.nodes[i].host]
+						member.PlatformLost = true
+						byHost[m.nodes[i].host] = member
+					}
+					s.Members.ByHost = byHost
+				})
+			}
+			// The last node does not watch while one of the others does.
+			lose(0, 1)
+			r := m.askOnce(t.Context(), 3, "/read", bearer(keyUnknown))
+			assertRefusal(t, r, http.StatusUnauthorized, exchanger.ReasonAccessKeyUnknown)
+			lose(2)
+			last.change(func(s *blackboard.State) { s.Config.PlatformLost = true })
+			r = m.askOnce(t.Context(), 3, "/read", bearer(keyUnknown))
+			assertRefusal(t, r, http.StatusServiceUnavailable, exchanger.ReasonConfigBehind)
+		})
+	})
 	t.Run("no configuration", func(t *testing.T) {
 		runWithFirms(t, 1, targeter.Config{}, func(t *testing.T, m *firmMesh) {
 			m.setSnapshot(nil)
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -17,6 +17,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gentianbarrow.example/internal/acceptor"
@@ -72,6 +73,8 @@
 type Receiver struct {
 	cfg   Config
 	index index
+	// watched is the latest result of isWatched; nil before the first.
+	watched atomic.Pointer[watchedState]
 
 	mu sync.Mutex
 	// balancer and rnd choose targets; rnd also starts splits. Guarded by mu.
