Play firms, their keys and unreadable versions in the soak

Odd seeds of the soak have firms: each version brings a key and takes one away, a process that has served a version neither takes the key that it removed nor refuses the one that it added, and one version in four holds a word that nodes do not know, of which nothing may be in force.

--- a/internal/soaker/mesh_test.go
+++ b/internal/soaker/mesh_test.go
@@ -74,9 +74,14 @@
 	// firstCopy of the store is from before the first node started.
 	firstCopy emulator.Copy
 
+	// hasFirms is set if requests need a key.
+	hasFirms bool
+
 	mu sync.Mutex
-	// versions that the store has acknowledged, the latest last. Guarded by mu.
+	// versions that the store has acknowledged and that can be read, the latest last. Guarded by mu.
 	versions []version
+	// number of the latest version, which may be one that cannot be read. Guarded by mu.
+	number uint64
 }
 
 // version is a configuration that the store holds.
@@ -91,7 +96,10 @@
 // newMesh starts all processes. Addresses are taken from a network of the seed's own on loopback.
 func newMesh(ctx context.Context, t *testing.T, program string, seed uint64) *mesh {
 	t.Helper()
-	m := &mesh{t: t, ctx: ctx, dir: t.TempDir(), store: emulator.NewStore(), ledger: emulator.NewLedger()}
+	m := &mesh{
+		t: t, ctx: ctx, dir: t.TempDir(), store: emulator.NewStore(), ledger: emulator.NewLedger(),
+		hasFirms: seed%2 == 1,
+	}
 	network := fmt.Sprintf("127.%d.%d.", 2+seed/200%200, 1+seed%200)
 	storeAddress := network + "250:7700"
 	ln, err := net.Listen("tcp", storeAddress)
@@ -180,21 +188,24 @@
 func (m *mesh) configure(step uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	v := version{number: step, route: len(m.versions) + 1}
-	if n := len(m.versions); n > 0 {
-		v.number += m.versions[n-1].number
-	}
+	m.number += step
+	v := version{number: m.number, route: len(m.versions) + 1}
+	m.store.Configure(v.number, m.routes(v.route), services, m.firms(v.route), m.ledger)
+	v.acknowledged = time.Now()
+	m.versions = append(m.versions, v)
+}
+
+// routes returns the routes of a version.
+func (m *mesh) routes(last int) []emulator.Route {
 	routes := []emulator.Route{
 		route("read", readPath, "roster", emulator.KindRead),
 		route("book", bookPath, "assign", emulator.KindWrite),
 		route("load", loadPath, "evidence", emulator.KindUpload),
 	}
-	for n := 1; n <= v.route; n++ {
+	for n := 1; n <= last; n++ {
 		routes = append(routes, route(fmt.Sprintf("v%d", n), versionPath(n), "roster", emulator.KindRead))
 	}
-	m.store.Configure(v.number, routes, services)
-	v.acknowledged = time.Now()
-	m.versions = append(m.versions, v)
+	return routes
 }
 
 func route(name, prefix, service string, kind emulator.Kind) emulator.Route {
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -108,8 +108,14 @@
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	for end := time.Now().Add(faultsFor); time.Now().Before(end); {
 		time.Sleep(200*time.Millisecond + upTo(rnd, time.Second))
-		m.configure(1 + rnd.Uint64N(5))
+		step := 1 + rnd.Uint64N(5)
+		if m.hasFirms && rnd.IntN(4) == 0 {
+			m.configureUnreadable(step)
+			continue
+		}
+		m.configure(step)
 	}
+	m.configure(1)
 	group.Wait()
 	m.store.Set(emulator.Faults{})
 }
@@ -158,7 +164,16 @@
 	return emulator.Request{Kind: emulator.KindRead, Host: meshHost, Path: versionPath(m.latest().route), Timeout: routeTimeout}
 }
 
-func (m *mesh) send(c *emulator.Caller, r emulator.Request) emulator.Record { return c.Send(m.ctx, r) }
+// send sends a request with its key, or with the one of its kind.
+func (m *mesh) send(c *emulator.Caller, r emulator.Request) emulator.Record {
+	if m.hasFirms && r.Key == "" {
+		r.Key = firmKey
+		if r.Kind == emulator.KindWrite {
+			r.Key = otherFirmKey
+		}
+	}
+	return c.Send(m.ctx, r)
+}
 
 // load sends requests at every node until the returned function is called.
 func (m *mesh) load(ctx context.Context, group *sync.WaitGroup) (stop func()) {
@@ -206,6 +221,9 @@
 				m.ledger.Broken("config: %s refused the route of version step %d after it had served that of step %d", h.name, n, seen)
 			}
 		}
+		if m.hasFirms {
+			m.probeKeys(c, h, seen)
+		}
 		time.Sleep(pauseBetween)
 	}
 }
@@ -224,6 +242,9 @@
 			assert.Assert(t, time.Now().Before(end), "config: %s does not run the latest version", h.name)
 			time.Sleep(pollEvery)
 		}
+		if m.hasFirms {
+			m.assertKeys(t, []*host{h}, []*emulator.Caller{c}, "calm")
+		}
 		c.Close()
 	}
 	time.Sleep(time.Until(begun.Add(calmFor)))
@@ -234,7 +255,7 @@
 func (m *mesh) assertServed(t *testing.T, begun time.Time, when string, bad func(r emulator.Record) bool) {
 	t.Helper()
 	for _, r := range m.ledger.Records() {
-		if r.Sent.After(begun) && r.Status != statusNoRoute && bad(r) {
+		if r.Sent.After(begun) && !isProbe(r) && bad(r) {
 			t.Errorf("%s: %s (%s) at %s was %s with status %d after %s, ran %d times", when, r.ID, r.Kind, r.Host, r.Outcome, r.Status,
 				r.Ended.Sub(r.Sent).Round(time.Millisecond), m.ledger.Runs(r.ID))
 		}
