Answer no 401 while a greater version waits for witnesses

A version that is received and not yet in force may hold a key that is unknown in the running one. TestNodeThatIsBehind/a_greater_version_waits_for_witnesses failed before: 401 in place of 503.

--- a/internal/receiver/firm.go
+++ b/internal/receiver/firm.go
@@ -38,6 +38,9 @@
 func (rc *Receiver) isConfigBehind(running *snapshotter.Snapshot) bool {
 	state := rc.cfg.State()
 	config := &state.Config
+	if config.Stage.Next != nil && config.Stage.Next.Version > running.Version {
+		return true
+	}
 	return config.PlatformLost || config.PeerVersion.Version > running.Version || config.Refused.IsSet() || !rc.isWatched(state)
 }
 
--- a/internal/receiver/firm_test.go
+++ b/internal/receiver/firm_test.go
@@ -352,7 +352,10 @@
 	for name, change := range map[string]func(c *blackboard.Config){
 		"another node runs a greater version": func(c *blackboard.Config) { c.PeerVersion.Version = c.Running.Version + 1 },
 		"the platform does not answer":        func(c *blackboard.Config) { c.PlatformLost = true },
-		"a greater version cannot be read":    func(c *blackboard.Config) { c.NoteRefused(blackboard.RefusedVersion{SinceAt: time.Now()}) },
+		"a greater version waits for witnesses": func(c *blackboard.Config) {
+			c.Stage.Next = &snapshotter.Snapshot{Version: c.Running.Version + 1}
+		},
+		"a greater version cannot be read": func(c *blackboard.Config) { c.NoteRefused(blackboard.RefusedVersion{SinceAt: time.Now()}) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			runWithFirms(t, 2, targeter.Config{}, func(t *testing.T, m *firmMesh) {
