Show the firm of a request in traces, and measure what identification costs

TestTrace/a_request_of_a_firm failed before: the line had no firm. FuzzIdentify finds a firm for its whole key only.

--- a/internal/commander/trace.go
+++ b/internal/commander/trace.go
@@ -36,6 +36,7 @@
 	Reason      string    `json:"reason,omitempty"`
 	Route       string    `json:"route,omitempty"`
 	Service     string    `json:"service,omitempty"`
+	Firm        string    `json:"firm,omitempty"`
 	Version     uint64    `json:"version,omitempty"`
 	DurationMs  int64     `json:"ms,omitempty"`
 	RemainingMs int64     `json:"ms-left,omitempty"`
@@ -158,6 +159,7 @@
 		{"", l.Reason},
 		{"route ", l.Route},
 		{"service ", l.Service},
+		{"firm ", l.Firm},
 		{"target ", l.Target},
 		{"node ", l.PeerHost},
 		{"load ", l.Load},
--- a/internal/commander/trace_test.go
+++ b/internal/commander/trace_test.go
@@ -28,6 +28,10 @@
 	t.Run("from one file", func(t *testing.T) {
 		assert.Assert(t, strings.Contains(runTrace(t, ExitDone, "r-8", "--logs", "testdata/logs/reyk-a-4.log"), "request-answered"))
 	})
+	t.Run("a request of a firm", func(t *testing.T) {
+		text := runTrace(t, ExitDone, "r-10", "--logs", "testdata/logs")
+		assert.Assert(t, strings.Contains(text, "firm-over-limit, route read, service roster, firm rocklea"), text)
+	})
 	t.Run("a request that is not in the logs", func(t *testing.T) {
 		assert.Assert(t, strings.Contains(runTrace(t, ExitRefused, "r-9", "--logs", "testdata/logs"), "GB0424"))
 	})
--- a/internal/identifier/identifier_test.go
+++ b/internal/identifier/identifier_test.go
@@ -1,6 +1,7 @@
 package identifier
 
 import (
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -63,3 +64,28 @@
 		assert.Equal(t, v, VerdictAnyone)
 	})
 }
+
+func BenchmarkIdentify(b *testing.B) {
+	s, route := newSnapshot(), snapshotter.Route{Name: "lookups"}
+	for name, values := range map[string][]string{"known": {"Bearer k-yatala"}, "unknown": {"Bearer k-nobody"}} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Identify(s, route, "Bearer", values)
+			}
+		})
+	}
+}
+
+func FuzzIdentify(f *testing.F) {
+	f.Add("Bearer k-yatala")
+	f.Add("bearer\tk-yatala")
+	f.Add(" Bearer  k-rocklea ")
+	f.Fuzz(func(t *testing.T, value string) {
+		firm, verdict := Identify(newSnapshot(), snapshotter.Route{}, "Bearer", []string{value})
+		assert.Equal(t, firm.Name != "", verdict == VerdictFirm)
+		if verdict == VerdictFirm {
+			assert.Assert(t, strings.HasSuffix(strings.TrimSpace(value), " k-"+firm.Name), "%q", value)
+		}
+	})
+}
