Let callers with unknown keys come back to a node out of touch less often

A node that has lost the platform or has refused a version asked callers with unknown keys to return after 0.2 s, for as long as that lasts, and all at the same moment. It asks for 1 to 1.5 s now; while a version is under way, 0.2 to 0.3 s.

--- a/internal/receiver/firm.go
+++ b/internal/receiver/firm.go
@@ -8,13 +8,20 @@
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/identifier"
 	"gentianbarrow.example/internal/poller"
+	"gentianbarrow.example/internal/ranker"
 	"gentianbarrow.example/internal/retrier"
 	"gentianbarrow.example/pkg/snapshotter"
 )
 
-// configBehindRetryDelay is when a caller may come back whose access key may be in a
-// version that this node does not have yet.
-const configBehindRetryDelay = 200 * time.Millisecond
+// The times after which a caller may come back whose access key may be in a version that
+// this node does not have.
+const (
+	// versionPendingDelay holds while the version is under way to this node, which takes
+	// some hundred milliseconds.
+	versionPendingDelay = 200 * time.Millisecond
+	// outOfTouchDelay holds while this node cannot tell when it will have the version.
+	outOfTouchDelay = time.Second
+)
 
 // identify returns the firm of the request, or the refusal of one whose access key is not
 // known. A request is checked in this order: route, access key, the firm's limit, room.
@@ -24,24 +31,31 @@
 	if verdict != identifier.VerdictUnknown {
 		return firm, nil
 	}
-	if c.receiver.isConfigBehind(running) {
+	if delay := c.receiver.configBehindDelay(running); delay > 0 {
 		a := exchanger.NotRun(exchanger.ReasonConfigBehind, nil)
-		a.RetryAt = time.Now().Add(configBehindRetryDelay)
+		now := time.Now()
+		a.RetryAt = now.Add(delay + ranker.Jitter(c.record.RequestID, now, 0, delay/2))
 		return firm, a
 	}
 	return firm, exchanger.NotRun(exchanger.ReasonAccessKeyUnknown, nil)
 }
 
-// isConfigBehind reports whether there may be a greater version than the running one, which
-// this node does not have or cannot read. A caller does not come back after it was told
-// that its key is unknown.
-func (rc *Receiver) isConfigBehind(running *snapshotter.Snapshot) bool {
+// configBehindDelay returns after which time a caller with an unknown key may come back if
+// there may be a greater version than the running one, which this node does not have or
+// cannot read; 0 if this node has the latest as far as it knows. A caller does not come
+// back after it was told that its key is unknown.
+func (rc *Receiver) configBehindDelay(running *snapshotter.Snapshot) time.Duration {
 	state := rc.cfg.State()
 	config := &state.Config
-	if config.Stage.Next != nil && config.Stage.Next.Version > running.Version {
-		return true
+	isStaged := config.Stage.Next != nil && config.Stage.Next.Version > running.Version
+	switch {
+	case isStaged, config.PeerVersion.Version > running.Version:
+		return versionPendingDelay
+	case config.PlatformLost, config.Refused.IsSet(), !rc.isWatched(state):
+		return outOfTouchDelay
+	default:
+		return 0
 	}
-	return config.PlatformLost || config.PeerVersion.Version > running.Version || config.Refused.IsSet() || !rc.isWatched(state)
 }
 
 // watchedState is a state with what poller.IsWatched returns for it.
