Request a version that was refused once a minute only

It waits a minute now, unless a greater version is announced.

TestAskAfterNodeUpdate, a version that was refused is seldom requested again, fails without the longer wait.

--- a/internal/blackboard/message_node.go
+++ b/internal/blackboard/message_node.go
@@ -102,5 +102,7 @@
 type ConfigFetchFailed struct {
 	// Address is that of the node that was asked.
 	Address string
+	// Refused is true when it sent a configuration that is refused.
+	Refused bool
 	Now     time.Time
 }
--- a/internal/fetcher/exchange.go
+++ b/internal/fetcher/exchange.go
@@ -34,7 +34,7 @@
 		post(blackboard.ConfigRefused{Version: versionOf(s), Source: e.address, Reason: err.Error(), Now: cfg.Now()})
 	}
 	if err != nil || s == nil {
-		post(blackboard.ConfigFetchFailed{Address: e.address, Now: cfg.Now()})
+		post(blackboard.ConfigFetchFailed{Address: e.address, Refused: isRefusal(err), Now: cfg.Now()})
 		return
 	}
 	post(blackboard.ConfigRead{Snapshot: s, Source: e.address, Now: cfg.Now()})
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -39,6 +39,9 @@
 	// askRetryDelay is the time from a failed request until the version is
 	// requested again.
 	askRetryDelay = 500 * time.Millisecond
+	// refusedRetryDelay is the same after a version that cannot be read. It would be sent
+	// whole each time: 300 kB a minute is the bandwidth limit for control traffic.
+	refusedRetryDelay = time.Minute
 	// askNextDelay is how long a node that was asked may be silent before the next one is
 	// asked as well. A node that loses power after it has announced a version stays a
 	// member for seconds.
@@ -115,7 +118,11 @@
 	case blackboard.NodeUpdated:
 		return noteVersion(s, msg), nil
 	case blackboard.ConfigFetchFailed:
-		s.Config.PeerVersion = handleFetchFailed(s.Config.PeerVersion, msg.Address, msg.Now)
+		delay := askRetryDelay
+		if msg.Refused {
+			delay = refusedRetryDelay
+		}
+		s.Config.PeerVersion = handleFetchFailed(s.Config.PeerVersion, msg.Address, msg.Now, delay)
 	case blackboard.ConfigRefused:
 		s.Config.NoteRefused(blackboard.RefusedVersion{Version: msg.Version, Source: msg.Source, Reason: msg.Reason, SinceAt: msg.Now})
 	case blackboard.PlatformReachabilityChanged:
--- a/internal/fetcher/fetcher_test.go
+++ b/internal/fetcher/fetcher_test.go
@@ -118,6 +118,15 @@
 		s = assertAsks(t, s, start.Add(askRetryDelay-time.Millisecond))
 		assertAsks(t, s, start.Add(askRetryDelay), "10.0.0.0:7600")
 	})
+	// A configuration that a node of a later program sends is refused each time.
+	t.Run("a version that was refused is seldom requested again, and a greater one at once", func(t *testing.T) {
+		s := assertAsks(t, withUpdate(stateWithThreePeers(3), "a-1", 7, start), start, "10.0.0.1:7600")
+		s, _ = Reduce(s, blackboard.ConfigFetchFailed{Address: "10.0.0.1:7600", Refused: true, Now: start})
+		s = withUpdate(s, "a-0", 7, start.Add(time.Second))
+		s = assertAsks(t, s, start.Add(refusedRetryDelay-time.Millisecond))
+		assertAsks(t, s, start.Add(refusedRetryDelay), "10.0.0.0:7600")
+		assertAsks(t, withUpdate(s, "a-0", 8, start.Add(time.Second)), start.Add(time.Second+askRetryDelay), "10.0.0.0:7600")
+	})
 	// A node loses power right after it has announced a version. It stays a member until
 	// its silence is noticed.
 	t.Run("a node that is silent keeps no other node from being asked", func(t *testing.T) {
--- a/internal/fetcher/holders.go
+++ b/internal/fetcher/holders.go
@@ -16,6 +16,10 @@
 	if !known || msg.Version <= versionOf(s.Config.Running) || msg.Version < peerVersion.Version {
 		return s
 	}
+	if limit := msg.Now.Add(askRetryDelay); msg.Version > peerVersion.Version && peerVersion.RetryAt.After(limit) {
+		// The longer wait was for a version that was refused.
+		peerVersion.RetryAt = limit
+	}
 	holder := blackboard.VersionHolder{Address: member.Address, SameDataCentre: member.DataCentre == s.Self.DataCentre}
 	at := msg.Now.Add(askDelay(&s, holder.SameDataCentre))
 	if peerVersion.Version != 0 && peerVersion.PullAt.Before(at) {
@@ -81,7 +85,7 @@
 
 // handleFetchFailed schedules the next request after one that brought no version. The
 // node that was asked may be gone, so it is asked again only after the others.
-func handleFetchFailed(v blackboard.PeerVersion, address string, now time.Time) blackboard.PeerVersion {
+func handleFetchFailed(v blackboard.PeerVersion, address string, now time.Time, retryDelay time.Duration) blackboard.PeerVersion {
 	i := slices.IndexFunc(v.Asked, func(h blackboard.VersionHolder) bool { return h.Address == address })
 	if i < 0 {
 		return v
@@ -90,7 +94,7 @@
 	failed.Failed = true
 	v.Asked = slices.Delete(slices.Clone(v.Asked), i, i+1)
 	v.Holders = append(slices.Clone(v.Holders), failed)
-	v.RetryAt = now.Add(askRetryDelay)
+	v.RetryAt = now.Add(retryDelay)
 	v.PullAt = v.RetryAt
 	return v
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -5,8 +5,8 @@
 //	Gentian-Outcome: done | not-run | unknown
 //	Gentian-Reason:  the reason, unless the outcome is done
 //
-// "not-run" comes with status 503 (400, 404, 413 or 422 when the request itself is
-// at fault) and is reported only when provably no target started the request.
+// "not-run" comes with status 503 (400, 401, 404, 413 or 422 when the request itself is
+// at fault, 429 beyond the limit of its firm) and is reported only when provably no target started the request.
 // "unknown" comes with status 504. When an answer is truncated on its way, the
 // caller's connection is aborted, so that the answer cannot look complete.
 package receiver
