--- a/internal/pacer/pacer_test.go
+++ b/internal/pacer/pacer_test.go
@@ -148,3 +148,22 @@
 		_ = l.wait(b.Context(), 1)
 	}
 }
+
+// TestLateProcess sends one answer of 90 kB from a process that is 4 ms late with each piece,
+// which must not add up to twice the time that the answer takes.
+func TestLateProcess(t *testing.T) {
+	s, now := newSchedule(11), start
+	left := 90_000
+	for left > 0 {
+		n := min(s.pieceBytes(), left)
+		if !s.ask(now, piece{id: 1, bytes: n}) {
+			now = s.nextAt().Add(4 * time.Millisecond)
+			_, ok := s.next(now)
+			assert.Assert(t, ok)
+		}
+		left -= n
+		now = now.Add(4 * time.Millisecond)
+	}
+	alone := s.duration(90_000)
+	assert.Assert(t, now.Sub(start) <= alone*5/4, "%s for %s", now.Sub(start), alone)
+}
--- a/internal/pacer/schedule.go
+++ b/internal/pacer/schedule.go
@@ -25,7 +25,8 @@
 	// maxAhead is how much of what was let go may still be on its way when the next piece
 	// goes, so that the link does not stand idle while the process wakes up.
 	maxAhead = pieceTime
-	// maxCatchUp is how much time of the link a process that wakes up late makes up for.
+	// maxCatchUp is how much time of the link a process makes up for that wakes up late, or
+	// is late with the next piece of the only answer. Time without long answers does not count.
 	maxCatchUp = 2 * pieceTime
 )
 
@@ -60,7 +61,10 @@
 // ask reports whether a piece may go at once; otherwise it waits.
 func (s *schedule) ask(now time.Time, p piece) bool {
 	if len(s.waiting) == 0 && s.isOpen(now) {
-		s.letGo(now, p.bytes, 0)
+		if now.Sub(s.clearAt) > maxCatchUp {
+			s.clearAt = now
+		}
+		s.letGo(now, p.bytes)
 		return true
 	}
 	s.waiting = append(s.waiting, p)
@@ -76,7 +80,7 @@
 	p := s.waiting[0]
 	s.waiting = s.waiting[1:]
 	s.waitingBytes -= p.bytes
-	s.letGo(now, p.bytes, maxCatchUp)
+	s.letGo(now, p.bytes)
 	return p.id, true
 }
 
@@ -103,10 +107,9 @@
 // isOpen reports whether the link has sent nearly all of what was let go.
 func (s *schedule) isOpen(now time.Time) bool { return !now.Before(s.nextAt()) }
 
-// letGo counts a piece as sent. catchUp is how long the link may have stood idle before now for
-// which it makes up.
-func (s *schedule) letGo(now time.Time, bytes int, catchUp time.Duration) {
-	if earliest := now.Add(-catchUp); s.clearAt.Before(earliest) {
+// letGo counts a piece as sent. It makes up for some of the time in which the link stood idle.
+func (s *schedule) letGo(now time.Time, bytes int) {
+	if earliest := now.Add(-maxCatchUp); s.clearAt.Before(earliest) {
 		s.clearAt = earliest
 	}
 	s.clearAt = s.clearAt.Add(s.duration(bytes))
