Keep the garbage of a crowd within a node's budget of memory

The limit now counts the program (its text and data are 11.4 MB) and stays at 64 MB as long as 16 MB are left above the live heap. TestMemoryBudget failed before (limit of 52.4 MB beside the program with 8 MB live).

--- a/internal/composer/memory.go
+++ b/internal/composer/memory.go
@@ -22,6 +22,13 @@
 	headroomStepBytes  = 8 << 20
 	headroomDecayBytes = 1 << 20
 	maxHeadroomBytes   = 32 << 20
+	// budgetBytes is the memory that a node may use, and programBytes what the pages of the
+	// program take of it, which the limit does not count.
+	budgetBytes  = 64_000_000
+	programBytes = 12 << 20
+	// keptHeadroomBytes is the headroom that may pass the budget: with less, a live heap
+	// near the budget would be collected all the time.
+	keptHeadroomBytes = 16 << 20
 	// The heap may always grow to 3/2 of the live heap, so that the garbage collector
 	// does not run all the time when requests use much memory.
 	heapHeadroomNumerator, heapHeadroomDenominator = 3, 2
@@ -32,9 +39,13 @@
 )
 
 // memoryLimit returns the soft memory limit in bytes for the size of the live heap
-// and of the other memory of the runtime, and for the headroom of the heap.
+// and of the other memory of the runtime, and for the headroom of the heap. The headroom
+// stays within the budget of the node, but for keptHeadroomBytes.
 func memoryLimit(liveBytes, otherBytes, headroomBytes uint64) int64 {
-	return int64(max(minMemoryLimitBytes, otherBytes+max(liveBytes*heapHeadroomNumerator/heapHeadroomDenominator, liveBytes+headroomBytes)))
+	usedBytes := otherBytes + liveBytes
+	withinBudget := budgetBytes - programBytes - min(usedBytes, budgetBytes-programBytes)
+	headroomBytes = min(headroomBytes, max(withinBudget, keptHeadroomBytes))
+	return int64(max(minMemoryLimitBytes, otherBytes+liveBytes*heapHeadroomNumerator/heapHeadroomDenominator, usedBytes+headroomBytes))
 }
 
 // nextHeadroom returns how much garbage the heap may hold, from the headroom before and
--- a/internal/composer/memory_test.go
+++ b/internal/composer/memory_test.go
@@ -38,3 +38,21 @@
 	assert.Equal(t, nextHeadroom(headroom, 0), uint64(0))
 	assert.Assert(t, countCollections() < 1<<40)
 }
+
+// TestMemoryBudget guards against a node under a crowd that passes its budget of memory by
+// garbage alone.
+func TestMemoryBudget(t *testing.T) {
+	const roomBytes = budgetBytes - programBytes
+	t.Run("the headroom stays within the budget", func(t *testing.T) {
+		for liveBytes := uint64(1 << 20); liveBytes <= 22<<20; liveBytes += 1 << 20 {
+			limit := memoryLimit(liveBytes, 10<<20, maxHeadroomBytes)
+			assert.Assert(t, limit <= roomBytes, "%d bytes live: limit %d", liveBytes, limit)
+		}
+	})
+	t.Run("a live heap near the budget is not collected all the time", func(t *testing.T) {
+		for liveBytes := uint64(25 << 20); liveBytes <= 80<<20; liveBytes += 1 << 20 {
+			limit := memoryLimit(liveBytes, 12<<20, maxHeadroomBytes)
+			assert.Assert(t, limit >= int64(liveBytes+12<<20+keptHeadroomBytes), "%d bytes live: limit %d", liveBytes, limit)
+		}
+	})
+}
