Answer 429 before lateness, and give back tokens of rejected requests

A late node answered 503 to requests of a firm beyond its limit, which are owed nothing and came back as if they were. Now the firm's limit is counted before the guard of the processor, as access-keys.md says, and the token of a request that the guard or the drain rejects is given back. Refusals before a request is routed on are now counted and logged for their firm and class. TestLimitAtLateNode failed before (503; no token counted).

--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -44,6 +44,8 @@
 
 	// firm is the firm whose access key the request carries; its name is empty when there is none.
 	firm snapshotter.Firm
+	// class is that of the route; empty until the request has been identified.
+	class snapshotter.Class
 	// request is nil until the request has been routed.
 	request *exchanger.Request
 	service snapshotter.Service
@@ -65,17 +67,19 @@
 	if refusal := c.routeRequest(); refusal != nil {
 		return refusal
 	}
+	a := c.track()
+	c.returnToken(a)
+	return a
+}
+
+// track sends a request that has been routed, and counts it while it is in flight.
+func (c *call) track() *exchanger.Answer {
 	done, ok := c.receiver.cfg.Tracker.Begin(c.request.Class)
 	if !ok {
 		return exchanger.NotRun(exchanger.ReasonNodeDraining, nil)
 	}
 	c.done = done
-	if refusal := c.takeToken(); refusal != nil {
-		return refusal
-	}
-	a := c.sendAttempts(c.httpRequest.Context())
-	c.returnToken(a)
-	return a
+	return c.sendAttempts(c.httpRequest.Context())
 }
 
 // requestID returns the caller's id if it is printable ASCII without spaces and not
@@ -132,6 +136,7 @@
 	if refusal != nil {
 		return refusal
 	}
+	c.firm, c.class = firm, route.Class
 	c.record.Firm = firm.Name
 	if name := c.receiver.serviceOf(&route); name != service.Name {
 		service = running.Services[name]
@@ -153,7 +158,11 @@
 		return exchanger.NotRun(exchanger.ReasonBadRequest, nil)
 	}
 	isCall := depth > 1 || len(running.Firms) > 0 && firm.Name == ""
+	if refusal := c.takeToken(); refusal != nil {
+		return refusal
+	}
 	if refusal := c.admit(route, firm, deadline, isCall); refusal != nil {
+		c.returnToken(refusal)
 		return refusal
 	}
 	c.request = c.newRequest(route, service, depth, deadline, running.Version)
@@ -294,9 +303,9 @@
 		ring.Add(c.record)
 	}
 	c.logOutcome()
-	firm, class := "", snapshotter.Class("")
+	firm := c.firm.Name
 	if c.request != nil {
-		firm, class = c.request.Firm, c.request.Class
+		firm = c.request.Firm
 	}
-	c.receiver.cfg.Meter.RecordRequest(firm, class, c.record.Outcome, c.record.Reason, time.Since(c.record.Arrived))
+	c.receiver.cfg.Meter.RecordRequest(firm, c.class, c.record.Outcome, c.record.Reason, time.Since(c.record.Arrived))
 }
--- a/internal/receiver/firm.go
+++ b/internal/receiver/firm.go
@@ -101,7 +101,6 @@
 // and its key goes no further than this node.
 func (c *call) setFirm(firm snapshotter.Firm) {
 	d := &c.receiver.cfg.Dialect
-	c.firm = firm
 	c.request.Firm, c.request.FirmRate = firm.Name, firm.Rate
 	c.request.Priority += firm.Priority * (snapshotter.MaxPriority + 1)
 	delete(c.request.Header, http.CanonicalHeaderKey(d.AccessKey))
--- a/internal/receiver/late_test.go
+++ b/internal/receiver/late_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +16,7 @@
 	"gentianbarrow.example/internal/explainer"
 	"gentianbarrow.example/internal/retrier"
 	"gentianbarrow.example/internal/shedder"
+	"gentianbarrow.example/internal/targeter"
 	"gentianbarrow.example/pkg/snapshotter"
 )
 
@@ -131,3 +134,38 @@
 		})
 	}
 }
+
+// TestLimitAtLateNode guards against a firm beyond its limit that is told to come back as if
+// it were owed an answer, and against tokens lost to a node that is short of processor time.
+func TestLimitAtLateNode(t *testing.T) {
+	const tolerance = 20 * time.Millisecond
+	for name, c := range map[string]struct {
+		beyond   bool
+		status   int
+		want     exchanger.Reason
+		returned int
+	}{
+		"beyond the limit": {true, http.StatusTooManyRequests, exchanger.ReasonOverLimit, 0},
+		"within the limit": {false, http.StatusServiceUnavailable, exchanger.ReasonNodeLate, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithFirms(t, 1, targeter.Config{}, func(t *testing.T, m *firmMesh) {
+				m.nodes[0].receiver.cfg.Guard = &shedder.Guard{
+					Lateness: func() shedder.Lateness {
+						return shedder.Lateness{Mean: 3 * tolerance, Standing: 3 * tolerance, Tolerance: tolerance}
+					},
+					Spread: func() float64 { return 0.5 },
+				}
+				m.refuseTokens = c.beyond
+				assertRefusal(t, m.askOnce(t.Context(), 0, "/read", bearer(keyRocklea)), c.status, c.want)
+				m.assertNothingRan(t)
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				assert.Equal(t, m.taken, 1)
+				assert.Equal(t, m.returned, c.returned)
+				text := exposed(t, m.metrics)
+				assert.Assert(t, strings.Contains(text, "rocklea"), "the refusal is not counted for the firm")
+			})
+		})
+	}
+}
--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -33,8 +33,8 @@
 	if c.receiver.cfg.Delay != nil {
 		f.NodeLateMillis = c.receiver.cfg.Delay().Milliseconds()
 	}
+	f.Class = string(c.class)
 	if c.request != nil {
-		f.Class = string(c.request.Class)
 		f.RemainingMillis = c.request.Deadline.Sub(c.record.Arrived).Milliseconds()
 	}
 	c.receiver.cfg.Log.WriteRequest(event, f)
