Keep requests under way when a peer accepts streams late

A peer that is short of processor time, or serves 1,024 streams, accepts no further one for seconds. After 2 s yamux then closed the whole session, and each request under way on it was answered 502 although it could still be answered, or had not been read at all. And a stream that could not be opened waited for the peer beyond the request's own time, and closed the session for all others. Now the open is bounded by the request, the session that fails is retired rather than closed, and only 30 s without an accepted stream close it; sessions of peers that are gone end by their pings as before. TestPeerThatAcceptsLate failed before (2 s in place of 250 ms).

--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -175,13 +175,20 @@
 		current.touch(&current.lastUsed)
 		return current
 	}
-	l.mu.Lock()
-	s.retired[current] = true
-	s.current = nil
-	l.mu.Unlock()
+	l.retire(s, current)
 	return nil
 }
 
+// retire makes a session take no new streams. Its streams may still finish.
+func (l *Linker) retire(s *linkSet, retired *link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.current == retired {
+		s.retired[retired] = true
+		s.current = nil
+	}
+}
+
 func (l *Linker) pingWithin(current *link, timeout time.Duration) bool {
 	answered := make(chan bool, 1)
 	l.mu.Lock()
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -40,7 +40,11 @@
 const (
 	dialTimeout  = 2 * time.Second
 	writeTimeout = 3 * time.Second
-	openTimeout  = 2 * time.Second
+	// openTimeout is how long a peer may leave a stream unaccepted before its session is
+	// closed, with all its streams. A peer that is short of processor time answers pings late
+	// but answers, and so does one that serves maxStreams streams: the requests under way
+	// there are not given up for that. Sessions of peers that are gone end by their pings.
+	openTimeout  = 30 * time.Second
 	maxKindBytes = 256
 	// defaultWindowBytes is the smallest window that yamux allows.
 	defaultWindowBytes = 256 << 10
@@ -177,13 +181,16 @@
 			return nil, &UnreachableError{Address: address, Cause: err}
 		}
 	}
-	link, err := l.activeLink(ctx, linkKey{address, traffic})
+	key := linkKey{address, traffic}
+	link, err := l.activeLink(ctx, key)
 	if err != nil {
 		return nil, &UnreachableError{Address: address, Cause: err}
 	}
-	conn, err := link.session.Open()
+	conn, err := l.openStream(ctx, link)
 	if err != nil {
-		_ = link.session.Close()
+		if ctx.Err() == nil {
+			l.retire(l.linkSet(key), link)
+		}
 		return nil, &UnreachableError{Address: address, Cause: err}
 	}
 	if _, err := conn.Write(buf.Bytes()); err != nil {
@@ -193,6 +200,38 @@
 	return &Stream{Conn: conn, Reader: bufio.NewReaderSize(conn, readBufferBytes), link: link}, nil
 }
 
+// openStream opens a stream of the session. It waits no longer than ctx while the peer
+// leaves too many streams unaccepted.
+func (l *Linker) openStream(ctx context.Context, on *link) (net.Conn, error) {
+	type result struct {
+		conn net.Conn
+		err  error
+	}
+	opened := make(chan result)
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return nil, &ClosedError{}
+	}
+	l.monitors.Go(func() {
+		conn, err := on.session.Open()
+		select {
+		case opened <- result{conn, err}:
+		case <-ctx.Done():
+			if err == nil {
+				_ = conn.Close()
+			}
+		}
+	})
+	l.mu.Unlock()
+	select {
+	case r := <-opened:
+		return r.conn, r.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // ClosedError reports that a linker opens no sessions any more.
 type ClosedError struct{}
 
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"gotest.tools/v3/assert"
 )
 
@@ -206,6 +207,43 @@
 	})
 }
 
+// TestPeerThatAcceptsLate guards against requests under way that are lost because the peer,
+// which is short of processor time, accepts no further streams for some seconds.
+func TestPeerThatAcceptsLate(t *testing.T) {
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, func(t *testing.T) {
+		local, remote := net.Pipe()
+		cfg := yamux.DefaultConfig()
+		cfg.EnableKeepAlive, cfg.LogOutput = false, io.Discard
+		peer, err := yamux.Server(remote, cfg)
+		assert.NilError(t, err)
+		l := New()
+		l.Dial = func(context.Context, string) (net.Conn, error) { return local, nil }
+		underWay := open(t, l, TrafficShort)
+		served, err := peer.Accept()
+		assert.NilError(t, err)
+		for range cfg.AcceptBacklog {
+			open(t, l, TrafficShort)
+		}
+		start := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
+		defer cancel()
+		_, err = l.Open(ctx, "peer", TrafficShort, "echo")
+		var unreachable *UnreachableError
+		assert.Assert(t, errors.As(err, &unreachable), "%v", err)
+		assert.Equal(t, time.Since(start), 250*time.Millisecond)
+		time.Sleep(5 * time.Second)
+		_, err = io.WriteString(served, "answer")
+		assert.NilError(t, err)
+		got := make([]byte, len("answer"))
+		_, err = io.ReadFull(underWay.Reader, got)
+		assert.NilError(t, err)
+		_ = peer.Close()
+		l.Close()
+	})
+}
+
 func TestSilentSession(t *testing.T) {
 	t.Run("new streams avoid a silent session that was in use", func(t *testing.T) {
 		runWithPeer(t, func(t *testing.T, l *Linker, e *echoPeer) {
