Try another node when a stream does not open in time

A request waited for a connection, for another request that connects, or for the peer's session for up to its whole deadline, and reached nobody. It now waits a quarter of the time for which its answer has full value, at least 200 ms, and goes elsewhere; nothing has been sent, so it has not run.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -47,9 +47,29 @@
 			return s, startExchange(s, address, m)
 		}
 	}
+	ctx, cancel := context.WithDeadline(ctx, openBy(time.Now(), r))
+	defer cancel()
 	return f.cfg.Open(ctx, address, traffic, Kind, m, encoder.MaxHeaderBytes)
 }
 
+const (
+	// openDivisor divides the time for which the answer to a request keeps its full value to
+	// give that for which a stream may take to open. What cannot be sent by then has not run
+	// and is sent to another node, where it can still be in time.
+	openDivisor = 4
+	// minOpenTime is enough for a connection to a distant data centre.
+	minOpenTime = 200 * time.Millisecond
+)
+
+// openBy returns until when a stream for the request may take to open.
+func openBy(now time.Time, r *exchanger.Request) time.Time {
+	end := r.Deadline
+	if r.SoftDeadline.After(now) {
+		end = r.SoftDeadline
+	}
+	return now.Add(max(end.Sub(now)/openDivisor, minOpenTime))
+}
+
 // startExchange starts another exchange on an idle stream.
 func startExchange(s *linker.Stream, address string, m *wirepb.ForwardRequest) error {
 	var tooLarge *encoder.TooLargeError
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -153,6 +153,33 @@
 		}})
 		assert.Equal(t, f.Forward(t.Context(), "peer", testRequest()).Outcome, retrier.OutcomeNotRun)
 	})
+	t.Run("a peer that hangs leaves time for another one", func(t *testing.T) {
+		for name, c := range map[string]struct{ soft, deadline, want time.Duration }{
+			"objective":            {2 * time.Second, 20 * time.Second, 500 * time.Millisecond},
+			"deadline only":        {0, 4 * time.Second, time.Second},
+			"objective has passed": {-time.Second, 4 * time.Second, time.Second},
+			"short objective":      {100 * time.Millisecond, 4 * time.Second, minOpenTime},
+			"short deadline":       {0, 100 * time.Millisecond, 100 * time.Millisecond},
+		} {
+			t.Run(name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := New(Config{Open: func(ctx context.Context, address string, _ linker.Traffic, _ string, _ proto.Message, _ int) (*linker.Stream, error) {
+						<-ctx.Done()
+						return nil, &linker.UnreachableError{Address: address, Cause: ctx.Err()}
+					}})
+					r, start := testRequest(), time.Now()
+					r.Deadline, r.AbortAt = start.Add(c.deadline), time.Time{}
+					if c.soft != 0 {
+						r.SoftDeadline = start.Add(c.soft)
+					}
+					a := f.Forward(t.Context(), "peer", r)
+					assert.Equal(t, a.Outcome, retrier.OutcomeNotRun)
+					assert.Equal(t, a.Reason, exchanger.ReasonUnreachable)
+					assert.Equal(t, time.Since(start), c.want)
+				})
+			})
+		}
+	})
 	t.Run("interrupted open is outcome unknown", func(t *testing.T) {
 		f := New(Config{Open: func(context.Context, string, linker.Traffic, string, proto.Message, int) (*linker.Stream, error) {
 			return nil, &linker.InterruptedError{}
