Recover from the estimate of a stall within a few answers

After a stall a gate with 1 or 2 of 18 slots in use refused requests as too late on an estimate of 12 to 14 s: one request at a time was tried, none while one of the route hung, and each answer took a tenth off. Now a fifth of the slots may hold such trials, and four service times in a row below a quarter of the smoothed one replace it, so that it neither refuses nor holds room free for a load that is not there. TestRecoveryFromStall failed before: request 34 of 50 refused, and all 50 beside two that hang. TestSlowTarget bounds the trials at a target that is really slow.

--- a/internal/limiter/estimator.go
+++ b/internal/limiter/estimator.go
@@ -20,6 +20,8 @@
 	mean [classCount]float64
 	// byRoute holds the smoothed service time of each route in nanoseconds.
 	byRoute smoother.RouteMeans
+	// latest holds the last service times of each route.
+	latest latestTimes
 	// startTimeSums holds the sum of the start times of each class's running requests,
 	// in microseconds since 1970.
 	startTimeSums [classCount]int64
@@ -35,6 +37,11 @@
 	e.mean[c] = smoother.Smooth(e.mean[c], float64(serviceTime), serviceTimeWeight)
 	if route != "" {
 		e.byRoute.Add(route, float64(serviceTime))
+		e.latest.add(route, serviceTime)
+		mean, _ := e.byRoute.Mean(route)
+		if longest, known := e.latest.longest(route); known && float64(longest)*staleFactor < mean {
+			e.byRoute.Set(route, float64(longest))
+		}
 	}
 }
 
--- a/internal/limiter/wait.go
+++ b/internal/limiter/wait.go
@@ -2,25 +2,32 @@
 
 import "time"
 
+// trialDivisor divides the slots to give those in which requests of a route are tried that
+// would miss their deadline by the estimate.
+const trialDivisor = 5
+
 // missesDeadline reports whether a request would not end in time even if it
-// started now. While no request of its class and route is running, it is tried
+// started now. While few requests of its class and route are running, it is tried
 // regardless of the estimate. Otherwise an estimate that has become wrong, for
-// example because the host was paused, would refuse the route for ever.
+// example because the host was paused, would refuse the route for ever, or as long as
+// one request hangs.
 func (g *Gate) missesDeadline(now time.Time, r Request, c class) bool {
 	if !now.Before(r.Deadline) {
 		return true
 	}
-	return now.Add(g.estimator.expectedForRoute(c, r.Route)).After(r.Deadline) && g.hasRunning(c, r.Route)
+	return now.Add(g.estimator.expectedForRoute(c, r.Route)).After(r.Deadline) &&
+		g.countRunning(c, r.Route) >= max(g.slots(now)/trialDivisor, 1)
 }
 
-// hasRunning reports whether a request of the class and route holds a slot.
-func (g *Gate) hasRunning(c class, route string) bool {
+// countRunning counts the requests of the class and route that hold a slot.
+func (g *Gate) countRunning(c class, route string) int {
+	n := 0
 	for _, run := range g.running {
 		if run.class == c && run.route == route {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // enqueue queues a request for which no slot is free, or refuses it. It evicts
--- a/internal/smoother/smoother.go
+++ b/internal/smoother/smoother.go
@@ -33,6 +33,13 @@
 	}
 }
 
+// Set replaces the mean of a route that has one.
+func (b *RouteMeans) Set(route string, mean float64) {
+	if _, known := b.means[route]; known {
+		b.means[route] = mean
+	}
+}
+
 // Mean returns the mean of a route, or false if it has none.
 func (b *RouteMeans) Mean(route string) (mean float64, known bool) {
 	mean, known = b.means[route]
