--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -48,8 +48,8 @@
 	// requestArrived is when the first byte of the latest request arrived, by estimate. It
 	// is used by the reading goroutine only.
 	requestArrived time.Time
-	// peerClosed is set when the reading goroutine has read the end of the stream or an
-	// error: the caller sends nothing more.
+	// peerClosed is set when the reading goroutine has read the end of the stream: the caller
+	// sends nothing more. It is used by that goroutine only.
 	peerClosed bool
 	// latestDone is closed when the answer to the latest request is complete.
 	latestDone chan struct{}
