--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -5,13 +5,18 @@
 	"strings"
 	"time"
 
+	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/explainer"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/retrier"
 )
 
 // logOutcome logs one line on the request: its attempts, what they were decided on, and its outcome.
+// Requests beyond a firm's limit are only counted: they are many, and should cost little.
 func (c *call) logOutcome() {
+	if c.record.Reason == exchanger.ReasonOverLimit {
+		return
+	}
 	event := logger.RequestAnswered
 	switch c.record.Outcome {
 	case retrier.OutcomeNotRun:
