--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -57,7 +57,9 @@
 	OnPanic func(value any)
 
 	draining atomic.Bool
-	mu       sync.Mutex
+	// connections counts those that were accepted.
+	connections atomic.Uint64
+	mu          sync.Mutex
 	// conns holds the open connections. Guarded by mu.
 	conns map[*conn]struct{}
 	group sync.WaitGroup
--- a/internal/acceptor/caller.go
+++ b/internal/acceptor/caller.go
@@ -16,6 +16,8 @@
 	// IsGone reports whether the caller has closed its connection. It sees a close that
 	// lies behind requests which have not been read yet, but not one that has not arrived.
 	IsGone func() bool
+	// Connection numbers the connections of the Server from 1.
+	Connection uint64
 }
 
 type callerKey struct{}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -21,6 +21,8 @@
 // each request runs in a goroutine of its own.
 type conn struct {
 	server *Server
+	// number identifies the connection among those of the server.
+	number uint64
 	nc     net.Conn
 	source *limitedReader
 	r      *bufio.Reader
@@ -57,7 +59,7 @@
 	closed := make(chan struct{})
 	close(closed)
 	return &conn{
-		server: s, nc: nc, source: source, ctx: ctx, cancel: cancel,
+		server: s, number: s.connections.Add(1), nc: nc, source: source, ctx: ctx, cancel: cancel,
 		r: bufio.NewReaderSize(source, readBufferBytes), w: bufio.NewWriterSize(nc, writeBufferBytes),
 		requestEnded: make(chan struct{}, 1), latestDone: closed,
 	}
@@ -227,7 +229,7 @@
 		conn: c, cancel: cancel, sequence: c.started, previousDone: c.latestDone, done: make(chan struct{}),
 		header: http.Header{}, contentLength: -1,
 	}
-	caller := Caller{Arrived: c.requestArrived, IsGone: c.isClosedByPeer}
+	caller := Caller{Arrived: c.requestArrived, IsGone: c.isClosedByPeer, Connection: c.number}
 	x.request = r.WithContext(context.WithValue(ctx, callerKey{}, caller))
 	x.body = newRequestBody(x, r)
 	x.request.Body = x.body
