Let calls go first, and limit the runs that make them by the room of the called service

Callers saw runs that had used their slots end with 500 because a call was refused at its soft deadline, though the run could have used its answer for much longer, while new runs were let in.

- At a target's gate a call goes before callers' requests of all priorities, waits to its deadline, takes queue places of callers' requests, and leaves them a fifth of the slots.
After a refusal it asks up to eight more nodes.
- Each node limits the runs of its own target that make calls, by how long these waited for slots on their whole way, which answers tell.
What cannot start is refused as called-room; other requests go on.

TestCrest replays 1.3 times the called room with knowledge 50 to 500 ms old: goodput stays within a tenth of the room, also with calls nested 11 deep. Without the limits it fails (calls waited 285 ms in second 3). The tests of package limiter fail without the order of calls.

Calls still take 250 to 400 ms at a crest where the link of their target is full of long answers, which no gate sees.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -34,6 +34,7 @@
 	"gentianbarrow.example/internal/loader"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/meter"
+	"gentianbarrow.example/internal/moderator"
 	"gentianbarrow.example/internal/receiver"
 	"gentianbarrow.example/internal/summarizer"
 	"gentianbarrow.example/internal/timekeeper"
@@ -67,6 +68,8 @@
 	metrics       *prometheus.Registry
 	// delay measures how late this process runs.
 	delay *timekeeper.DelayMeter
+	// calledRoom limits the runs that make calls.
+	calledRoom *moderator.Room
 }
 
 // Listen opens the listeners of the settings and builds the node. It accepts no
@@ -205,6 +208,7 @@
 	g := newRunGroup(ctx)
 	g.start("board", n.board.Run)
 	g.start("delay", n.delay.Run)
+	g.start("called-room", n.calledRoom.Run)
 	g.start("memory", func(ctx context.Context) error {
 		limitMemory(ctx)
 		return nil
--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -8,10 +8,12 @@
 	"gentianbarrow.example/internal/acceptor"
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/dispatcher"
+	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/executor"
 	"gentianbarrow.example/internal/forwarder"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/meter"
+	"gentianbarrow.example/internal/moderator"
 	"gentianbarrow.example/internal/receiver"
 	"gentianbarrow.example/internal/timekeeper"
 	"gentianbarrow.example/pkg/snapshotter"
@@ -22,15 +24,31 @@
 func (n *Node) buildRequestPath(a adapter) {
 	m := meter.New(n.metrics, func() int { return n.tracker.Count().Total }, n.delay.Delay)
 	o := &observer{post: func(msg blackboard.Msg) { n.board.Post(msg) }, now: time.Now}
+	n.calledRoom = moderator.NewRoom(moderator.Config{
+		StartedAt: time.Now(),
+		Slots: func() int {
+			l, _ := n.executor.Load()
+			return l.Slots
+		},
+		Apply: func(limits map[string]float64) { n.executor.SetCallLimits(limits) },
+	})
 	n.executor = executor.New(executor.Config{
-		Host:             n.settings.Host,
-		Target:           func() blackboard.Target { return n.board.Read().Target },
-		Service:          n.service,
-		Client:           dispatcher.NewHTTP(dispatcher.WithDialect(a.dialect)),
-		Observe:          m.RecordService,
-		ObserveSent:      m.RecordSent,
+		Host:    n.settings.Host,
+		Target:  func() blackboard.Target { return n.board.Read().Target },
+		Service: n.service,
+		Client:  dispatcher.NewHTTP(dispatcher.WithDialect(a.dialect)),
+		Observe: func(r *exchanger.Request, queued, served time.Duration) {
+			m.RecordService(r, queued, served)
+			n.calledRoom.RecordRunEnd(time.Now(), r.ID, r.Route, served)
+		},
+		ObserveSent: func(r *exchanger.Request) {
+			m.RecordSent(r)
+			n.calledRoom.RecordRunStart(time.Now(), r.ID, r.Route)
+		},
 		ObserveRateLimit: m.RecordRateLimit,
 		ReportHealth:     o.observe,
+		Calls:            n.calledRoom.Calls,
+		DeeperWait:       n.calledRoom.WaitPerRun,
 		Log:              n.log,
 		ReportWrongTarget: func(id string) {
 			n.board.Post(blackboard.TargetMismatched{ID: id, Now: time.Now()})
@@ -60,6 +78,8 @@
 		Match:        snapshotter.Match,
 		Execute:      n.executor.Execute,
 		Forward:      n.forwarder.Forward,
+		OriginOf:     n.calledRoom.Arrive,
+		RecordCall:   n.calledRoom.RecordCall,
 		Delay:        n.delay.MeanDelay,
 		Tracker:      n.tracker,
 		Explanations: n.explainer,
--- a/internal/encoder/load.go
+++ b/internal/encoder/load.go
@@ -13,6 +13,7 @@
 	return &wirepb.TargetLoad{
 		Slots: uint32(l.Slots), InFlight: uint32(l.InFlight), Queued: uint32(l.Queued),
 		Draining: l.Draining, Incarnation: incarnation, ServiceMicro: l.Service.Microseconds(),
+		CallWaitMicro: l.CallWait.Microseconds(),
 	}
 }
 
@@ -24,5 +25,6 @@
 	return &limiter.Load{
 		Slots: int(m.GetSlots()), InFlight: int(m.GetInFlight()), Queued: int(m.GetQueued()),
 		Draining: m.GetDraining(), Service: time.Duration(m.GetServiceMicro()) * time.Microsecond,
+		CallWait: time.Duration(max(m.GetCallWaitMicro(), 0)) * time.Microsecond,
 	}
 }
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -118,6 +118,8 @@
 	Unread time.Duration
 	// MaxAttempts is how often the request may be sent; 0 means the retrier's default.
 	MaxAttempts int
+	// IsCall is set if a run at a target waits for the answer, so that a refusal would waste that run.
+	IsCall bool
 	// Depth is 1 for a request that no other request caused; at most MaxDepth.
 	Depth int
 	// Attempt counts from 1 at the node that received the request from the caller.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -58,6 +58,11 @@
 	// ObserveRateLimit is called when the target states another limit on the requests a
 	// second that it accepts, or none; nil means no call.
 	ObserveRateLimit func(perSecond float64, isLimited bool)
+	// Calls returns the services that the runs of a route call; nil means that none is known.
+	Calls func(route string) []string
+	// DeeperWait returns how long a run of the target waits for slots of services that it
+	// calls; nil means never.
+	DeeperWait func() time.Duration
 	// FixedSlots and NoRamp are copied to the limits of the target.
 	FixedSlots, NoRamp bool
 	// Order is the order of waiting requests; empty means the limiter's default.
@@ -147,7 +152,7 @@
 	if gate == nil {
 		return nil
 	}
-	refused := gate.Precheck(limiterRequest(r), ahead)
+	refused := gate.Precheck(e.limiterRequest(r), ahead)
 	if refused == nil {
 		return nil
 	}
@@ -236,7 +241,7 @@
 		forgetKey(entry)
 		return exchanger.NotRun(exchanger.ReasonNoConfig, nil)
 	}
-	release, err := gate.Acquire(ctx, limiterRequest(r))
+	release, err := gate.Acquire(ctx, e.limiterRequest(r))
 	if err != nil {
 		forgetKey(entry)
 		a := refusedAnswer(err)
@@ -284,10 +289,15 @@
 	}
 }
 
-func limiterRequest(r *exchanger.Request) limiter.Request {
-	return limiter.Request{
+func (e *Executor) limiterRequest(r *exchanger.Request) limiter.Request {
+	out := limiter.Request{
 		Class: r.Class, Firm: r.Firm, Deadline: r.Deadline, Priority: r.Priority, SoftDeadline: r.SoftDeadline, Route: r.Route, NoWait: r.NoWait,
+		IsCall: r.IsCall,
 	}
+	if e.cfg.Calls != nil {
+		out.Calls = e.cfg.Calls(r.Route)
+	}
+	return out
 }
 
 // logNotAdmitted logs a refusal with the load and the phase of the target.
@@ -295,7 +305,7 @@
 	load, _ := e.Load()
 	now := time.Now()
 	e.cfg.Log.WriteRequest(logger.RequestNotAdmitted, logger.Fields{
-		RequestID: r.ID, Service: r.Service, Route: r.Route, Reason: string(reason), Version: r.ConfigVersion, Target: t.ID,
+		RequestID: r.ID, Service: r.Service, Route: r.Route, Reason: string(reason), Version: r.ConfigVersion, Target: t.ID, IsCall: r.IsCall,
 		Load: fmt.Sprintf("%d running, %d waiting, %d slots, %s a request, limit %s; %s, announced %s ago", load.InFlight, load.Queued,
 			load.Slots, load.Service.Round(time.Millisecond), formatRate(e.currentRate()), t.Record.Phase, now.Sub(t.AnnouncedAt).Round(time.Millisecond)),
 		DurationMillis: 0, RemainingMillis: max(r.Deadline.Sub(now).Milliseconds(), 1),
@@ -330,7 +340,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.gate != nil {
-		load := e.gate.Load()
+		load := e.load()
 		a.Load = &load
 	}
 	return a
@@ -392,7 +402,25 @@
 	if e.gate == nil {
 		return limiter.Load{}, false
 	}
-	return e.gate.Load(), true
+	return e.load(), true
+}
+
+// load returns the load of the gate. The caller holds mu.
+func (e *Executor) load() limiter.Load {
+	l := e.gate.Load()
+	if e.cfg.DeeperWait != nil {
+		l.CallWait += e.cfg.DeeperWait()
+	}
+	return l
+}
+
+// SetCallLimits sets the limits of the runs that call other services, by service.
+func (e *Executor) SetCallLimits(limits map[string]float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.gate != nil {
+		e.gate.SetCallLimits(limits)
+	}
 }
 
 // limiterResult returns how an exchange ended, for the limiter.
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -91,7 +91,7 @@
 	})
 	release, err := x.forwarder.bodyGate.Acquire(ctx, limiter.Request{
 		Class: x.request.Class, Firm: x.request.Firm, Route: x.request.Route, Priority: x.request.Priority,
-		SoftDeadline: x.bodyDeadline(), Deadline: x.request.Deadline,
+		SoftDeadline: x.bodyDeadline(), Deadline: x.request.Deadline, IsCall: x.request.IsCall,
 	})
 	if err != nil {
 		return x.refuseBody(err)
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -31,7 +31,7 @@
 		IdempotencyKey: r.IdempotencyKey, Recall: r.LookupOnly,
 		ContentLength: r.ContentLength, ConfigVersion: r.ConfigVersion,
 		CallerService: r.CallerService, Priority: uint32(r.Priority), AimMicro: softDeadlineMicros(r), NoWait: r.NoWait,
-		HoldsBody: holdsBody(r), Leaving: encodeProcess(r.Leaving), AbortMicro: abortMicros(r),
+		HoldsBody: holdsBody(r), Leaving: encodeProcess(r.Leaving), AbortMicro: abortMicros(r), IsCall: r.IsCall,
 	}
 }
 
@@ -87,7 +87,7 @@
 		IdempotencyKey: m.GetIdempotencyKey(), LookupOnly: m.GetRecall(),
 		ContentLength: m.GetContentLength(), ConfigVersion: m.GetConfigVersion(),
 		CallerService: m.GetCallerService(), Priority: int(m.GetPriority()), NoWait: m.GetNoWait(),
-		Leaving: decodeProcess(m.GetLeaving()),
+		Leaving: decodeProcess(m.GetLeaving()), IsCall: m.GetIsCall(),
 	}
 	if micros := m.GetAimMicro(); micros > 0 {
 		r.SoftDeadline = now.Add(time.Duration(min(micros, maxDeadlineAhead.Microseconds())) * time.Microsecond)
--- a/internal/limiter/capacity.go
+++ b/internal/limiter/capacity.go
@@ -46,20 +46,28 @@
 type requestCounts struct {
 	total   int
 	byClass [classCount]int
+	// calls counts the requests that runs at targets wait for.
+	calls int
 	// byFirm has no zero entries.
 	byFirm map[firmClass]int
 }
 
 func newRequestCounts() requestCounts { return requestCounts{byFirm: map[firmClass]int{}} }
 
-func (rc *requestCounts) add(c class, firm string) {
+func (rc *requestCounts) add(c class, firm string, isCall bool) {
 	rc.total++
+	if isCall {
+		rc.calls++
+	}
 	rc.byClass[c]++
 	rc.byFirm[firmClass{c, firm}]++
 }
 
-func (rc *requestCounts) remove(c class, firm string) {
+func (rc *requestCounts) remove(c class, firm string, isCall bool) {
 	rc.total--
+	if isCall {
+		rc.calls--
+	}
 	rc.byClass[c]--
 	key := firmClass{c, firm}
 	if rc.byFirm[key]--; rc.byFirm[key] == 0 {
@@ -74,6 +82,9 @@
 	// nonUrgentShareDivisor divides the slots to give those that urgent requests
 	// leave to other waiting requests.
 	nonUrgentShareDivisor = 5
+	// firstShareDivisor divides the slots to give those that calls leave to waiting requests
+	// of callers, so that these go on being served where calls alone fill the target.
+	firstShareDivisor = 5
 	// minBulkDivisor divides the bulk slots to give those for which bulk requests
 	// take precedence over short ones.
 	minBulkDivisor = 2
@@ -123,6 +134,11 @@
 	return running.nonUrgent() < cp.nonUrgentSlots
 }
 
+// defersCalls reports whether calls hold all slots but the share of callers' requests.
+func (cp capacity) defersCalls(running requestCounts) bool {
+	return running.calls >= max(cp.slots-max(cp.slots/firstShareDivisor, 1), 1)
+}
+
 // startOrder returns the classes in the order in which waiting requests start:
 // urgent ones first unless they use up the share of the others, then bulk ones
 // while they hold less than their minimum, then short ones.
--- a/internal/limiter/gate.go
+++ b/internal/limiter/gate.go
@@ -19,6 +19,8 @@
 	class   class
 	firm    string
 	route   string
+	isCall  bool
+	calls   []string
 	started time.Time
 }
 
@@ -32,7 +34,10 @@
 	adaptiveLimit adaptiveLimit
 	ramp          ramp
 	bucket        tokenBucket
-	draining      bool
+	calledRoom    calledRoom
+	// callWait is the smoothed time that calls waited for a slot.
+	callWait time.Duration
+	draining bool
 	// changes is returned to the caller and reused by the next call.
 	changes Changes
 }
@@ -47,6 +52,7 @@
 		queue:         newQueue(l),
 		adaptiveLimit: newAdaptiveLimit(l),
 		estimator:     newEstimator(),
+		calledRoom:    newCalledRoom(),
 	}
 }
 
@@ -65,7 +71,8 @@
 		return g.refuse(now, r, ReasonMissesDeadline)
 	}
 	if g.mayStart(now, r, c) {
-		g.start(now, r.ID, runningRequest{class: c, firm: r.Firm, route: r.Route})
+		g.start(now, r.ID, runningRequest{class: c, firm: r.Firm, route: r.Route, isCall: r.IsCall, calls: r.Calls})
+		g.recordCallWait(r.IsCall, 0)
 		return Decision{Verdict: VerdictAdmitted, Changes: g.changes}
 	}
 	return g.enqueue(now, r, c)
@@ -95,7 +102,8 @@
 	}
 	limitReached := !g.capacity(now).admits(short, g.runningCounts)
 	delete(g.running, id)
-	g.runningCounts.remove(run.class, run.firm)
+	g.runningCounts.remove(run.class, run.firm, run.isCall)
+	g.calledRoom.remove(run.calls)
 	g.estimator.removeRunning(run.class, run.started)
 	if res.Outcome == retrier.OutcomeDone {
 		g.estimator.recordServiceTime(run.class, run.route, now.Sub(run.started))
@@ -188,6 +196,7 @@
 		Queued:   g.queue.len(),
 		Draining: g.draining,
 		Service:  g.estimator.nonBulkServiceTime(),
+		CallWait: g.callWait,
 	}
 }
 
@@ -233,7 +242,7 @@
 	if r.NoWait && g.bucket.isLimited() {
 		return false
 	}
-	return g.capacity(now).admits(c, g.runningCounts) && g.bucket.admits(now)
+	return g.capacity(now).admits(c, g.runningCounts) && g.bucket.admits(now) && (r.IsCall || g.calledRoom.admits(r.Calls))
 }
 
 func (g *Gate) capacity(now time.Time) capacity { return newCapacity(g.limits, g.slots(now)) }
@@ -247,31 +256,35 @@
 			break
 		}
 		g.queue.remove(w.id)
-		g.drop(now, w, g.expiryReason(now, w.class, w.route, w.startBy, w.deadline))
+		g.drop(now, w, g.expiryReason(now, &w))
 	}
 	if g.draining {
 		return
 	}
 	available := g.capacity(now)
 	for g.bucket.admits(now) {
-		w, ok := g.queue.next(available, &g.runningCounts)
+		w, ok := g.queue.next(available, &g.runningCounts, g.hasCalledRoom)
 		if !ok {
 			return
 		}
 		g.queue.remove(w.id)
-		g.start(now, w.id, runningRequest{class: w.class, firm: w.firm, route: w.route})
+		g.start(now, w.id, runningRequest{class: w.class, firm: w.firm, route: w.route, isCall: w.isCall(), calls: w.calls})
+		g.recordCallWait(w.isCall(), now.Sub(w.arrived))
 		g.changes.Started = append(g.changes.Started, w.id)
 	}
 }
 
 // expiryReason returns why a request that can't start by startBy ends: because of
-// the rate limit, because it exceeds its wait limit, or because it would miss its
+// the rate limit or the room that its calls need, because it exceeds its wait limit, or because it would miss its
 // deadline.
-func (g *Gate) expiryReason(now time.Time, c class, route string, startBy, deadline time.Time) Reason {
+func (g *Gate) expiryReason(now time.Time, w *waitingRequest) Reason {
 	if !g.bucket.admits(now) {
 		return ReasonRateLimited
 	}
-	if startBy.Add(g.estimator.expectedForRoute(c, route)).Before(deadline) {
+	if !g.hasCalledRoom(w) {
+		return ReasonCalledRoom
+	}
+	if w.startBy.Add(g.estimator.expectedForRoute(w.class, w.route)).Before(w.deadline) {
 		return ReasonWaitedTooLong
 	}
 	return ReasonMissesDeadline
@@ -284,7 +297,8 @@
 	run.started = now
 	g.bucket.take(now)
 	g.running[id] = run
-	g.runningCounts.add(run.class, run.firm)
+	g.runningCounts.add(run.class, run.firm, run.isCall)
+	g.calledRoom.add(run.calls)
 	g.estimator.addRunning(run.class, now)
 }
 
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -85,6 +85,12 @@
 	SoftDeadline time.Time
 	// Deadline is the time by which the caller needs the answer.
 	Deadline time.Time
+	// IsCall is set if a run at a target waits for the answer. Such a request goes before
+	// those of all priorities, and waits for as long as it can end by its deadline.
+	IsCall bool
+	// Calls lists the services that the run of the request is expected to call. A caller's
+	// request starts only if the runs that call each of them are below its limit.
+	Calls []string
 }
 
 // Verdict is the decision on an offered request.
@@ -117,6 +123,9 @@
 	// ReasonRateLimited means that the rate limit of the target does not let the request
 	// start in time.
 	ReasonRateLimited Reason = "rate-limited"
+	// ReasonCalledRoom means that a service which the run of the request would call has no
+	// room for its calls.
+	ReasonCalledRoom Reason = "called-room"
 	// ReasonDraining means that the target accepts no new requests.
 	ReasonDraining Reason = "draining"
 	// ReasonCancelled means that the caller went away while the request waited.
@@ -173,4 +182,6 @@
 	// Service is the smoothed service time of short requests, without queueing, or of
 	// urgent ones before the first short one; 0 before the first sample.
 	Service time.Duration
+	// CallWait is the smoothed time that calls waited for a slot.
+	CallWait time.Duration
 }
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -17,8 +17,15 @@
 	deadline     time.Time
 	// startBy is when the request is dropped; not after deadline.
 	startBy time.Time
+	// arrived is when the request came.
+	arrived time.Time
+	// calls lists the services that its run is expected to call.
+	calls []string
 }
 
+// isCall reports whether a run at a target waits for the answer.
+func (w *waitingRequest) isCall() bool { return w.priority == callRank }
+
 // queue holds the waiting requests of each class in order of arrival. It is
 // short, so a linear search is enough.
 type queue struct {
@@ -116,7 +123,7 @@
 
 func (q *queue) push(w waitingRequest) {
 	q.byClass[w.class] = append(q.byClass[w.class], w)
-	q.counts.add(w.class, w.firm)
+	q.counts.add(w.class, w.firm, w.isCall())
 }
 
 func (q *queue) remove(id uint64) bool {
@@ -127,7 +134,7 @@
 		}
 		w := q.byClass[c][i]
 		q.byClass[c] = slices.Delete(q.byClass[c], i, i+1)
-		q.counts.remove(w.class, w.firm)
+		q.counts.remove(w.class, w.firm, w.isCall())
 		return true
 	}
 	return false
@@ -145,27 +152,33 @@
 	return waitingRequest{}, false
 }
 
-// next returns the waiting request that starts next, if there is a slot for any.
-func (q *queue) next(available capacity, running *requestCounts) (waitingRequest, bool) {
+// next returns the waiting request that starts next, if there is a slot for any. Those
+// that are not eligible are passed over.
+func (q *queue) next(available capacity, running *requestCounts, eligible func(*waitingRequest) bool) (waitingRequest, bool) {
 	if q.counts.total == 0 {
 		return waitingRequest{}, false
 	}
 	for _, c := range available.startOrder(*running) {
-		if len(q.byClass[c]) > 0 && available.admits(c, *running) {
-			return q.nextOfFirm(c, q.leastServedFirm(c, running)), true
+		if len(q.byClass[c]) == 0 || !available.admits(c, *running) {
+			continue
+		}
+		priority, found := q.nextPriority(c, available.defersCalls(*running), eligible)
+		if found {
+			may := func(w *waitingRequest) bool { return w.priority == priority && eligible(w) }
+			return q.nextOfFirm(c, q.leastServedFirm(c, running, may), may), true
 		}
 	}
 	return waitingRequest{}, false
 }
 
 // leastServedFirm returns the firm that runs the fewest requests of the class
-// among those with a waiting request of the top priority. Ties go to the firm
-// whose request arrived first.
-func (q *queue) leastServedFirm(c class, running *requestCounts) string {
-	priority := q.topPriority(c)
+// among those with a waiting request that may start. Ties go to the firm whose
+// request arrived first.
+func (q *queue) leastServedFirm(c class, running *requestCounts, may func(*waitingRequest) bool) string {
 	firm, fewest := "", -1
-	for _, w := range q.byClass[c] {
-		if w.priority != priority {
+	for i := range q.byClass[c] {
+		w := &q.byClass[c][i]
+		if !may(w) {
 			continue
 		}
 		if n := running.byFirm[firmClass{c, w.firm}]; fewest < 0 || n < fewest {
@@ -175,14 +188,24 @@
 	return firm
 }
 
-// topPriority returns the most urgent priority among the waiting requests of a
-// class, which must have some.
-func (q *queue) topPriority(c class) int {
-	least := q.byClass[c][0].priority
-	for _, w := range q.byClass[c][1:] {
-		least = min(least, w.priority)
+// nextPriority returns the most urgent priority among the eligible waiting requests of a
+// class; false if there are none. If calls are deferred it is that of callers' requests,
+// unless only calls wait.
+func (q *queue) nextPriority(c class, callsDeferred bool, eligible func(*waitingRequest) bool) (priority int, found bool) {
+	for i := range q.byClass[c] {
+		w := &q.byClass[c][i]
+		if !eligible(w) {
+			continue
+		}
+		isBetter := !found || w.priority < priority
+		if callsDeferred && found && (w.isCall() || priority == callRank) {
+			isBetter = priority == callRank
+		}
+		if isBetter {
+			priority, found = w.priority, true
+		}
 	}
-	return least
+	return priority, found
 }
 
 // countAhead counts the firm's waiting requests of the class that start before r.
@@ -218,15 +241,14 @@
 	return list
 }
 
-// nextOfFirm returns the firm's request of the top priority that comes first in
-// the queue's order.
-func (q *queue) nextOfFirm(c class, firm string) waitingRequest {
+// nextOfFirm returns the firm's request that may start and comes first in the queue's
+// order.
+func (q *queue) nextOfFirm(c class, firm string, may func(*waitingRequest) bool) waitingRequest {
 	lifo := q.order == OrderLIFO
-	priority := q.topPriority(c)
 	var best waitingRequest
 	found := false
 	for _, w := range q.byClass[c] {
-		if w.firm != firm || w.priority != priority {
+		if w.firm != firm || !may(&w) {
 			continue
 		}
 		if !found || lifo || q.startsBefore(&w, &best) {
--- a/internal/limiter/sync_gate.go
+++ b/internal/limiter/sync_gate.go
@@ -159,6 +159,11 @@
 	s.update(func(now time.Time) Changes { return s.gate.SetLimits(now, l) })
 }
 
+// SetCallLimits sets the limits of the runs that call other services, by service.
+func (s *SyncGate) SetCallLimits(limits map[string]float64) {
+	s.update(func(now time.Time) Changes { return s.gate.SetCallLimits(now, limits) })
+}
+
 // Load returns the current state of the target.
 func (s *SyncGate) Load() Load {
 	s.mu.Lock()
--- a/internal/limiter/wait.go
+++ b/internal/limiter/wait.go
@@ -33,10 +33,12 @@
 	case g.rateStart(now, c, r.toWaiting()).After(startBy):
 		return g.refuse(now, r, ReasonRateLimited)
 	case g.queue.order != OrderLIFO && g.expectedStart(now, c, r.toWaiting()).After(startBy):
-		return g.refuse(now, r, g.expiryReason(now, c, r.Route, startBy, r.Deadline))
+		w := r.toWaiting()
+		w.class, w.startBy = c, startBy
+		return g.refuse(now, r, g.expiryReason(now, &w))
 	}
 	if !g.queue.hasSpace(c) {
-		victim, ok := g.queue.victim(c, r.Firm, r.Priority)
+		victim, ok := g.queue.victim(c, r.Firm, r.rank())
 		if !ok {
 			return g.refuse(now, r, ReasonQueueFull)
 		}
@@ -44,7 +46,7 @@
 		g.drop(now, victim, ReasonQueueFull)
 	}
 	w := r.toWaiting()
-	w.class, w.startBy = c, startBy
+	w.class, w.startBy, w.arrived = c, startBy, now
 	g.queue.push(w)
 	g.dropUnservable(now, c)
 	return Decision{Verdict: VerdictQueued, StartBy: startBy, Changes: g.changes}
@@ -98,6 +100,9 @@
 	if c == bulk {
 		slots = available.bulkSlots
 	}
+	if !w.isCall() {
+		slots = min(slots, g.calledRoom.slots(w.calls, slots))
+	}
 	serviceTime := g.estimator.currentServiceTime(now, c, g.runningCounts.byClass[c])
 	ahead := g.queue.countAhead(c, &w) * g.queue.countFirms(c, w.firm)
 	return laterTime(now.Add(g.estimator.expectedWait(now, ahead, slots, serviceTime)), g.rateStart(now, c, w))
@@ -105,7 +110,20 @@
 
 // toWaiting returns the request as a queue entry, without its class and startBy.
 func (r Request) toWaiting() waitingRequest {
-	return waitingRequest{id: r.ID, firm: r.Firm, route: r.Route, priority: r.Priority, softDeadline: r.SoftDeadline, deadline: r.Deadline}
+	return waitingRequest{
+		id: r.ID, firm: r.Firm, route: r.Route, priority: r.rank(), softDeadline: r.SoftDeadline, deadline: r.Deadline, calls: r.Calls,
+	}
+}
+
+// callRank is the priority of calls, before those of all requests of callers.
+const callRank = -1
+
+// rank returns the priority of a request, which is callRank for a call.
+func (r Request) rank() int {
+	if r.IsCall {
+		return callRank
+	}
+	return r.Priority
 }
 
 // startBy returns when a waiting request is dropped: when it could no longer
@@ -116,6 +134,9 @@
 	if by.Before(now) {
 		by = r.Deadline
 	}
+	if r.IsCall {
+		return by
+	}
 	if !r.SoftDeadline.IsZero() {
 		return earlierTime(by, laterTime(r.SoftDeadline.Add(-expected), now.Add(minWaitLimit)))
 	}
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -78,7 +78,9 @@
 	UnreadMillis   int64
 	NodeLateMillis int64
 	Count          int
-	Err            error
+	// IsCall is set if a run at a target waits for the answer.
+	IsCall bool
+	Err    error
 }
 
 // Logger writes events. The zero value writes nothing.
@@ -186,6 +188,9 @@
 	if f.RemainingMillis != 0 {
 		out["ms"], out["ms-left"] = f.DurationMillis, f.RemainingMillis
 	}
+	if f.IsCall {
+		out["call"] = true
+	}
 	if f.Count != 0 {
 		out["count"] = f.Count
 	}
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -23,6 +23,10 @@
 // attempt costs the transfer of the request.
 const maxFullReroutes = 2
 
+// maxCallReroutes bounds both for a call. Its refusal would waste a run that has used its
+// slots, which costs more than further transfers.
+const maxCallReroutes = 8
+
 // sendAttempts sends the request until an answer is final.
 func (c *call) sendAttempts(ctx context.Context) *exchanger.Answer {
 	r := &attemptSequence{call: c}
@@ -127,7 +131,7 @@
 	request := router.Request{
 		Service: r.call.service.Name, Class: r.call.request.Class, Tried: r.tried, Explain: rc.cfg.Explanations != nil,
 		Route: r.call.request.Route, Bytes: rc.expectedBytes(r.call.request.Route, r.call.request.ContentLength),
-		FreeSlotOnly: r.isHedging,
+		FreeSlotOnly: r.isHedging, AsksRefusing: r.call.request.IsCall && !r.isHedging,
 	}
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
@@ -201,8 +205,9 @@
 	}
 	rc.balancer.RecordResult(time.Now(), r.Service, host, router.Result{
 		Outcome: a.Outcome, Class: r.Class, Route: r.Route, Latency: took, Load: a.Load, RetryAfter: a.RetryAt,
-		Cancelled: a.Reason == exchanger.ReasonCancelled || a.Reason == exchanger.ReasonDeadline,
-		Failed:    a.Status >= http.StatusInternalServerError || a.Reason == exchanger.ReasonTargetShed,
+		Cancelled:    a.Reason == exchanger.ReasonCancelled || a.Reason == exchanger.ReasonDeadline,
+		RouteRefused: a.Reason == exchanger.Reason(limiter.ReasonCalledRoom),
+		Failed:       a.Status >= http.StatusInternalServerError || a.Reason == exchanger.ReasonTargetShed,
 	})
 	if b := rc.budgets[r.Service]; b != nil && a.Outcome == retrier.OutcomeDone {
 		b.RecordLatency(took)
@@ -223,7 +228,7 @@
 func isFull(reason exchanger.Reason) bool {
 	switch reason {
 	case exchanger.Reason(limiter.ReasonQueueFull), exchanger.Reason(limiter.ReasonWaitedTooLong), exchanger.Reason(limiter.ReasonMissesDeadline),
-		exchanger.Reason(limiter.ReasonRateLimited), exchanger.ReasonNodeLate:
+		exchanger.Reason(limiter.ReasonRateLimited), exchanger.Reason(limiter.ReasonCalledRoom), exchanger.ReasonNodeLate:
 		return true
 	default:
 		return false
@@ -258,7 +263,7 @@
 		if isFull(a.Reason) {
 			r.fullReroutes++
 		}
-		return r.reroutes <= maxReroutes && r.fullReroutes <= maxFullReroutes && r.call.body.isReplayable() && !r.isRetryForbidden()
+		return r.mayReroute() && r.call.body.isReplayable() && !r.isRetryForbidden()
 	}
 	now := time.Now()
 	rc := r.receiver()
@@ -273,6 +278,15 @@
 	return sleepUntil(ctx, action.At)
 }
 
+// mayReroute reports whether the request may be sent to another node after an attempt
+// that ended before a target saw it.
+func (r *attemptSequence) mayReroute() bool {
+	if r.call.request.IsCall {
+		return r.reroutes <= maxCallReroutes
+	}
+	return r.reroutes <= maxReroutes && r.fullReroutes <= maxFullReroutes
+}
+
 // isRetryForbidden reports whether another attempt could run the request twice.
 func (r *attemptSequence) isRetryForbidden() bool { return r.mayHaveRun && !r.call.request.Idempotent }
 
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gentianbarrow.example/internal/acceptor"
+	"gentianbarrow.example/internal/attributor"
 	"gentianbarrow.example/internal/deduplicator"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/explainer"
@@ -74,6 +75,7 @@
 		return refusal
 	}
 	a := c.sendAttempts(c.httpRequest.Context())
+	c.recordCall(a)
 	c.returnToken(a)
 	return a
 }
@@ -173,6 +175,7 @@
 		ContentLength:  r.ContentLength, ConfigVersion: version,
 		Priority: route.Priority, CallerService: c.receiver.cfg.CallerService, MaxAttempts: route.MaxAttempts,
 	}
+	out.IsCall = c.isCall(route.Name, service.Name, depth)
 	if c.caller.IsGone != nil {
 		out.CallerGone = c.isCallerGone
 	}
@@ -189,6 +192,16 @@
 	return out
 }
 
+// isCall reports whether a run at this host's target waits for the answer.
+func (c *call) isCall(route, service string, depth int) bool {
+	originOf := c.receiver.cfg.OriginOf
+	if originOf == nil || c.caller.Connection == 0 {
+		return depth > 1
+	}
+	origin := originOf(c.readAt, attributor.Arrival{ID: c.record.RequestID, Connection: c.caller.Connection, Route: route, Service: service})
+	return origin == attributor.OriginTarget || depth > 1
+}
+
 // header returns the value of a header of the dialect; empty when the dialect does not use it.
 func (c *call) header(name string) string {
 	if name == "" {
--- /dev/null
+++ b/internal/receiver/called.go
@@ -0,0 +1,38 @@
+package receiver
+
+import (
+	"time"
+
+	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/moderator"
+	"gentianbarrow.example/internal/retrier"
+)
+
+// defaultCallObjective is the objective of a call whose route has no target latency, as a
+// divisor of the time that it has.
+const defaultCallObjective = 4
+
+// recordCall records the end of a call of this host's target, from which its node learns
+// how much room the called service has.
+func (c *call) recordCall(a *exchanger.Answer) {
+	record := c.receiver.cfg.RecordCall
+	if record == nil || !c.request.IsCall || a.Reason == exchanger.ReasonCancelled {
+		return
+	}
+	end := moderator.Call{
+		Service:   c.request.Service,
+		Objective: c.request.Deadline.Sub(c.record.Arrived) / defaultCallObjective,
+		IsRefused: a.Outcome == retrier.OutcomeNotRun && isFull(a.Reason) || a.Reason == exchanger.ReasonDeadline,
+	}
+	if !c.request.SoftDeadline.IsZero() {
+		end.Objective = c.request.SoftDeadline.Sub(c.record.Arrived)
+	}
+	if end.IsRefused && c.request.Deadline.Sub(c.record.Arrived) < end.Objective {
+		// Its run had too little time left, whatever room there was.
+		return
+	}
+	if a.Load != nil {
+		end.Wait = a.Load.CallWait
+	}
+	record(time.Now(), end)
+}
--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -28,7 +28,7 @@
 		f.NodeLateMillis = c.receiver.cfg.Delay().Milliseconds()
 	}
 	if c.request != nil {
-		f.Class = string(c.request.Class)
+		f.Class, f.IsCall = string(c.request.Class), c.request.IsCall
 		f.RemainingMillis = c.request.Deadline.Sub(c.record.Arrived).Milliseconds()
 	}
 	c.receiver.cfg.Log.WriteRequest(event, f)
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"gentianbarrow.example/internal/acceptor"
+	"gentianbarrow.example/internal/attributor"
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/drainer"
 	"gentianbarrow.example/internal/exchanger"
@@ -27,6 +28,7 @@
 	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/meter"
+	"gentianbarrow.example/internal/moderator"
 	"gentianbarrow.example/internal/retrier"
 	"gentianbarrow.example/internal/router"
 	"gentianbarrow.example/pkg/snapshotter"
@@ -56,6 +58,11 @@
 	TakeToken func(now time.Time, firm snapshotter.Firm) (retryAt time.Time, ok bool)
 	// ReturnToken gives the token of a request back that no target has run; nil with TakeToken.
 	ReturnToken func(now time.Time, firm snapshotter.Firm)
+	// OriginOf records a request and returns its origin; nil means that only the depth of a
+	// request shows that it is a call.
+	OriginOf func(now time.Time, a attributor.Arrival) attributor.Origin
+	// RecordCall records the end of a call; nil means that calls are not recorded.
+	RecordCall func(now time.Time, c moderator.Call)
 	// Delay returns how late this process runs; nil means never late.
 	Delay func() time.Duration
 	// Tracker counts the requests of callers in flight.
--- a/internal/router/balancer.go
+++ b/internal/router/balancer.go
@@ -44,7 +44,7 @@
 		}
 		low = high
 	}
-	if s.best < 0 && len(r.Tried) == 0 {
+	if s.best < 0 && (len(r.Tried) == 0 || r.AsksRefusing) {
 		s.fallBackToRefusing()
 	}
 	if r.FreeSlotOnly && !s.bestCost.hasFreeSlot {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -52,6 +52,9 @@
 	Bytes int
 	// FreeSlotOnly asks for a target that is expected to have a free slot, or for none.
 	FreeSlotOnly bool
+	// AsksRefusing asks for a target that has refused recently if there is no other, also
+	// after further targets have refused this request.
+	AsksRefusing bool
 	// Tried lists the hosts that this request was already sent to; none is chosen again.
 	Tried []string
 	// Explain asks for a full Explanation; without it Choose does not allocate.
@@ -129,6 +132,9 @@
 	// Cancelled reports whether this node ended the attempt: the caller went away, the
 	// deadline passed, or another attempt was faster.
 	Cancelled bool
+	// RouteRefused is set if a refusal concerns the requests of the route only, so that the
+	// target still takes others.
+	RouteRefused bool
 	// RetryAfter is when a refusing target expects a free slot; zero if unknown.
 	RetryAfter time.Time
 }
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -146,6 +146,7 @@
 	case r.Outcome == retrier.OutcomeDone:
 		t.consecutiveFailures = 0
 		t.recordLatency(now, b, r)
+	case r.RouteRefused:
 	case !r.Cancelled:
 		t.backOff(now, r)
 	case float64(r.Latency) > t.ratio*b.latencyOf(r.Route):
