Report calls that fail, and tell neighbours which runs make calls

An operator saw runs end with 500 and nothing that said why. A call that no target answered is now logged with the id of the request whose run made it (GB0445) and counted by service and outcome; the limit of runs that make calls is logged when it begins and ends (GB0446) and shown by a gauge. The record that gentianctl trace shows of a call names its parent.

--- a/internal/attributor/attributor.go
+++ b/internal/attributor/attributor.go
@@ -13,7 +13,8 @@
 //
 //	a := attributor.New(now)
 //	a.RecordRunStart(now, id, route) // and RecordRunEnd
-//	if a.Arrive(now, attributor.Arrival{ID: id, Connection: connection, Route: route, Service: service}) == attributor.OriginTarget {
+//	origin, parent := a.Arrive(now, attributor.Arrival{ID: id, Connection: connection, Route: route, Service: service})
+//	if origin == attributor.OriginTarget {
 //		// a call of a run that is under way here
 //	}
 package attributor
@@ -133,17 +134,18 @@
 	Route, Service string
 }
 
-// Arrive records a request and returns its origin.
-func (a *Attributor) Arrive(now time.Time, r Arrival) Origin {
-	parent, isCall := a.lineage.parent(r.ID)
+// Arrive records a request and returns its origin. Of a call it also returns the id of
+// the request that its run serves, if that is known.
+func (a *Attributor) Arrive(now time.Time, r Arrival) (origin Origin, parentID string) {
+	parentID, parent, isCall := a.lineage.parent(r.ID)
 	if !isCall && !a.lineage.seen {
 		isCall = a.infer(now, r.Connection, r.Route) == OriginTarget
 	}
 	if !isCall {
-		return OriginCaller
+		return OriginCaller, ""
 	}
 	a.calls.recordCall(now, r.Service, parent)
-	return OriginTarget
+	return OriginTarget, parentID
 }
 
 // infer returns the origin of a request by what is known of its route and connection.
@@ -226,7 +228,9 @@
 // Estimates returns what this node has learned of the calls of its target's runs.
 func (a *Attributor) Estimates(now time.Time) []Estimate {
 	a.calls.advance(now)
-	return a.calls.estimates(a.lineage.seen)
+	list := a.calls.estimates(a.lineage.seen)
+	sortEstimates(list)
+	return list
 }
 
 // RecordOthers replaces what another node, whose target is of the same service, has
@@ -248,8 +252,12 @@
 	return called
 }
 
-// Proven returns the routes that callers send by the requests at this node.
+// Proven returns the routes that callers send by the requests at this node; none once ids
+// tell calls.
 func (a *Attributor) Proven() []string {
+	if a.lineage.seen {
+		return nil
+	}
 	var out []string
 	for name, r := range a.routes {
 		if r.proven && r.ownProof {
--- a/internal/attributor/attributor_test.go
+++ b/internal/attributor/attributor_test.go
@@ -92,7 +92,8 @@
 
 func TestLineage(t *testing.T) {
 	arrive := func(a *Attributor, id string) Origin {
-		return a.Arrive(at(0), Arrival{ID: id, Connection: 7, Route: "capacity", Service: "settle"})
+		origin, _ := a.Arrive(at(0), Arrival{ID: id, Connection: 7, Route: "capacity", Service: "settle"})
+		return origin
 	}
 	t.Run("a request that continues the id of a run is its call", func(t *testing.T) {
 		a := New(start)
@@ -101,6 +102,12 @@
 		a.RecordRunStart(at(0), "5df7df86ed401dfc.8fb85f1932cdfe57", "position")
 		assert.Equal(t, arrive(a, "5df7df86ed401dfc.8fb85f1932cdfe57.1"), OriginTarget)
 	})
+	t.Run("the run that makes a call is named", func(t *testing.T) {
+		a := New(start)
+		a.RecordRunStart(at(0), "5df7", "position")
+		_, parent := a.Arrive(at(0), Arrival{ID: "5df7.8fb8", Route: "capacity", Service: "settle"})
+		assert.Equal(t, parent, "5df7")
+	})
 	t.Run("other ids are callers'", func(t *testing.T) {
 		a := New(start)
 		a.RecordRunStart(at(0), "5df7", "position")
--- a/internal/attributor/calls.go
+++ b/internal/attributor/calls.go
@@ -38,6 +38,16 @@
 	Weight float64
 }
 
+// maxWeight and maxCallsPerRun bound what is taken over from another node.
+const (
+	maxWeight      = 1e6
+	maxCallsPerRun = 1e3
+)
+
+func (e *Estimate) isValid() bool {
+	return e.Weight > 0 && e.Weight <= maxWeight && math.Abs(e.CallsPerRun) <= maxCallsPerRun
+}
+
 // estimateKey identifies an Estimate.
 type estimateKey struct{ route, service string }
 
@@ -265,7 +275,7 @@
 func (c *callCounts) recordOthers(now time.Time, host string, list []Estimate) {
 	known := map[estimateKey]otherEstimate{}
 	for _, e := range list {
-		if len(known) < maxRunRoutes*maxCalledServices && e.Weight > 0 {
+		if len(known) < maxRunRoutes*maxCalledServices && e.isValid() {
 			known[estimateKey{e.Route, e.Service}] = otherEstimate{Estimate: e, expiresAt: now.Add(otherExpiry)}
 		}
 	}
@@ -299,8 +309,12 @@
 	for i := range out {
 		out[i].CallsPerRun = max(out[i].CallsPerRun, 0)
 	}
-	slices.SortFunc(out, func(a, b Estimate) int {
+	sortEstimates(out)
+	return out
+}
+
+func sortEstimates(list []Estimate) {
+	slices.SortFunc(list, func(a, b Estimate) int {
 		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Service, b.Service))
 	})
-	return out
 }
--- a/internal/attributor/calls_test.go
+++ b/internal/attributor/calls_test.go
@@ -1,6 +1,7 @@
 package attributor
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -84,6 +85,14 @@
 		}
 		assertCalls(t, a.Estimates(at(60_000)), "position", -0.2, 0.2)
 	})
+	t.Run("estimates of other nodes that cannot be are not taken over", func(t *testing.T) {
+		a := New(start)
+		a.RecordOthers(at(0), "b", []Estimate{
+			{Route: "a", Service: "s", CallsPerRun: math.NaN(), Weight: 1}, {Route: "b", Service: "s", CallsPerRun: 1, Weight: math.Inf(1)},
+			{Route: "c", Service: "s", CallsPerRun: math.Inf(1), Weight: 1}, {Route: "d", Service: "s", CallsPerRun: 1, Weight: 0},
+		})
+		assert.Equal(t, len(a.CalledServices(at(1))), 0)
+	})
 	t.Run("memory is bounded", func(t *testing.T) {
 		a := New(start)
 		for n := range 100 {
--- a/internal/attributor/lineage.go
+++ b/internal/attributor/lineage.go
@@ -14,18 +14,19 @@
 
 func (l *lineage) recordEnd(id string) { delete(l.routes, id) }
 
-// parent returns the route of the run that makes the call with the id; false if none does.
-func (l *lineage) parent(id string) (route string, ok bool) {
+// parent returns the id and the route of the run that makes the call with the id; false
+// if none does.
+func (l *lineage) parent(id string) (parentID, route string, ok bool) {
 	for end := len(id) - 1; end > 0; end-- {
 		if isAlphanumeric(id[end]) {
 			continue
 		}
 		if route, ok = l.routes[id[:end]]; ok {
 			l.seen = true
-			return route, true
+			return id[:end], route, true
 		}
 	}
-	return "", false
+	return "", "", false
 }
 
 func isAlphanumeric(b byte) bool {
--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -100,7 +100,7 @@
 		Self: n.nodeRecord(), Incarnation: n.self.Incarnation, Open: open(subscriber.StreamKind),
 		State: func() *blackboard.State { return n.board.Read() },
 		Post:  func(m blackboard.Msg) { n.board.Post(m) }, Log: n.log,
-		Load: n.targetLoad, OnLoad: n.receiver.RecordLoad,
+		Load: n.targetLoad, OnLoad: n.receiver.RecordLoad, RunCalls: n.runCalls, OnRunCalls: n.recordRunCalls,
 	})
 	reader := platform.ConfigReader{RetryPercent: a.bounds.RetryPercent}
 	state := blackboard.State{
@@ -151,6 +151,21 @@
 	return l, known
 }
 
+// runCalls returns what this node has learned of the calls of its target's runs.
+func (n *Node) runCalls() subscriber.RunCalls {
+	calls, routes := n.calledRoom.Estimates(time.Now())
+	return subscriber.RunCalls{Calls: calls, CallerRoutes: routes}
+}
+
+// recordRunCalls records what another node has learned. Only targets of the same service
+// run the same requests.
+func (n *Node) recordRunCalls(host, service string, r subscriber.RunCalls) {
+	if service != n.settings.Target.Service {
+		r.Calls = nil
+	}
+	n.calledRoom.RecordOthers(time.Now(), host, r.Calls, r.CallerRoutes)
+}
+
 func (n *Node) leavePeriod() time.Duration {
 	if n.settings.PlatformAPI == loader.PlatformObjects {
 		return directLeavePeriod
--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -31,6 +31,14 @@
 			return l.Slots
 		},
 		Apply: func(limits map[string]float64) { n.executor.SetCallLimits(limits) },
+		Observe: func(service string, limited bool) {
+			m.RecordRunsLimited(service, limited)
+			reason := "ceased"
+			if limited {
+				reason = "began"
+			}
+			n.log.Write(logger.RunsLimited, logger.Fields{Service: service, Reason: reason})
+		},
 	})
 	n.executor = executor.New(executor.Config{
 		Host:    n.settings.Host,
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -16,8 +16,11 @@
 
 // Record describes how one request was routed.
 type Record struct {
-	RequestID string    `json:"request-id"`
-	Arrived   time.Time `json:"arrived"`
+	RequestID string `json:"request-id"`
+	// Parent is the id of the request whose run made this call; empty if there is none or it
+	// is not known.
+	Parent  string    `json:"parent,omitempty"`
+	Arrived time.Time `json:"arrived"`
 	// ConfigVersion is the version of the configuration that the request was routed by.
 	ConfigVersion uint64           `json:"config-version"`
 	Route         string           `json:"route,omitempty"`
--- a/internal/logger/events_request.go
+++ b/internal/logger/events_request.go
@@ -62,6 +62,16 @@
 		Meaning: "An answer carried the id of another request. It was discarded.",
 		Action:  "Take the target in the log line out of service: it returns wrong answers.",
 	}
+	CallFailed = Event{
+		Number: 445, Name: "call-failed", Level: LevelWarn,
+		Meaning: "A call that a run of the target on this host made was not answered by a target. The run probably fails, and what it has done is lost. The parent field holds the id of the request that the run serves, if it is known.",
+		Action:  "Look at the reason and the attempts. If calls are refused for lack of room, the called service needs more targets.",
+	}
+	RunsLimited = Event{
+		Number: 446, Name: "runs-limited", Level: LevelInfo,
+		Meaning: "The node begins to limit the runs of its target that call the service, or ceases to. It does so while their calls wait long for slots. Requests beyond the limit are refused with the reason called-room.",
+		Action:  "If this lasts, the called service needs more targets.",
+	}
 	ForwardRejected = Event{
 		Number: 413, Name: "forward-rejected", Level: LevelWarn,
 		Meaning: "A peer sent a malformed or too large message. The stream was closed.",
@@ -71,5 +81,5 @@
 
 var requestEvents = []Event{
 	DrainStarted, DrainWouldCut, DrainCut,
-	RequestOutcomeUnknown, AnswerTruncated, RequestAnswered, RequestRefused, RequestFailed, RequestNotAdmitted, RequestPanicked, RequestLinesSuppressed, AnswerCrossed, ForwardRejected,
+	RequestOutcomeUnknown, AnswerTruncated, RequestAnswered, RequestRefused, RequestFailed, RequestNotAdmitted, RequestPanicked, RequestLinesSuppressed, AnswerCrossed, ForwardRejected, CallFailed, RunsLimited,
 }
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -78,6 +78,8 @@
 	UnreadMillis   int64
 	NodeLateMillis int64
 	Count          int
+	// Parent is the id of the request whose run made a call.
+	Parent string
 	// IsCall is set if a run at a target waits for the answer.
 	IsCall bool
 	Err    error
@@ -152,6 +154,7 @@
 	out := logrus.Fields{"event": fmt.Sprintf("GB%04d", e.Number)}
 	texts := []struct{ key, value string }{
 		{"request-id", f.RequestID},
+		{"parent", f.Parent},
 		{"peer-data-centre", f.DataCentre},
 		{"peer-host", f.Host},
 		{"peer", f.Peer},
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -19,6 +19,8 @@
 	otherLabel = "other"
 	// maxFirms is the maximum number of firms with series of their own.
 	maxFirms = 32
+	// maxServices is the maximum number of called services with series of their own.
+	maxServices = 32
 	// maxReasons is the maximum number of reasons with series of their own.
 	maxReasons = 48
 )
@@ -47,6 +49,14 @@
 		Name: "gentian_requests_total", Labels: []string{"firm", "class", "outcome", "reason"},
 		Help: "Requests of callers by outcome and reason, at the node that received them.",
 	}
+	calls = Metric{
+		Name: "gentian_calls_total", Labels: []string{"service", "outcome"},
+		Help: "Calls of the target on this host by called service and outcome. A run whose call is not done is probably lost.",
+	}
+	runsLimited = Metric{
+		Name: "gentian_runs_limited", Labels: []string{"service"},
+		Help: "1 while the runs of the target on this host that call the service are limited because their calls wait for slots, else 0.",
+	}
 	attempts = Metric{
 		Name: "gentian_attempts_total", Labels: []string{"why"},
 		Help: "Attempts to send a request to a target, by the reason for the choice of the target.",
@@ -76,7 +86,7 @@
 // Metrics lists the metrics that Meter and Traffic register.
 func Metrics() []Metric {
 	return []Metric{
-		latency, queueWait, serviceTime, outcomes, attempts, targetRequests, targetRateLimit, unread, processorDelay, inFlight,
+		latency, queueWait, serviceTime, outcomes, calls, runsLimited, attempts, targetRequests, targetRateLimit, unread, processorDelay, inFlight,
 		linkBytes, linkTransfers, packetBytes, packets,
 	}
 }
@@ -93,13 +103,16 @@
 	serviceTime *prometheus.HistogramVec
 	outcomes    *prometheus.CounterVec
 	attempts    *prometheus.CounterVec
+	calls       *prometheus.CounterVec
+	runsLimited *prometheus.GaugeVec
 	// targetRequests counts by attempt; targetRateLimit is noRateLimit without a limit.
 	targetRequests  *prometheus.CounterVec
 	targetRateLimit prometheus.Gauge
 	unread          *prometheus.HistogramVec
 
-	firms   boundedLabels
-	reasons boundedLabels
+	firms    boundedLabels
+	reasons  boundedLabels
+	services boundedLabels
 }
 
 // New registers the metrics of the request path. The function countInFlight returns
@@ -107,12 +120,13 @@
 func New(registry prometheus.Registerer, countInFlight func() int, delay func() time.Duration) *Meter {
 	m := &Meter{
 		latency: newHistogram(latency), queueWait: newHistogram(queueWait), serviceTime: newHistogram(serviceTime),
-		outcomes: newCounter(outcomes), attempts: newCounter(attempts),
+		outcomes: newCounter(outcomes), attempts: newCounter(attempts), calls: newCounter(calls),
+		runsLimited:     prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: runsLimited.Name, Help: runsLimited.Help}, runsLimited.Labels),
 		targetRequests:  newCounter(targetRequests),
 		unread:          newHistogram(unread),
 		targetRateLimit: prometheus.NewGauge(prometheus.GaugeOpts{Name: targetRateLimit.Name, Help: targetRateLimit.Help}),
 
-		firms: boundedLabels{limit: maxFirms}, reasons: boundedLabels{limit: maxReasons},
+		firms: boundedLabels{limit: maxFirms}, reasons: boundedLabels{limit: maxReasons}, services: boundedLabels{limit: maxServices},
 	}
 	gauge := prometheus.NewGaugeFunc(
 		prometheus.GaugeOpts{Name: inFlight.Name, Help: inFlight.Help},
@@ -122,7 +136,7 @@
 		prometheus.GaugeOpts{Name: processorDelay.Name, Help: processorDelay.Help},
 		func() float64 { return delay().Seconds() },
 	)
-	registry.MustRegister(delayGauge, m.unread, m.latency, m.queueWait, m.serviceTime, m.outcomes, m.attempts, m.targetRequests, m.targetRateLimit, gauge)
+	registry.MustRegister(delayGauge, m.unread, m.latency, m.queueWait, m.serviceTime, m.outcomes, m.calls, m.runsLimited, m.attempts, m.targetRequests, m.targetRateLimit, gauge)
 	m.targetRateLimit.Set(noRateLimit)
 	return m
 }
@@ -155,6 +169,25 @@
 	m.serviceTime.WithLabelValues(f, c).Observe(served.Seconds())
 }
 
+// RecordCall records the end of a call of this host's target.
+func (m *Meter) RecordCall(service string, outcome retrier.Outcome) {
+	if m != nil {
+		m.calls.WithLabelValues(m.services.resolve(service), string(outcome)).Inc()
+	}
+}
+
+// RecordRunsLimited records whether the runs that call a service are limited.
+func (m *Meter) RecordRunsLimited(service string, limited bool) {
+	if m == nil {
+		return
+	}
+	value := 0.0
+	if limited {
+		value = 1
+	}
+	m.runsLimited.WithLabelValues(m.services.resolve(service)).Set(value)
+}
+
 // RecordAttempt records an attempt to send a request to a target.
 func (m *Meter) RecordAttempt(why string) {
 	if m != nil {
--- a/internal/moderator/room.go
+++ b/internal/moderator/room.go
@@ -25,6 +25,9 @@
 	Slots func() int
 	// Apply sets the limits of the runs under way, by called service.
 	Apply func(limits map[string]float64)
+	// Observe is called when the runs that call a service begin or cease to be limited; nil
+	// means no call.
+	Observe func(service string, limited bool)
 }
 
 // Room follows the runs of the target on this host and their calls, and limits the runs
@@ -54,6 +57,7 @@
 func (r *Room) Run(ctx context.Context) error {
 	ticker := time.NewTicker(applyInterval)
 	defer ticker.Stop()
+	var observed map[string]float64
 	for {
 		select {
 		case <-ctx.Done():
@@ -61,11 +65,30 @@
 		case <-ticker.C:
 			if limits, changed := r.adjust(time.Now()); changed {
 				r.cfg.Apply(limits)
+				observed = r.observe(observed, limits)
 			}
 		}
 	}
 }
 
+// observe reports the differences between two sets of limits and returns the later one.
+func (r *Room) observe(before, after map[string]float64) map[string]float64 {
+	if r.cfg.Observe == nil {
+		return after
+	}
+	for service := range after {
+		if _, known := before[service]; !known {
+			r.cfg.Observe(service, true)
+		}
+	}
+	for service := range before {
+		if _, known := after[service]; !known {
+			r.cfg.Observe(service, false)
+		}
+	}
+	return after
+}
+
 func (r *Room) adjust(now time.Time) (limits map[string]float64, changed bool) {
 	slots := r.cfg.Slots()
 	r.mu.Lock()
@@ -82,8 +105,9 @@
 	return limits, changed
 }
 
-// Arrive records a request and returns its origin.
-func (r *Room) Arrive(now time.Time, a attributor.Arrival) attributor.Origin {
+// Arrive records a request and returns its origin, and of a call the id of the request
+// that its run serves, if that is known.
+func (r *Room) Arrive(now time.Time, a attributor.Arrival) (origin attributor.Origin, parentID string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.attributor.Arrive(now, a)
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -198,7 +198,8 @@
 	if originOf == nil || c.caller.Connection == 0 {
 		return depth > 1
 	}
-	origin := originOf(c.readAt, attributor.Arrival{ID: c.record.RequestID, Connection: c.caller.Connection, Route: route, Service: service})
+	origin, parent := originOf(c.readAt, attributor.Arrival{ID: c.record.RequestID, Connection: c.caller.Connection, Route: route, Service: service})
+	c.record.Parent = parent
 	return origin == attributor.OriginTarget || depth > 1
 }
 
--- a/internal/receiver/called.go
+++ b/internal/receiver/called.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/moderator"
 	"gentianbarrow.example/internal/retrier"
 )
@@ -15,8 +16,18 @@
 // recordCall records the end of a call of this host's target, from which its node learns
 // how much room the called service has.
 func (c *call) recordCall(a *exchanger.Answer) {
+	if !c.request.IsCall || a.Reason == exchanger.ReasonCancelled {
+		return
+	}
+	c.receiver.cfg.Meter.RecordCall(c.request.Service, a.Outcome)
+	if a.Outcome != retrier.OutcomeDone {
+		c.receiver.cfg.Log.WriteRequest(logger.CallFailed, logger.Fields{
+			RequestID: c.record.RequestID, Parent: c.record.Parent, Service: c.request.Service, Route: c.request.Route,
+			Reason: string(a.Reason), Attempts: describeAttempts(&c.record),
+		})
+	}
 	record := c.receiver.cfg.RecordCall
-	if record == nil || !c.request.IsCall || a.Reason == exchanger.ReasonCancelled {
+	if record == nil {
 		return
 	}
 	end := moderator.Call{
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -58,9 +58,9 @@
 	TakeToken func(now time.Time, firm snapshotter.Firm) (retryAt time.Time, ok bool)
 	// ReturnToken gives the token of a request back that no target has run; nil with TakeToken.
 	ReturnToken func(now time.Time, firm snapshotter.Firm)
-	// OriginOf records a request and returns its origin; nil means that only the depth of a
-	// request shows that it is a call.
-	OriginOf func(now time.Time, a attributor.Arrival) attributor.Origin
+	// OriginOf records a request and returns its origin, and of a call the id of the request
+	// that its run serves, if known; nil means that only the depth shows that it is a call.
+	OriginOf func(now time.Time, a attributor.Arrival) (origin attributor.Origin, parentID string)
 	// RecordCall records the end of a call; nil means that calls are not recorded.
 	RecordCall func(now time.Time, c moderator.Call)
 	// Delay returns how late this process runs; nil means never late.
--- a/internal/subscriber/feed.go
+++ b/internal/subscriber/feed.go
@@ -57,6 +57,9 @@
 	sentHosts map[string]bool
 	// sentViews holds, by data centre, the nodes that the subscriber has been sent.
 	sentViews map[string]map[string]blackboard.PeerState
+	// sentCalls is what the subscriber was last told of calls, and ticks counts the updates.
+	sentCalls *wirepb.RunCalls
+	ticks     int
 }
 
 func (f *feed) interval() time.Duration {
@@ -102,7 +105,7 @@
 				update = &wirepb.NodeUpdate{Views: views}
 			}
 		case <-ticker.C:
-			update = &wirepb.NodeUpdate{Load: f.load()}
+			update = &wirepb.NodeUpdate{Load: f.load(), RunCalls: f.runCalls()}
 		}
 	}
 }
--- a/internal/subscriber/stream.go
+++ b/internal/subscriber/stream.go
@@ -121,6 +121,9 @@
 		if l := encoder.DecodeLoad(m.GetLoad()); l != nil {
 			sub.cfg.OnLoad(e.host, latest.Target.Service, *l)
 		}
+		if calls := m.GetRunCalls(); calls != nil {
+			sub.cfg.OnRunCalls(e.host, latest.Target.Service, decodeRunCalls(calls))
+		}
 		latest.Now = sub.cfg.Now()
 		post(latest)
 		for _, v := range m.GetViews() {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -65,6 +65,12 @@
 	// OnLoad is called with the load of another host's target each time that one in
 	// this data centre sends it, every updateInterval. Nil means that loads are ignored.
 	OnLoad func(host, service string, l limiter.Load)
+	// RunCalls returns what this node has learned of the calls of its target's runs; nil
+	// means nothing.
+	RunCalls func() RunCalls
+	// OnRunCalls is called with what another node of this data centre has learned, with
+	// estimates only if its target is of the given service; nil means that it is ignored.
+	OnRunCalls func(host, service string, calls RunCalls)
 	// Now returns the time for messages; nil means time.Now.
 	Now func() time.Time
 	Log *logger.Logger
@@ -130,6 +136,12 @@
 	if cfg.Load == nil {
 		cfg.Load = func() (limiter.Load, bool) { return limiter.Load{}, false }
 	}
+	if cfg.RunCalls == nil {
+		cfg.RunCalls = func() RunCalls { return RunCalls{} }
+	}
+	if cfg.OnRunCalls == nil {
+		cfg.OnRunCalls = func(string, string, RunCalls) {}
+	}
 	if cfg.OnLoad == nil {
 		cfg.OnLoad = func(string, string, limiter.Load) {}
 	}
