Pace long answers over the link of a target's host

In crests calls took 250 to 400 ms where their targets took 42: the answers of calls lay behind answers of 90 kB on links of 11 Mbit/s, which were written at once.

Long answers now leave in pieces of 8 kB as the link has room, the earliest soft deadline first, and short answers at once. A long answer is buffered, so that the target's slot is free while the link sends. What the link could send only too late is refused as link-full before it runs.

--- a/internal/attributor/calls_test.go
+++ b/internal/attributor/calls_test.go
@@ -88,8 +88,10 @@
 	t.Run("estimates of other nodes that cannot be are not taken over", func(t *testing.T) {
 		a := New(start)
 		a.RecordOthers(at(0), "b", []Estimate{
-			{Route: "a", Service: "s", CallsPerRun: math.NaN(), Weight: 1}, {Route: "b", Service: "s", CallsPerRun: 1, Weight: math.Inf(1)},
-			{Route: "c", Service: "s", CallsPerRun: math.Inf(1), Weight: 1}, {Route: "d", Service: "s", CallsPerRun: 1, Weight: 0},
+			{Route: "a", Service: "s", CallsPerRun: math.NaN(), Weight: 1},
+			{Route: "b", Service: "s", CallsPerRun: 1, Weight: math.Inf(1)},
+			{Route: "c", Service: "s", CallsPerRun: math.Inf(1), Weight: 1},
+			{Route: "d", Service: "s", CallsPerRun: 1, Weight: 0},
 		})
 		assert.Equal(t, len(a.CalledServices(at(1))), 0)
 	})
--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -151,21 +151,6 @@
 	return l, known
 }
 
-// runCalls returns what this node has learned of the calls of its target's runs.
-func (n *Node) runCalls() subscriber.RunCalls {
-	calls, routes := n.calledRoom.Estimates(time.Now())
-	return subscriber.RunCalls{Calls: calls, CallerRoutes: routes}
-}
-
-// recordRunCalls records what another node has learned. Only targets of the same service
-// run the same requests.
-func (n *Node) recordRunCalls(host, service string, r subscriber.RunCalls) {
-	if service != n.settings.Target.Service {
-		r.Calls = nil
-	}
-	n.calledRoom.RecordOthers(time.Now(), host, r.Calls, r.CallerRoutes)
-}
-
 func (n *Node) leavePeriod() time.Duration {
 	if n.settings.PlatformAPI == loader.PlatformObjects {
 		return directLeavePeriod
--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -8,12 +8,10 @@
 	"gentianbarrow.example/internal/acceptor"
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/dispatcher"
-	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/executor"
 	"gentianbarrow.example/internal/forwarder"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/meter"
-	"gentianbarrow.example/internal/moderator"
 	"gentianbarrow.example/internal/receiver"
 	"gentianbarrow.example/internal/timekeeper"
 	"gentianbarrow.example/pkg/snapshotter"
@@ -24,35 +22,14 @@
 func (n *Node) buildRequestPath(a adapter) {
 	m := meter.New(n.metrics, func() int { return n.tracker.Count().Total }, n.delay.Delay)
 	o := &observer{post: func(msg blackboard.Msg) { n.board.Post(msg) }, now: time.Now}
-	n.calledRoom = moderator.NewRoom(moderator.Config{
-		StartedAt: time.Now(),
-		Slots: func() int {
-			l, _ := n.executor.Load()
-			return l.Slots
-		},
-		Apply: func(limits map[string]float64) { n.executor.SetCallLimits(limits) },
-		Observe: func(service string, limited bool) {
-			m.RecordRunsLimited(service, limited)
-			reason := "ceased"
-			if limited {
-				reason = "began"
-			}
-			n.log.Write(logger.RunsLimited, logger.Fields{Service: service, Reason: reason})
-		},
-	})
+	n.calledRoom = n.newCalledRoom(m)
 	n.executor = executor.New(executor.Config{
-		Host:    n.settings.Host,
-		Target:  func() blackboard.Target { return n.board.Read().Target },
-		Service: n.service,
-		Client:  dispatcher.NewHTTP(dispatcher.WithDialect(a.dialect)),
-		Observe: func(r *exchanger.Request, queued, served time.Duration) {
-			m.RecordService(r, queued, served)
-			n.calledRoom.RecordRunEnd(time.Now(), r.ID, r.Route, served)
-		},
-		ObserveSent: func(r *exchanger.Request) {
-			m.RecordSent(r)
-			n.calledRoom.RecordRunStart(time.Now(), r.ID, r.Route)
-		},
+		Host:             n.settings.Host,
+		Target:           func() blackboard.Target { return n.board.Read().Target },
+		Service:          n.service,
+		Client:           dispatcher.NewHTTP(dispatcher.WithDialect(a.dialect)),
+		Observe:          n.observeRunEnd(m),
+		ObserveSent:      n.observeRunStart(m),
 		ObserveRateLimit: m.RecordRateLimit,
 		ReportHealth:     o.observe,
 		Calls:            n.calledRoom.Calls,
@@ -78,6 +55,7 @@
 		Clock:       timekeeper.Uptime,
 		Delay:       n.delay.MeanDelay,
 		ObserveAge:  func(age time.Duration) { m.RecordUnread(meter.OriginNode, age) },
+		LinkMbit:    a.bounds.LinkMbit,
 		Log:         n.log,
 	})
 	n.links.Handle(forwarder.Kind, n.forwarder.Handle)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -141,6 +141,27 @@
 		}
 		assert.Equal(t, countChoices(balancer, at(1), rosterRequest(), near(3), isHost("near-2")), 1000)
 	})
+	t.Run("a call that has been refused asks others that have refused", func(t *testing.T) {
+		balancer, request := New(), rosterRequest()
+		for _, c := range near(3) {
+			r := answeredResult(0, 10)
+			r.Outcome, r.RetryAfter = retrier.OutcomeNotRun, at(900)
+			recordExchange(balancer, c.Host, at(0), r)
+		}
+		request.Tried = []string{"near-0", "near-1"}
+		choice, _ := balancer.Choose(at(1), request, near(3), newRand())
+		assert.Assert(t, !choice.OK)
+		request.AsksRefusing = true
+		assert.Equal(t, countChoices(balancer, at(1), request, near(3), isHost("near-2")), 1000)
+	})
+	t.Run("a refusal that concerns one route leaves the target to others", func(t *testing.T) {
+		balancer := New()
+		r := answeredResult(0, 2)
+		r.Outcome, r.RetryAfter, r.RouteRefused = retrier.OutcomeNotRun, at(900), true
+		recordExchange(balancer, "near-0", at(0), r)
+		assert.Equal(t, countChoices(balancer, at(1), rosterRequest(), near(1), isHost("near-0")), 1000)
+		assert.Assert(t, !balancer.target("near-0").isBackingOff(at(1), snapshotter.ClassShort))
+	})
 	t.Run("a cold target is chosen less often", func(t *testing.T) {
 		all := near(5)
 		all[0].Cold = true
