Let routes that hardly run give way where calls are counted

A node kept the first eight routes that its target ran. The routes that are only tried now and then could fill them after a restart, and the calls of the route that makes most of them were then never attributed.

--- a/internal/attributor/attributor.go
+++ b/internal/attributor/attributor.go
@@ -20,6 +20,7 @@
 package attributor
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -212,9 +213,13 @@
 	return false
 }
 
-// route returns the state of a route; nil when too many are tracked.
+// route returns the state of a route; nil when too many are tracked. Routes that are not
+// called give way to new ones, as requests of callers soon show them again.
 func (a *Attributor) route(name string) *routeState {
 	r := a.routes[name]
+	if r == nil && len(a.routes) >= maxRoutes {
+		maps.DeleteFunc(a.routes, func(_ string, r *routeState) bool { return !r.isCalled() })
+	}
 	if r == nil && len(a.routes) < maxRoutes {
 		r = &routeState{}
 		a.routes[name] = r
@@ -277,16 +282,6 @@
 	}
 }
 
-// KeepRoutes forgets the routes that are not kept.
-func (a *Attributor) KeepRoutes(keep func(route string) bool) {
-	for name := range a.routes {
-		if !keep(name) {
-			delete(a.routes, name)
-		}
-	}
-	a.calls.keepRoutes(keep)
-}
-
 func one(set bool) float64 {
 	if set {
 		return 1
--- a/internal/attributor/calls.go
+++ b/internal/attributor/calls.go
@@ -15,8 +15,8 @@
 	// countHalfLife is the time after which an interval counts half as much. A new version
 	// of the target may call otherwise.
 	countHalfLife = 5 * time.Second
-	// maxRunRoutes bounds the routes whose runs are told apart, and maxCalledServices the
-	// services that are tracked. What is beyond is ignored.
+	// maxRunRoutes bounds the routes whose runs are told apart; those that run least give way
+	// to others. maxCalledServices bounds the services that are tracked.
 	maxRunRoutes      = 8
 	maxCalledServices = 8
 	// ridge is added to the squared run time of each route, in square seconds, so that
@@ -93,7 +93,7 @@
 	if i := slices.Index(c.routes, route); i >= 0 {
 		return i, true
 	}
-	if len(c.routes) == maxRunRoutes {
+	if len(c.routes) == maxRunRoutes && !c.removeLeastUsed() {
 		return 0, false
 	}
 	c.routes = append(c.routes, route)
@@ -175,13 +175,19 @@
 	clear(c.calls)
 }
 
-// keepRoutes forgets the routes that are not kept and have no run under way.
-func (c *callCounts) keepRoutes(keep func(route string) bool) {
-	for i := len(c.routes) - 1; i >= 0; i-- {
-		if !keep(c.routes[i]) && c.running[i] == 0 {
-			c.remove(i)
+// removeLeastUsed makes room for another route and reports whether it could: routes with
+// a run under way are not removed.
+func (c *callCounts) removeLeastUsed() bool {
+	least := -1
+	for i := range c.routes {
+		if c.running[i] == 0 && (least < 0 || c.totalTime[i] < c.totalTime[least]) {
+			least = i
 		}
 	}
+	if least >= 0 {
+		c.remove(least)
+	}
+	return least >= 0
 }
 
 // remove gives the index of a route to the last one.
