--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -109,13 +109,7 @@
 // buildLinks creates the links to other nodes and the counters of their traffic.
 func (n *Node) buildLinks() {
 	t := meter.NewTraffic(n.metrics)
-	count := func(traffic linker.Traffic, d linker.Direction, bytes int) {
-		t.CountTransfer(traffic, d, bytes)
-		if d == linker.DirectionSent {
-			n.forwarder.RecordSent(bytes)
-		}
-	}
-	n.links = linker.New(linker.WithByteCounter(count, classifyTraffic))
+	n.links = linker.New(linker.WithByteCounter(t.CountTransfer, classifyTraffic))
 	if n.listeners.packets != nil {
 		n.listeners.packets.Log = n.log
 		n.listeners.packets.OnPacket = t.CountPacket
--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -55,7 +55,6 @@
 		Clock:       timekeeper.Uptime,
 		Delay:       n.delay.MeanDelay,
 		ObserveAge:  func(age time.Duration) { m.RecordUnread(meter.OriginNode, age) },
-		LinkMbit:    a.bounds.LinkMbit,
 		Log:         n.log,
 	})
 	n.links.Handle(forwarder.Kind, n.forwarder.Handle)
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -42,8 +42,6 @@
 	// the request before its deadline.
 	ReasonNodeLate     Reason = "node-late"
 	ReasonTargetFailed Reason = "target-failed"
-	// ReasonLinkFull means that the link of the target's host could not send the answer in time.
-	ReasonLinkFull Reason = "link-full"
 	// ReasonWrongTarget means that the target is of another service, or that
 	// another process than the expected one answered.
 	ReasonWrongTarget Reason = "wrong-target"
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -95,10 +95,7 @@
 	Delay func() time.Duration
 	// ObserveAge is called with the age of each request of a peer when it is read; nil means no call.
 	ObserveAge func(age time.Duration)
-	// LinkMbit is the speed of this host's link in Mbit/s; 0 means that it is not known and
-	// long answers are not paced.
-	LinkMbit int
-	Log      *logger.Logger
+	Log        *logger.Logger
 }
 
 // Forwarder implements both ends of the protocol.
@@ -110,8 +107,6 @@
 	answerTimes *answerTimes
 	// ages estimates how long requests of peers were under way; nil without a clock.
 	ages *timekeeper.AgeEstimator
-	// long paces long answers; nil if the speed of the link is not known.
-	long *longAnswers
 }
 
 // New returns a forwarder. Its Handle method must be registered with the linker under Kind.
@@ -120,19 +115,9 @@
 	if cfg.Clock != nil {
 		f.ages = timekeeper.NewAgeEstimator(cfg.Clock)
 	}
-	if cfg.LinkMbit > 0 {
-		f.long = newLongAnswers(cfg.LinkMbit)
-	}
 	return f
 }
 
-// RecordSent records bytes that were given to this host's link.
-func (f *Forwarder) RecordSent(bytes int) {
-	if f.long != nil {
-		f.long.link.RecordSent(bytes)
-	}
-}
-
 // trafficFor returns the traffic class of a request. Bulk requests have a class of their own, so that
 // long bodies do not share a connection with short requests.
 func trafficFor(c snapshotter.Class) linker.Traffic {
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -133,11 +132,7 @@
 	} else {
 		x.request.Body = body
 	}
-	a, expectDone := x.expectAnswer()
-	defer expectDone()
-	if a == nil {
-		a = x.receiveBody(ctx, cancel, body)
-	}
+	a := x.receiveBody(ctx, cancel, body)
 	if a == nil {
 		start := time.Now()
 		a = x.forwarder.cfg.Execute(ctx, x.request)
@@ -145,7 +140,7 @@
 			x.forwarder.answerTimes.add(x.request.Route, time.Since(start))
 		}
 	}
-	x.sendPaced(ctx, cancel, a)
+	x.sendAnswer(a)
 	a.Close()
 	if spooled, ok := x.request.Body.(*spool); ok {
 		spooled.close()
@@ -219,30 +214,6 @@
 	})
 }
 
-// sendPaced sends the answer, paced over the link of this host if it is long.
-func (x *incoming) sendPaced(ctx context.Context, cancel context.CancelFunc, a *exchanger.Answer) {
-	long := x.forwarder.long
-	if long == nil || a.Outcome != retrier.OutcomeDone {
-		x.sendAnswer(a)
-		return
-	}
-	counted := &countedReader{Reader: a.Body}
-	sent := *a
-	sent.Body = io.NopCloser(counted)
-	length := bodyLength(x.request.Method, a.Status, a.ContentLength)
-	// An answer without a stated length is taken for long if those of its route are.
-	if length > singleFrameBodyBytes || length < 0 && long.expectedBytes(x.request.Route) > 0 {
-		body, stop := x.paceBody(ctx, cancel, counted)
-		defer stop()
-		sent.Body = io.NopCloser(body)
-	}
-	x.sendAnswer(&sent)
-	if length >= 0 {
-		counted.bytes.Store(length)
-	}
-	long.recordBytes(x.request.Route, counted.bytes.Load())
-}
-
 // PendingBodies returns the number of requests whose bodies are being received or
 // wait to be asked for. They are ahead of a further request, too.
 func (f *Forwarder) PendingBodies() int {
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -206,7 +206,7 @@
 	rc.balancer.RecordResult(time.Now(), r.Service, host, router.Result{
 		Outcome: a.Outcome, Class: r.Class, Route: r.Route, Latency: took, Load: a.Load, RetryAfter: a.RetryAt,
 		Cancelled:    a.Reason == exchanger.ReasonCancelled || a.Reason == exchanger.ReasonDeadline,
-		RouteRefused: a.Reason == exchanger.Reason(limiter.ReasonCalledRoom) || a.Reason == exchanger.ReasonLinkFull,
+		RouteRefused: a.Reason == exchanger.Reason(limiter.ReasonCalledRoom),
 		Failed:       a.Status >= http.StatusInternalServerError || a.Reason == exchanger.ReasonTargetShed,
 	})
 	if b := rc.budgets[r.Service]; b != nil && a.Outcome == retrier.OutcomeDone {
@@ -228,7 +228,7 @@
 func isFull(reason exchanger.Reason) bool {
 	switch reason {
 	case exchanger.Reason(limiter.ReasonQueueFull), exchanger.Reason(limiter.ReasonWaitedTooLong), exchanger.Reason(limiter.ReasonMissesDeadline),
-		exchanger.Reason(limiter.ReasonRateLimited), exchanger.Reason(limiter.ReasonCalledRoom), exchanger.ReasonLinkFull, exchanger.ReasonNodeLate:
+		exchanger.Reason(limiter.ReasonRateLimited), exchanger.Reason(limiter.ReasonCalledRoom), exchanger.ReasonNodeLate:
 		return true
 	default:
 		return false
