--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -49,6 +50,9 @@
 	// requestArrived is when the first byte of the latest request arrived, by estimate. It
 	// is used by the reading goroutine only.
 	requestArrived time.Time
+	// peerClosed is set when the reading goroutine has read the end of the stream or an
+	// error: the caller sends nothing more.
+	peerClosed bool
 	// latestDone is closed when the answer to the latest request is complete.
 	latestDone chan struct{}
 }
@@ -72,7 +76,9 @@
 	}
 	c.group.Wait()
 	c.cancel()
-	c.linger()
+	if !c.peerClosed {
+		c.linger()
+	}
 	_ = c.nc.Close()
 }
 
@@ -108,6 +114,7 @@
 	}
 	c.source.setLimit(c.server.effectiveLimits().MaxHeaderBytes)
 	if _, err := c.r.Peek(1); err != nil {
+		c.peerClosed = errors.Is(err, io.EOF)
 		c.cancelUnlessClosing()
 		return false
 	}
@@ -185,6 +192,13 @@
 	if r.Host == "" && r.ProtoAtLeast(1, 1) {
 		return &MalformedRequestError{Rule: "the Host header is missing"}
 	}
+	// http.ReadRequest accepts spaces in the name of a header, such as one before the
+	// colon. A target may read such a name as one that nodes set.
+	for name := range r.Header {
+		if strings.Contains(name, " ") {
+			return &MalformedRequestError{Rule: "the name of a header contains a space"}
+		}
+	}
 	return nil
 }
 
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -20,6 +20,7 @@
 
 	"gentianbarrow.example/internal/acceptor"
 	"gentianbarrow.example/internal/announcer"
+	"gentianbarrow.example/internal/apportioner"
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/dispatcher"
 	"gentianbarrow.example/internal/drainer"
@@ -36,6 +37,7 @@
 	"gentianbarrow.example/internal/meter"
 	"gentianbarrow.example/internal/moderator"
 	"gentianbarrow.example/internal/receiver"
+	"gentianbarrow.example/internal/shedder"
 	"gentianbarrow.example/internal/summarizer"
 	"gentianbarrow.example/internal/timekeeper"
 	"gentianbarrow.example/pkg/snapshotter"
@@ -61,6 +63,7 @@
 	forwarder *forwarder.Forwarder
 	receiver  *receiver.Receiver
 	callers   *acceptor.Server
+	limits    *apportioner.Apportioner
 	// closeTimeout bounds the shutdown of the servers.
 	closeTimeout time.Duration
 	// announcements handles the announcements of the target on this host.
@@ -70,6 +73,8 @@
 	delay *timekeeper.DelayMeter
 	// calledRoom limits the runs that make calls.
 	calledRoom *moderator.Room
+	// guard rejects requests for which there is no processor time.
+	guard *shedder.Guard
 }
 
 // Listen opens the listeners of the settings and builds the node. It accepts no
@@ -102,6 +107,7 @@
 	} else {
 		n.buildBoard(storer.NewHTTPClient(settings.Platform))
 	}
+	n.buildLimits(adapter)
 	n.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return n, nil
 }
@@ -209,6 +215,7 @@
 	g.start("board", n.board.Run)
 	g.start("delay", n.delay.Run)
 	g.start("called-room", n.calledRoom.Run)
+	g.start("limits", n.limits.Run)
 	g.start("memory", func(ctx context.Context) error {
 		limitMemory(ctx)
 		return nil
@@ -257,6 +264,7 @@
 			return
 		case now := <-ticker.C:
 			n.board.Post(blackboard.Tick{Now: now})
+			n.guard.Tick(now)
 		case now := <-stops:
 			n.board.Post(blackboard.StopRequested{Now: now})
 		}
--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -12,6 +12,7 @@
 	"gentianbarrow.example/internal/forwarder"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/meter"
+	"gentianbarrow.example/internal/pacer"
 	"gentianbarrow.example/internal/receiver"
 	"gentianbarrow.example/internal/timekeeper"
 	"gentianbarrow.example/pkg/snapshotter"
@@ -21,8 +22,12 @@
 // the board, which is created after them, only when they run.
 func (n *Node) buildRequestPath(a adapter) {
 	m := meter.New(n.metrics, func() int { return n.tracker.Count().Total }, n.delay.Delay)
+	meter.RegisterConfig(n.metrics, func() *blackboard.Config { return &n.board.Read().Config })
+	link := pacer.New(a.bounds.LinkMbit)
+	m.WatchLink(n.metrics, link.Queue)
 	o := &observer{post: func(msg blackboard.Msg) { n.board.Post(msg) }, now: time.Now}
 	n.calledRoom = n.newCalledRoom(m)
+	n.guard = n.newGuard()
 	n.executor = executor.New(executor.Config{
 		Host:             n.settings.Host,
 		Target:           func() blackboard.Target { return n.board.Read().Target },
@@ -31,9 +36,12 @@
 		Observe:          n.observeRunEnd(m),
 		ObserveSent:      n.observeRunStart(m),
 		ObserveRateLimit: m.RecordRateLimit,
+		ObserveShortage:  m.RecordShortage,
+		LinkQueue:        link.Queue,
 		ReportHealth:     o.observe,
 		Calls:            n.calledRoom.Calls,
 		DeeperWait:       n.calledRoom.WaitPerRun,
+		Lateness:         n.delay.StandingDelay,
 		Log:              n.log,
 		ReportWrongTarget: func(id string) {
 			n.board.Post(blackboard.TargetMismatched{ID: id, Now: time.Now()})
@@ -54,7 +62,9 @@
 		Incarnation: n.self.Incarnation,
 		Clock:       timekeeper.Uptime,
 		Delay:       n.delay.MeanDelay,
+		Guard:       n.guard,
 		ObserveAge:  func(age time.Duration) { m.RecordUnread(meter.OriginNode, age) },
+		Link:        link,
 		Log:         n.log,
 	})
 	n.links.Handle(forwarder.Kind, n.forwarder.Handle)
@@ -65,9 +75,13 @@
 		Forward:      n.forwarder.Forward,
 		OriginOf:     n.calledRoom.Arrive,
 		RecordCall:   n.calledRoom.RecordCall,
+		TakeToken:    n.takeToken,
+		ReturnToken:  n.returnToken,
 		Delay:        n.delay.MeanDelay,
+		Guard:        n.guard,
 		Tracker:      n.tracker,
 		Explanations: n.explainer,
+		Link:         link,
 		Meter:        m,
 		Log:          n.log,
 
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -88,7 +88,9 @@
 	Service string
 	Route   string
 	Firm    string
-	Class   snapshotter.Class
+	// FirmRate is the firm's limit in requests a second; 0 when it has none.
+	FirmRate int
+	Class    snapshotter.Class
 	// Priority orders waiting requests of a class; 0 goes first.
 	Priority int
 	// Idempotent is set if running the request twice is harmless.
@@ -106,6 +108,9 @@
 	CallerService string
 	// TargetID is the id of the process that must run the request; empty means any at the address.
 	TargetID string
+	// TargetAccepts reports whether the target still takes the request. It is asked before the
+	// first byte is sent, since a slow body may hold that back for long; nil means always.
+	TargetAccepts func() bool
 	// Leaving is the process of the target that it is sent to as far as that has stated in
 	// answers to this node that it leaves; nil when it has not. The target's own node may
 	// have restarted since and not know.
@@ -126,6 +131,9 @@
 	Attempt int
 	// NoWait is set if the request is refused when there is no free slot.
 	NoWait bool
+	// WaitPastSoftDeadline is set if the request may wait for a slot although its answer
+	// will come after SoftDeadline.
+	WaitPastSoftDeadline bool
 	// RetriedAbove is set if the request is part of a retry by a node nearer the caller.
 	RetriedAbove bool
 	// IdempotencyKey is empty when the caller sent none.
@@ -134,6 +142,8 @@
 	LookupOnly bool
 	// ContentLength is -1 when unknown.
 	ContentLength int64
+	// LargeAnswer is set if the answers of the route are large. It is known at the caller's node only.
+	LargeAnswer bool
 	// ConfigVersion is the version of the configuration that the request was routed by.
 	ConfigVersion uint64
 	// Body ends with io.EOF only when it is complete. It is nil when ContentLength is 0.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -63,10 +63,17 @@
 	// DeeperWait returns how long a run of the target waits for slots of services that it
 	// calls; nil means never.
 	DeeperWait func() time.Duration
+	// ObserveShortage is called now and then with who is put behind at the target; nil means no call.
+	ObserveShortage func(s limiter.Shortage)
+	// LinkQueue returns for how long a further piece of a long answer waits for the link of
+	// this host; nil means that it never waits.
+	LinkQueue func() time.Duration
 	// FixedSlots and NoRamp are copied to the limits of the target.
 	FixedSlots, NoRamp bool
 	// Order is the order of waiting requests; empty means the limiter's default.
 	Order limiter.Order
+	// Lateness returns how late the process of this node runs; nil means never late.
+	Lateness func() time.Duration
 	// Log receives a line for each request that is not admitted to the target.
 	Log *logger.Logger
 	// ReportWrongTarget is called with the id of the process that answered in place
@@ -96,6 +103,8 @@
 	rate    statedRate
 	// leavingReported is set once process has stated that it leaves. Guarded by mu.
 	leavingReported bool
+	// shortage is what was last reported of the gate. Guarded by mu.
+	shortage shortageLog
 }
 
 // New returns an executor.
@@ -255,6 +264,9 @@
 		return exchanger.NotRun(reason, ctx.Err())
 	}
 	r.TargetID = t.ID
+	if r.Body != nil {
+		r.TargetAccepts = func() bool { return e.accepts(r, t) }
+	}
 	if e.cfg.ObserveSent != nil {
 		e.cfg.ObserveSent(r)
 	}
@@ -275,6 +287,13 @@
 	return a
 }
 
+// accepts reports whether the process of the target to which the request is about to be
+// sent still takes requests.
+func (e *Executor) accepts(r *exchanger.Request, sentTo blackboard.Target) bool {
+	t := e.cfg.Target()
+	return processOf(t) == processOf(sentTo) && phaseReason(t, r.Service, time.Now()) == exchanger.ReasonNone
+}
+
 // lateReason returns why a request that has a slot is not sent to the target any more, or
 // ReasonNone. The end of its context may not have been noticed yet in a process that is
 // short of processor time.
@@ -292,7 +311,7 @@
 func (e *Executor) limiterRequest(r *exchanger.Request) limiter.Request {
 	out := limiter.Request{
 		Class: r.Class, Firm: r.Firm, Deadline: r.Deadline, Priority: r.Priority, SoftDeadline: r.SoftDeadline, Route: r.Route, NoWait: r.NoWait,
-		IsCall: r.IsCall,
+		FirmRate: r.FirmRate, WaitPastSoftDeadline: r.WaitPastSoftDeadline, IsCall: r.IsCall,
 	}
 	if e.cfg.Calls != nil {
 		out.Calls = e.cfg.Calls(r.Route)
@@ -347,7 +366,11 @@
 }
 
 // Sync applies the current target and configuration to waiting requests.
-func (e *Executor) Sync() { e.sync(e.cfg.Target()) }
+func (e *Executor) Sync() {
+	t := e.cfg.Target()
+	e.sync(t)
+	e.reportShortage(time.Now(), t)
+}
 
 // sync applies the target's state and the configuration to the gate and returns it;
 // nil when the service is not known.
@@ -405,15 +428,6 @@
 	return e.load(), true
 }
 
-// load returns the load of the gate. The caller holds mu.
-func (e *Executor) load() limiter.Load {
-	l := e.gate.Load()
-	if e.cfg.DeeperWait != nil {
-		l.CallWait += e.cfg.DeeperWait()
-	}
-	return l
-}
-
 // SetCallLimits sets the limits of the runs that call other services, by service.
 func (e *Executor) SetCallLimits(limits map[string]float64) {
 	e.mu.Lock()
@@ -423,6 +437,22 @@
 	}
 }
 
+// load returns the load of the target, of its node and of the host's link. The caller holds
+// mu; gate is not nil.
+func (e *Executor) load() limiter.Load {
+	l := e.gate.Load()
+	if e.cfg.DeeperWait != nil {
+		l.CallWait += e.cfg.DeeperWait()
+	}
+	if e.cfg.Lateness != nil {
+		l.NodeLateness = e.cfg.Lateness()
+	}
+	if e.cfg.LinkQueue != nil {
+		l.LinkQueue = e.cfg.LinkQueue()
+	}
+	return l
+}
+
 // limiterResult returns how an exchange ended, for the limiter.
 func limiterResult(a *exchanger.Answer) limiter.Result {
 	return limiter.Result{Outcome: a.Outcome, Shed: a.Reason == exchanger.ReasonTargetShed}
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -22,14 +22,16 @@
 	Parent  string    `json:"parent,omitempty"`
 	Arrived time.Time `json:"arrived"`
 	// ConfigVersion is the version of the configuration that the request was routed by.
-	ConfigVersion uint64           `json:"config-version"`
-	Route         string           `json:"route,omitempty"`
-	Service       string           `json:"service,omitempty"`
-	Outcome       retrier.Outcome  `json:"outcome"`
-	Reason        exchanger.Reason `json:"reason,omitempty"`
-	Attempts      []Attempt        `json:"attempts,omitempty"`
-	GaveUp        retrier.Reason   `json:"gave-up,omitempty"`
-	Deadline      time.Time        `json:"deadline"`
+	ConfigVersion uint64 `json:"config-version"`
+	Route         string `json:"route,omitempty"`
+	Service       string `json:"service,omitempty"`
+	// Firm is the firm whose access key the request carried; empty when it carried none that is known.
+	Firm     string           `json:"firm,omitempty"`
+	Outcome  retrier.Outcome  `json:"outcome"`
+	Reason   exchanger.Reason `json:"reason,omitempty"`
+	Attempts []Attempt        `json:"attempts,omitempty"`
+	GaveUp   retrier.Reason   `json:"gave-up,omitempty"`
+	Deadline time.Time        `json:"deadline"`
 }
 
 // Attempt is one choice of a target and its outcome.
@@ -40,7 +42,9 @@
 	ChoiceReason ChoiceReason     `json:"why"`
 	Outcome      retrier.Outcome  `json:"outcome"`
 	Reason       exchanger.Reason `json:"reason,omitempty"`
-	// Evaluations lists the candidates with what was known of them at the choice.
+	// Candidates is how many candidates there were at the choice.
+	Candidates int `json:"candidates,omitempty"`
+	// Evaluations lists those that were compared, and some others, with what was known of them.
 	Evaluations []router.Evaluation `json:"considered,omitempty"`
 }
 
--- a/internal/inspector/view.go
+++ b/internal/inspector/view.go
@@ -22,6 +22,18 @@
 	Remote    []RemoteView              `json:"remote"`
 	Routes    []snapshotter.Route       `json:"routes"`
 	Services  []snapshotter.Service     `json:"services"`
+	Firms     []FirmView                `json:"firms,omitempty"`
+}
+
+// FirmView is a firm without its access keys and their digests.
+type FirmView struct {
+	Name string `json:"name"`
+	// Keys is how many access keys the firm has.
+	Keys     int    `json:"keys"`
+	Rate     int    `json:"rate"`
+	Burst    int    `json:"burst"`
+	Priority int    `json:"priority"`
+	Ticket   uint64 `json:"ticket"`
 }
 
 // SelfView identifies the node.
@@ -43,6 +55,18 @@
 	Floor      uint64 `json:"floor"`
 	Recovering bool   `json:"recovering"`
 	Parent     string `json:"parent,omitempty"`
+	// Refused is nil when no version is refused.
+	Refused *RefusedView `json:"refused,omitempty"`
+}
+
+// RefusedView is a version that the node cannot read or that breaks a rule.
+type RefusedView struct {
+	// Version is 0 when it could not be read either.
+	Version uint64 `json:"version"`
+	// Source is the address of the node that sent it; empty for the platform.
+	Source string    `json:"source,omitempty"`
+	Reason string    `json:"reason"`
+	Since  time.Time `json:"since"`
 }
 
 // LeaseView describes the relay slot that the node holds and the relays that it
@@ -121,6 +145,11 @@
 	if running := s.Config.Running; running != nil {
 		v.Routes = sorted(running.Routes, func(r snapshotter.Route) string { return r.Name })
 		v.Services = sorted(running.Services, func(sv snapshotter.Service) string { return sv.Name })
+		for _, f := range sorted(running.Firms, func(f snapshotter.Firm) string { return f.Name }) {
+			v.Firms = append(v.Firms, FirmView{
+				Name: f.Name, Keys: len(f.Keys), Rate: f.Rate, Burst: f.Burst, Priority: f.Priority, Ticket: f.Ticket,
+			})
+		}
 	}
 	return v
 }
@@ -140,6 +169,9 @@
 	if c.Running != nil {
 		v.Running = c.Running.Version
 	}
+	if c.Refused.IsSet() {
+		v.Refused = &RefusedView{Version: c.Refused.Version, Source: c.Refused.Source, Reason: c.Refused.Reason, Since: c.Refused.SinceAt}
+	}
 	return v
 }
 
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -83,11 +83,12 @@
 	}
 )
 
-// Metrics lists the metrics that Meter and Traffic register.
+// Metrics lists the metrics that Meter, RegisterConfig and Traffic register.
 func Metrics() []Metric {
 	return []Metric{
-		latency, queueWait, serviceTime, outcomes, calls, runsLimited, attempts, targetRequests, targetRateLimit, unread, processorDelay, inFlight,
-		linkBytes, linkTransfers, packetBytes, packets,
+		latency, queueWait, serviceTime, outcomes, calls, runsLimited, attempts, targetRequests, targetRateLimit, targetStarts, firmsOverPart, linkQueue,
+		unread, processorDelay, inFlight, configVersion, configRefusedVersion, configRefused,
+		linkBytes, linkTransfers, packetBytes, packets, limitedFirms, limitDecisions,
 	}
 }
 
@@ -109,8 +110,9 @@
 	targetRequests  *prometheus.CounterVec
 	targetRateLimit prometheus.Gauge
 	unread          *prometheus.HistogramVec
+	shortage        *shortage
 
-	firms    boundedLabels
+	firms    *rankedLabels
 	reasons  boundedLabels
 	services boundedLabels
 }
@@ -124,10 +126,18 @@
 		runsLimited:     prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: runsLimited.Name, Help: runsLimited.Help}, runsLimited.Labels),
 		targetRequests:  newCounter(targetRequests),
 		unread:          newHistogram(unread),
+		shortage:        newShortage(registry),
 		targetRateLimit: prometheus.NewGauge(prometheus.GaugeOpts{Name: targetRateLimit.Name, Help: targetRateLimit.Help}),
 
-		firms: boundedLabels{limit: maxFirms}, reasons: boundedLabels{limit: maxReasons}, services: boundedLabels{limit: maxServices},
+		reasons: boundedLabels{limit: maxReasons}, services: boundedLabels{limit: maxServices},
 	}
+	m.firms = newRankedLabels(maxFirms, func(firm string) {
+		match := prometheus.Labels{"firm": firm}
+		m.latency.DeletePartialMatch(match)
+		m.queueWait.DeletePartialMatch(match)
+		m.serviceTime.DeletePartialMatch(match)
+		m.outcomes.DeletePartialMatch(match)
+	})
 	gauge := prometheus.NewGaugeFunc(
 		prometheus.GaugeOpts{Name: inFlight.Name, Help: inFlight.Help},
 		func() float64 { return float64(countInFlight()) },
@@ -154,7 +164,8 @@
 	if m == nil {
 		return
 	}
-	f, c := m.firms.resolve(firm), classLabel(class)
+	f, c := m.firms.acquire(firm), classLabel(class)
+	defer m.firms.release()
 	m.latency.WithLabelValues(f, c).Observe(duration.Seconds())
 	m.outcomes.WithLabelValues(f, c, string(outcome), m.reasons.resolve(string(reason))).Inc()
 }
@@ -164,7 +175,8 @@
 	if m == nil {
 		return
 	}
-	f, c := m.firms.resolve(r.Firm), classLabel(r.Class)
+	f, c := m.firms.acquire(r.Firm), classLabel(r.Class)
+	defer m.firms.release()
 	m.queueWait.WithLabelValues(f, c).Observe(queued.Seconds())
 	m.serviceTime.WithLabelValues(f, c).Observe(served.Seconds())
 }
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
+	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/retrier"
@@ -22,12 +23,17 @@
 	}
 	m.RecordService(&exchanger.Request{Firm: "paza", Class: "no-such-class"}, time.Millisecond, time.Millisecond)
 	m.RecordAttempt("cost")
+	m.RecordCall("settle", retrier.OutcomeDone)
+	m.RecordRunsLimited("settle", true)
 	m.RecordUnread(OriginNode, time.Second)
 	m.RecordSent(&exchanger.Request{Attempt: 1})
 	m.RecordSent(&exchanger.Request{Attempt: 2})
+	RegisterConfig(registry, func() *blackboard.Config { return &blackboard.Config{} })
+	m.WatchLink(registry, func() time.Duration { return time.Millisecond })
 	traffic := NewTraffic(registry)
 	traffic.CountTransfer(linker.TrafficControl, linker.DirectionSent, 1)
 	traffic.CountPacket(linker.DirectionSent, 1)
+	NewLimits(registry, func() int { return 1 }, func() (admitted, refused, alone uint64) { return 5, 2, 1 })
 	families, err := registry.Gather()
 	assert.NilError(t, err)
 
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -106,11 +106,11 @@
 	state := r.receiver().cfg.State()
 	svc := r.receiver().index.find(state, r.call.service.Name)
 	var t target
-	var evaluations []router.Evaluation
+	var explanation router.Explanation
 	if r.usesKey() {
 		t = r.homeTarget(svc)
 	} else {
-		t, evaluations = r.cheapestTarget(svc)
+		t, explanation = r.cheapestTarget(svc)
 		t.choiceReason = choiceReason
 	}
 	if t.host == "" {
@@ -118,7 +118,8 @@
 	}
 	t.index = len(r.call.record.Attempts)
 	r.call.record.Attempts = append(r.call.record.Attempts, explainer.Attempt{
-		Host: t.host, Address: t.address, Chosen: time.Now(), ChoiceReason: t.choiceReason, Evaluations: evaluations,
+		Host: t.host, Address: t.address, Chosen: time.Now(), ChoiceReason: t.choiceReason,
+		Candidates: explanation.Candidates, Evaluations: explanation.Evaluations,
 	})
 	r.tried = append(r.tried, t.host)
 	r.receiver().cfg.Meter.RecordAttempt(string(t.choiceReason))
@@ -126,20 +127,21 @@
 }
 
 // cheapestTarget returns the candidate that the balancer chooses; empty when none is left.
-func (r *attemptSequence) cheapestTarget(svc *service) (target, []router.Evaluation) {
+func (r *attemptSequence) cheapestTarget(svc *service) (target, router.Explanation) {
 	rc := r.receiver()
 	request := router.Request{
 		Service: r.call.service.Name, Class: r.call.request.Class, Tried: r.tried, Explain: rc.cfg.Explanations != nil,
-		Route: r.call.request.Route, Bytes: rc.expectedBytes(r.call.request.Route, r.call.request.ContentLength),
+		Priority: r.call.request.Priority,
+		Route:    r.call.request.Route, Bytes: rc.expectedBytes(r.call.request.Route, r.call.request.ContentLength),
 		FreeSlotOnly: r.isHedging, AsksRefusing: r.call.request.IsCall && !r.isHedging,
 	}
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
 	choice, explanation := rc.balancer.Choose(time.Now(), request, svc.candidates, rc.rnd)
 	if !choice.OK {
-		return target{}, explanation.Evaluations
+		return target{}, explanation
 	}
-	return target{host: choice.Host, address: choice.Address}, explanation.Evaluations
+	return target{host: choice.Host, address: choice.Address}, explanation
 }
 
 // noTargetAnswer returns the answer when no target is left: that of the last
@@ -159,12 +161,13 @@
 	}
 	request := *r.call.request
 	request.Attempt, request.NoWait = attempt, t.choiceReason == explainer.ChoiceByHedge
+	request.WaitPastSoftDeadline = !request.NoWait && r.isLastAttempt()
 	if body != nil {
 		request.Body = body
 	}
 	request.Leaving = rc.recordStart(t.host)
 	start := time.Now()
-	a := r.deliver(ctx, t, &request)
+	a := readWhole(ctx, &request, r.deliver(ctx, t, &request))
 	if a.TargetHost == "" && a.Outcome != retrier.OutcomeNotRun {
 		a.TargetHost = t.host
 	}
@@ -203,8 +206,13 @@
 	if a.Leaving != nil {
 		rc.leaving[host] = leavingTarget{process: *a.Leaving, forgetAt: time.Now().Add(targetExpiry)}
 	}
+	retryAfter := a.RetryAt
+	if a.Reason == exchanger.Reason(limiter.ReasonFirmOverPart) {
+		// The refusal says nothing of other firms.
+		retryAfter = time.Time{}
+	}
 	rc.balancer.RecordResult(time.Now(), r.Service, host, router.Result{
-		Outcome: a.Outcome, Class: r.Class, Route: r.Route, Latency: took, Load: a.Load, RetryAfter: a.RetryAt,
+		Outcome: a.Outcome, Class: r.Class, Route: r.Route, Priority: r.Priority, Latency: took, Load: a.Load, RetryAfter: retryAfter,
 		Cancelled:    a.Reason == exchanger.ReasonCancelled || a.Reason == exchanger.ReasonDeadline,
 		RouteRefused: a.Reason == exchanger.Reason(limiter.ReasonCalledRoom),
 		Failed:       a.Status >= http.StatusInternalServerError || a.Reason == exchanger.ReasonTargetShed,
@@ -227,7 +235,7 @@
 // isFull reports whether a node refused the request because its target has no capacity for it.
 func isFull(reason exchanger.Reason) bool {
 	switch reason {
-	case exchanger.Reason(limiter.ReasonQueueFull), exchanger.Reason(limiter.ReasonWaitedTooLong), exchanger.Reason(limiter.ReasonMissesDeadline),
+	case exchanger.Reason(limiter.ReasonQueueFull), exchanger.Reason(limiter.ReasonFirmOverPart), exchanger.Reason(limiter.ReasonWaitedTooLong), exchanger.Reason(limiter.ReasonMissesDeadline),
 		exchanger.Reason(limiter.ReasonRateLimited), exchanger.Reason(limiter.ReasonCalledRoom), exchanger.ReasonNodeLate:
 		return true
 	default:
@@ -287,6 +295,17 @@
 	return r.reroutes <= maxReroutes && r.fullReroutes <= maxFullReroutes
 }
 
+// isLastAttempt reports whether a refusal of the present attempt for lack of room would be
+// the caller's answer.
+func (r *attemptSequence) isLastAttempt() bool {
+	full, all := maxFullReroutes, maxReroutes
+	if r.call.request.IsCall {
+		full, all = maxCallReroutes, maxCallReroutes
+	}
+	return r.fullReroutes >= full || r.reroutes >= all || r.usesKey() ||
+		len(r.tried) >= len(r.receiver().index.find(r.receiver().cfg.State(), r.call.service.Name).candidates)
+}
+
 // isRetryForbidden reports whether another attempt could run the request twice.
 func (r *attemptSequence) isRetryForbidden() bool { return r.mayHaveRun && !r.call.request.Idempotent }
 
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -129,6 +129,12 @@
 	if !ok {
 		return exchanger.NotRun(exchanger.ReasonNoRoute, nil)
 	}
+	c.record.Route, c.record.Service = route.Name, service.Name
+	firm, refusal := c.identify(running, route)
+	if refusal != nil {
+		return refusal
+	}
+	c.record.Firm = firm.Name
 	if name := c.receiver.serviceOf(&route); name != service.Name {
 		service = running.Services[name]
 	}
@@ -136,11 +142,7 @@
 		return exchanger.NotRun(exchanger.ReasonTooLarge, nil)
 	}
 	c.service = service
-	c.record.Route, c.record.Service = route.Name, service.Name
-	firm, refusal := c.identify(running, route)
-	if refusal != nil {
-		return refusal
-	}
+	c.record.Service = service.Name
 	depth, ok := nextDepth(c.header(c.receiver.cfg.Dialect.Depth))
 	if !ok || len(c.header(c.receiver.cfg.Dialect.IdempotencyKey)) > deduplicator.MaxKeyBytes {
 		return exchanger.NotRun(exchanger.ReasonBadRequest, nil)
@@ -152,6 +154,10 @@
 	if !ok {
 		return exchanger.NotRun(exchanger.ReasonBadRequest, nil)
 	}
+	isCall := depth > 1 || len(running.Firms) > 0 && firm.Name == ""
+	if refusal := c.admit(route, firm, deadline, isCall); refusal != nil {
+		return refusal
+	}
 	c.request = c.newRequest(route, service, depth, deadline, running.Version)
 	c.request.Path = target
 	if len(running.Firms) > 0 {
@@ -173,7 +179,8 @@
 		RetriedAbove:   isPartOfRetry(c.header(d.Attempt)),
 		IdempotencyKey: c.header(d.IdempotencyKey),
 		ContentLength:  r.ContentLength, ConfigVersion: version,
-		Priority: route.Priority, CallerService: c.receiver.cfg.CallerService, MaxAttempts: route.MaxAttempts,
+		LargeAnswer: route.LargeAnswers,
+		Priority:    route.Priority, CallerService: c.receiver.cfg.CallerService, MaxAttempts: route.MaxAttempts,
 	}
 	out.IsCall = c.isCall(route.Name, service.Name, depth)
 	if c.caller.IsGone != nil {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -17,6 +17,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gentianbarrow.example/internal/acceptor"
@@ -29,8 +30,10 @@
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/meter"
 	"gentianbarrow.example/internal/moderator"
+	"gentianbarrow.example/internal/pacer"
 	"gentianbarrow.example/internal/retrier"
 	"gentianbarrow.example/internal/router"
+	"gentianbarrow.example/internal/shedder"
 	"gentianbarrow.example/pkg/snapshotter"
 )
 
@@ -65,12 +68,16 @@
 	RecordCall func(now time.Time, c moderator.Call)
 	// Delay returns how late this process runs; nil means never late.
 	Delay func() time.Duration
+	// Guard rejects requests for which this node has no processor time; nil means that all are admitted.
+	Guard *shedder.Guard
 	// Tracker counts the requests of callers in flight.
 	Tracker *drainer.Tracker
 	// Explanations records how requests were routed; nil means no records.
 	Explanations *explainer.Ring
-	Meter        *meter.Meter
-	Log          *logger.Logger
+	// Link paces long answers to callers; nil means that they are not paced.
+	Link  *pacer.Link
+	Meter *meter.Meter
+	Log   *logger.Logger
 	// Seed seeds the choice of targets; 0 means a random seed.
 	Seed uint64
 }
@@ -79,6 +86,8 @@
 type Receiver struct {
 	cfg   Config
 	index index
+	// watched is the latest result of isWatched; nil before the first.
+	watched atomic.Pointer[watchedState]
 
 	mu sync.Mutex
 	// balancer and rnd choose targets; rnd also starts splits. Guarded by mu.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -160,7 +160,19 @@
 		r.Outcome, r.RetryAfter, r.RouteRefused = retrier.OutcomeNotRun, at(900), true
 		recordExchange(balancer, "near-0", at(0), r)
 		assert.Equal(t, countChoices(balancer, at(1), rosterRequest(), near(1), isHost("near-0")), 1000)
-		assert.Assert(t, !balancer.target("near-0").isBackingOff(at(1), snapshotter.ClassShort))
+		assert.Assert(t, !balancer.target("near-0").isBackingOff(at(1), snapshotter.ClassShort, 0))
+	})
+	t.Run("a target whose node is short of processor time is not preferred", func(t *testing.T) {
+		balancer := New()
+		for _, c := range near(3) {
+			r := answeredResult(50*time.Millisecond, 2)
+			if c.Host == "near-0" {
+				r.Load.NodeLateness = 60 * time.Millisecond
+			}
+			recordExchange(balancer, c.Host, at(0), r)
+		}
+		assert.Equal(t, countChoices(balancer, at(1), rosterRequest(), near(3), isHost("near-0")), 0)
+		assert.Assert(t, countChoices(balancer, at(5000), rosterRequest(), near(3), isHost("near-0")) > 0, "old reports are ignored")
 	})
 	t.Run("a cold target is chosen less often", func(t *testing.T) {
 		all := near(5)
@@ -290,6 +302,24 @@
 	})
 }
 
+// TestExplanationIsBounded guards against records of requests that fill the memory of a
+// node whose services have many targets.
+func TestExplanationIsBounded(t *testing.T) {
+	r := rosterRequest()
+	r.Explain = true
+	choice, e := New().Choose(at(0), r, near(400), newRand())
+	assert.Equal(t, e.Candidates, 400)
+	assert.Equal(t, len(e.Evaluations), maxEvaluations)
+	compared := 0
+	for _, c := range e.Evaluations {
+		if c.Cost > 0 {
+			compared++
+		}
+	}
+	assert.Equal(t, compared, sampleSize)
+	assert.Assert(t, slices.ContainsFunc(e.Evaluations, func(c Evaluation) bool { return c.Host == choice.Host && c.Rejection == RejectionNone }))
+}
+
 func TestForget(t *testing.T) {
 	balancer := New()
 	recordExchange(balancer, "near-0", at(0), answeredResult(time.Millisecond, 1))
@@ -336,7 +366,7 @@
 			return false
 		}
 		lastResort := len(r.Tried) == 0 && c.Distance == all[0].Distance
-		return lastResort || !balancer.targets[c.Host].isBackingOff(now, r.Class)
+		return lastResort || !balancer.targets[c.Host].isBackingOff(now, r.Class, r.Priority)
 	})
 	if choice.OK != usable {
 		t.Fatalf("chosen: %v, usable candidates: %v", choice.OK, usable)
