--- a/internal/composer/direct.go
+++ b/internal/composer/direct.go
@@ -100,7 +100,7 @@
 		Self: n.nodeRecord(), Incarnation: n.self.Incarnation, Open: open(subscriber.StreamKind),
 		State: func() *blackboard.State { return n.board.Read() },
 		Post:  func(m blackboard.Msg) { n.board.Post(m) }, Log: n.log,
-		Load: n.targetLoad, OnLoad: n.receiver.RecordLoad,
+		Load: n.targetLoad, OnLoad: n.receiver.RecordLoad, RunCalls: n.runCalls, OnRunCalls: n.recordRunCalls,
 	})
 	reader := platform.ConfigReader{RetryPercent: a.bounds.RetryPercent}
 	state := blackboard.State{
--- a/internal/limiter/demand.go
+++ b/internal/limiter/demand.go
@@ -177,8 +177,11 @@
 // leavesRoom reports whether a further request of the kind may hold one of the slots: a
 // long one leaves room for the shorter ones that are at least as urgent, and that could
 // not wait until it ends. What long requests free in the time that those can wait
-// counts as room.
+// counts as room. Calls need not leave any, since a run waits for each.
 func (d *demand) leavesRoom(k *kind, factor float64, slots int) bool {
+	if k.priority == callRank {
+		return true
+	}
 	need, patience := 0.0, math.Inf(1)
 	for _, other := range d.kinds {
 		if k.isLongFor(other) {
--- a/internal/limiter/gate.go
+++ b/internal/limiter/gate.go
@@ -19,6 +19,8 @@
 	class   class
 	firm    string
 	route   string
+	isCall  bool
+	calls   []string
 	started time.Time
 	// expected, use and kind are those of its queue entry.
 	expected time.Duration
@@ -37,11 +39,14 @@
 	ramp          ramp
 	bucket        tokenBucket
 	// room and returns are used with OrderSoftDeadline only.
-	room     room
-	returns  returns
-	draining bool
+	room    room
+	returns returns
 	// starts counts the requests that started, by order. Only kept with OrderSoftDeadline.
-	starts map[StartOrder]int
+	starts     map[StartOrder]int
+	calledRoom calledRoom
+	// callWait is the smoothed time that calls waited for a slot.
+	callWait time.Duration
+	draining bool
 	// changes is returned to the caller and reused by the next call.
 	changes Changes
 }
@@ -58,6 +63,7 @@
 		estimator:     newEstimator(),
 		room:          newRoom(),
 		starts:        map[StartOrder]int{},
+		calledRoom:    newCalledRoom(),
 	}
 }
 
@@ -67,14 +73,14 @@
 	g.advance(now)
 	c := classOf(r.Class)
 	if g.contains(r.ID) {
-		w := g.newWaiting(r, c)
+		w := g.newWaiting(now, r, c)
 		return g.refuse(now, &w, ReasonDuplicate)
 	}
 	if g.draining {
 		return Decision{Verdict: VerdictRefused, Reason: ReasonDraining}
 	}
 	g.processQueue(now)
-	w := g.newWaiting(r, c)
+	w := g.newWaiting(now, r, c)
 	if g.isRanked() {
 		g.room.recordArrival(now, &w, r.FirmRate)
 	}
@@ -99,7 +105,7 @@
 	g.resetChanges()
 	g.advance(now)
 	c := classOf(r.Class)
-	w := g.newWaiting(r, c)
+	w := g.newWaiting(now, r, c)
 	ahead += g.countAhead(now, &w)
 	if !g.bucket.availableAt(now, ahead).After(g.startBy(now, &w)) {
 		return Decision{}, false
@@ -118,8 +124,9 @@
 	g.advance(now)
 	limitReached := !g.capacity(now).admits(short, g.runningCounts)
 	delete(g.running, id)
-	g.runningCounts.remove(run.class, run.firm)
+	g.runningCounts.remove(run.class, run.firm, run.isCall)
 	g.room.recordEnd(&run, len(g.running))
+	g.calledRoom.remove(run.calls)
 	g.estimator.removeRunning(run.class, run.started)
 	if res.Outcome == retrier.OutcomeDone {
 		g.estimator.recordServiceTime(run.class, run.route, now.Sub(run.started))
@@ -218,6 +225,7 @@
 		Queued:   g.queue.len(),
 		Draining: g.draining,
 		Service:  g.estimator.nonBulkServiceTime(),
+		CallWait: g.callWait,
 	}
 }
 
@@ -271,7 +279,7 @@
 		return false
 	}
 	available := g.capacity(now)
-	if !available.admits(w.class, g.runningCounts) || !g.bucket.admits(now) {
+	if !available.admits(w.class, g.runningCounts) || !g.bucket.admits(now) || !g.hasCalledRoom(w) {
 		return false
 	}
 	return g.room.demand.mayStart(w.kind, g.room.decay.factor, available.slots)
@@ -288,7 +296,7 @@
 			break
 		}
 		g.removeWaiting(w.id)
-		g.drop(now, w, g.expiryReason(now, w.class, w.route, w.startBy, w.deadline))
+		g.drop(now, w, g.expiryReason(now, &w))
 	}
 	if g.draining {
 		return
@@ -310,13 +318,16 @@
 }
 
 // expiryReason returns why a request that can't start by startBy ends: because of
-// the rate limit, because it exceeds its wait limit, or because it would miss its
-// deadline.
-func (g *Gate) expiryReason(now time.Time, c class, route string, startBy, deadline time.Time) Reason {
+// the rate limit or the room that its calls need, because it exceeds its wait limit, or
+// because it would miss its deadline.
+func (g *Gate) expiryReason(now time.Time, w *waitingRequest) Reason {
 	if !g.bucket.admits(now) {
 		return ReasonRateLimited
 	}
-	if startBy.Add(g.estimator.expectedForRoute(c, route)).Before(deadline) {
+	if !g.hasCalledRoom(w) {
+		return ReasonCalledRoom
+	}
+	if w.startBy.Add(g.estimator.expectedForRoute(w.class, w.route)).Before(w.deadline) {
 		return ReasonWaitedTooLong
 	}
 	return ReasonMissesDeadline
@@ -325,16 +336,17 @@
 // next returns the waiting request that starts next, if there is a slot for any.
 func (g *Gate) next(now time.Time, available capacity) (waitingRequest, bool) {
 	if !g.isRanked() {
-		return g.queue.next(available, &g.runningCounts)
+		return g.queue.next(available, &g.runningCounts, g.hasCalledRoom)
 	}
 	if g.queue.len() == 0 {
 		return waitingRequest{}, false
 	}
+	callsDeferred := available.defersCalls(g.runningCounts)
 	for _, c := range available.startOrder(g.runningCounts) {
 		if len(g.queue.byClass[c]) == 0 || !available.admits(c, g.runningCounts) {
 			continue
 		}
-		if w, ok := g.room.next(now, g.queue.byClass[c], available.slots); ok {
+		if w, ok := g.room.next(now, g.queue.byClass[c], available.slots, callsDeferred, g.hasCalledRoom); ok {
 			return w, true
 		}
 	}
@@ -359,10 +371,15 @@
 	if len(g.running) == 0 {
 		g.estimator.recordFreedSlot(now)
 	}
-	run := runningRequest{class: w.class, firm: w.firm, route: w.route, started: now, expected: w.expected, use: w.use, kind: w.kind}
+	run := runningRequest{
+		class: w.class, firm: w.firm, route: w.route, isCall: w.isCall(), calls: w.calls, started: now,
+		expected: w.expected, use: w.use, kind: w.kind,
+	}
 	g.bucket.take(now)
 	g.running[w.id] = run
-	g.runningCounts.add(run.class, run.firm)
+	g.runningCounts.add(run.class, run.firm, run.isCall)
+	g.calledRoom.add(run.calls)
+	g.recordCallWait(run.isCall, now.Sub(w.arrived))
 	g.room.recordStart(&run)
 	g.estimator.addRunning(run.class, now)
 }
--- a/internal/limiter/wait.go
+++ b/internal/limiter/wait.go
@@ -34,7 +34,7 @@
 	case g.rateStart(now, &w).After(w.startBy):
 		return g.refuse(now, &w, ReasonRateLimited)
 	case g.queue.order != OrderLIFO && g.expectedStart(now, &w).After(w.startBy):
-		return g.refuse(now, &w, g.expiryReason(now, c, r.Route, w.startBy, r.Deadline))
+		return g.refuse(now, &w, g.expiryReason(now, &w))
 	}
 	if !g.queue.hasSpace(c) {
 		victim, ok := g.victim(now, &w)
@@ -120,12 +120,13 @@
 }
 
 // reasonByRoom returns the reason of a refusal. It names the firm's use where that is what
-// puts the request behind others. It counts the last refusal of a request for its kind.
+// puts the request behind others. It counts the last refusal of a request for its kind,
+// unless another order at this target would not have helped.
 func (g *Gate) reasonByRoom(w *waitingRequest, reason Reason) Reason {
 	if !g.isRanked() || reason == ReasonDuplicate {
 		return reason
 	}
-	if w.waitPastSoftDeadline {
+	if w.waitPastSoftDeadline && reason != ReasonCalledRoom {
 		g.room.demand.recordRefusal(w.kind, g.room.decay.factor)
 	}
 	isShort := reason == ReasonQueueFull || reason == ReasonWaitedTooLong || reason == ReasonMissesDeadline
@@ -154,8 +155,7 @@
 
 // startInterval returns the time between the starts of requests like w.
 func (g *Gate) startInterval(now time.Time, w *waitingRequest) time.Duration {
-	room := g.room.demand.roomFor(w.kind, w.priority, g.room.decay.factor, g.slotsFor(now, w.class))
-	return time.Duration(float64(w.expected) * g.slowness(now) / room)
+	return time.Duration(float64(w.expected) * g.slowness(now) / g.roomFor(w, g.slotsFor(now, w.class)))
 }
 
 func (g *Gate) slotsFor(now time.Time, c class) int {
@@ -166,6 +166,21 @@
 	return available.nonUrgentSlots
 }
 
+// calledSlots returns how many of the slots requests that make the same calls as w may hold.
+func (g *Gate) calledSlots(w *waitingRequest, slots int) int {
+	if w.isCall() {
+		return slots
+	}
+	return g.calledRoom.slots(w.calls, slots)
+}
+
+// roomFor returns how many of the slots are left for requests like w by the load of more
+// urgent kinds and by the room for its calls.
+func (g *Gate) roomFor(w *waitingRequest, slots int) float64 {
+	left := g.room.demand.roomFor(w.kind, w.priority, g.room.decay.factor, slots)
+	return min(left, float64(g.calledSlots(w, slots)))
+}
+
 // slowness returns how much longer than expected the running requests take.
 func (g *Gate) slowness(now time.Time) float64 {
 	return g.room.demand.slowness(g.estimator.ageSum(now, &g.runningCounts))
@@ -181,27 +196,39 @@
 // after the work that ranks before it, in the room that the load of more urgent kinds leaves.
 func (g *Gate) expectedWait(now time.Time, w *waitingRequest) time.Duration {
 	slots := g.slotsFor(now, w.class)
-	releases := g.room.demand.releaseRate
+	usable := g.calledSlots(w, slots)
+	releases := g.room.demand.releaseRate * float64(usable) / float64(slots)
 	if !g.isRanked() || releases <= 0 {
 		serviceTime := g.estimator.currentServiceTime(now, w.class, g.runningCounts.byClass[w.class])
 		ahead := g.queue.countAhead(w.class, w) * g.queue.countFirms(w.class, w.firm)
-		return g.estimator.expectedWait(now, ahead, slots, serviceTime)
+		return g.estimator.expectedWait(now, ahead, usable, serviceTime)
 	}
 	slow := g.slowness(now)
 	untilNextFree := max(time.Duration(slow/releases*float64(time.Second)), now.Sub(g.estimator.lastFreed))
 	_, work := g.room.ahead(now, g.queue.byClass[w.class], w)
-	room := g.room.demand.roomFor(w.kind, w.priority, g.room.decay.factor, slots)
-	return untilNextFree + time.Duration(float64(work)*slow/room)
+	return untilNextFree + time.Duration(float64(work)*slow/g.roomFor(w, slots))
 }
 
 // newWaiting returns a request as a queue entry, without its startBy.
-func (g *Gate) newWaiting(r Request, c class) waitingRequest {
+func (g *Gate) newWaiting(now time.Time, r Request, c class) waitingRequest {
 	return waitingRequest{
-		id: r.ID, class: c, firm: r.Firm, route: r.Route, priority: r.Priority, softDeadline: r.SoftDeadline, deadline: r.Deadline,
+		id: r.ID, class: c, firm: r.Firm, route: r.Route, priority: r.rank(), softDeadline: r.SoftDeadline, deadline: r.Deadline,
 		waitPastSoftDeadline: r.WaitPastSoftDeadline, expected: g.estimator.expectedForRoute(c, r.Route),
+		arrived: now, calls: r.Calls,
 	}
 }
 
+// callRank is the priority of calls, before those of all requests of callers.
+const callRank = -1
+
+// rank returns the priority of a request, which is callRank for a call.
+func (r Request) rank() int {
+	if r.IsCall {
+		return callRank
+	}
+	return r.Priority
+}
+
 // maxPatienceDivisor divides the time until a request must start to give that for which it
 // may wait past its soft deadline, since the load may grow while it waits.
 const maxPatienceDivisor = 2
@@ -213,6 +240,9 @@
 	if by.Before(now) {
 		by = w.deadline
 	}
+	if w.isCall() {
+		return by
+	}
 	if !w.softDeadline.IsZero() {
 		soft := earlierTime(by, laterTime(w.softDeadline.Add(-w.expected), now.Add(minWaitLimit)))
 		if !w.waitPastSoftDeadline {
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gentianbarrow.example/internal/acceptor"
+	"gentianbarrow.example/internal/attributor"
 	"gentianbarrow.example/internal/deduplicator"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/explainer"
@@ -74,6 +75,7 @@
 		return refusal
 	}
 	a := c.sendAttempts(c.httpRequest.Context())
+	c.recordCall(a)
 	c.returnToken(a)
 	return a
 }
@@ -152,12 +154,14 @@
 	if !ok {
 		return exchanger.NotRun(exchanger.ReasonBadRequest, nil)
 	}
-	isCall := depth > 1 || len(running.Firms) > 0 && firm.Name == ""
-	if refusal := c.admit(route, firm, deadline, isCall); refusal != nil {
+	isCall := c.isCall(route.Name, service.Name, depth)
+	// Without records of what runs here, a request without a key may be a call.
+	mayBeCall := isCall || c.receiver.cfg.OriginOf == nil && len(running.Firms) > 0 && firm.Name == ""
+	if refusal := c.admit(route, firm, deadline, mayBeCall); refusal != nil {
 		return refusal
 	}
 	c.request = c.newRequest(route, service, depth, deadline, running.Version)
-	c.request.Path = target
+	c.request.Path, c.request.IsCall = target, isCall
 	if len(running.Firms) > 0 {
 		c.setFirm(firm)
 	}
@@ -196,6 +200,17 @@
 	return out
 }
 
+// isCall reports whether a run at this host's target waits for the answer.
+func (c *call) isCall(route, service string, depth int) bool {
+	originOf := c.receiver.cfg.OriginOf
+	if originOf == nil || c.caller.Connection == 0 {
+		return depth > 1
+	}
+	origin, parent := originOf(c.readAt, attributor.Arrival{ID: c.record.RequestID, Connection: c.caller.Connection, Route: route, Service: service})
+	c.record.Parent = parent
+	return origin == attributor.OriginTarget || depth > 1
+}
+
 // header returns the value of a header of the dialect; empty when the dialect does not use it.
 func (c *call) header(name string) string {
 	if name == "" {
