--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -35,6 +35,7 @@
 	"gentianbarrow.example/internal/loader"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/meter"
+	"gentianbarrow.example/internal/moderator"
 	"gentianbarrow.example/internal/receiver"
 	"gentianbarrow.example/internal/shedder"
 	"gentianbarrow.example/internal/summarizer"
@@ -72,6 +73,8 @@
 	delay *timekeeper.DelayMeter
 	// guard rejects requests for which there is no processor time.
 	guard *shedder.Guard
+	// calledRoom limits the runs that make calls.
+	calledRoom *moderator.Room
 }
 
 // Listen opens the listeners of the settings and builds the node. It accepts no
@@ -212,6 +215,7 @@
 	g.start("board", n.board.Run)
 	g.start("delay", n.delay.Run)
 	g.start("limits", n.limits.Run)
+	g.start("called-room", n.calledRoom.Run)
 	g.start("memory", func(ctx context.Context) error {
 		limitMemory(ctx)
 		return nil
--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -27,17 +27,20 @@
 	m.WatchLink(n.metrics, link.Queue)
 	o := &observer{post: func(msg blackboard.Msg) { n.board.Post(msg) }, now: time.Now}
 	n.guard = n.newGuard()
+	n.calledRoom = n.newCalledRoom(m)
 	executorConfig := executor.Config{
 		Host:             n.settings.Host,
 		Target:           func() blackboard.Target { return n.board.Read().Target },
 		Service:          n.service,
 		Client:           dispatcher.NewHTTP(dispatcher.WithDialect(a.dialect)),
-		Observe:          m.RecordService,
-		ObserveSent:      m.RecordSent,
+		Observe:          n.observeRunEnd(m),
+		ObserveSent:      n.observeRunStart(m),
 		ObserveRateLimit: m.RecordRateLimit,
 		ObserveShortage:  m.RecordShortage,
 		ReportHealth:     o.observe,
 		Lateness:         n.delay.StandingDelay,
+		Calls:            n.calledRoom.Calls,
+		DeeperWait:       n.calledRoom.WaitPerRun,
 		Log:              n.log,
 		ReportWrongTarget: func(id string) {
 			n.board.Post(blackboard.TargetMismatched{ID: id, Now: time.Now()})
@@ -75,6 +78,8 @@
 		Forward:      n.forwarder.Forward,
 		TakeToken:    n.takeToken,
 		ReturnToken:  n.returnToken,
+		OriginOf:     n.calledRoom.Arrive,
+		RecordCall:   n.calledRoom.RecordCall,
 		Delay:        n.delay.MeanDelay,
 		Guard:        n.guard,
 		Tracker:      n.tracker,
@@ -85,7 +90,12 @@
 
 		Dialect: a.dialect, CallerService: n.settings.Target.Service, RetryBurst: a.bounds.RetryBurst,
 	})
-	n.callers = &acceptor.Server{
+	n.callers = n.newCallerServer(a)
+}
+
+// newCallerServer returns the server for callers.
+func (n *Node) newCallerServer(a adapter) *acceptor.Server {
+	return &acceptor.Server{
 		Handler: n.receiver, MaxHeaderBytes: n.settings.Limits.HeaderBytes, CloseTimeout: a.closeTimeout,
 		Delay:  n.delay.Delay,
 		Limits: func() acceptor.Limits { return callerLimits(n.board.Read().Config.Running) },
--- a/internal/encoder/load.go
+++ b/internal/encoder/load.go
@@ -15,6 +15,7 @@
 		Draining: l.Draining, Incarnation: incarnation, ServiceMicro: l.Service.Microseconds(),
 		NodeLateMicro:  l.NodeLateness.Microseconds(),
 		LinkQueueMicro: l.LinkQueue.Microseconds(),
+		CallWaitMicro:  l.CallWait.Microseconds(),
 	}
 }
 
@@ -28,5 +29,6 @@
 		Draining: m.GetDraining(), Service: time.Duration(m.GetServiceMicro()) * time.Microsecond,
 		NodeLateness: time.Duration(max(m.GetNodeLateMicro(), 0)) * time.Microsecond,
 		LinkQueue:    time.Duration(m.GetLinkQueueMicro()) * time.Microsecond,
+		CallWait:     time.Duration(max(m.GetCallWaitMicro(), 0)) * time.Microsecond,
 	}
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -118,6 +118,12 @@
 	WaitPastSoftDeadline bool
 	// Deadline is the time by which the caller needs the answer.
 	Deadline time.Time
+	// IsCall is set if a run at a target waits for the answer. Such a request goes before
+	// those of all priorities, and waits for as long as it can end by its deadline.
+	IsCall bool
+	// Calls lists the services that the run of the request is expected to call. A caller's
+	// request starts only if the runs that call each of them are below its limit.
+	Calls []string
 }
 
 // Verdict is the decision on an offered request.
@@ -153,6 +159,9 @@
 	// ReasonRateLimited means that the rate limit of the target does not let the request
 	// start in time.
 	ReasonRateLimited Reason = "rate-limited"
+	// ReasonCalledRoom means that a service which the run of the request would call has no
+	// room for its calls.
+	ReasonCalledRoom Reason = "called-room"
 	// ReasonDraining means that the target accepts no new requests.
 	ReasonDraining Reason = "draining"
 	// ReasonCancelled means that the caller went away while the request waited.
@@ -215,4 +224,6 @@
 	// LinkQueue is for how long a further piece of a long answer waits for the link of the
 	// target's host; 0 if nothing waits or the speed of the link is not known.
 	LinkQueue time.Duration
+	// CallWait is the smoothed time that calls waited for a slot.
+	CallWait time.Duration
 }
--- a/internal/limiter/rank.go
+++ b/internal/limiter/rank.go
@@ -11,10 +11,13 @@
 // last moment would miss it and take the room of others that miss it next.
 const serviceMargin = 1.5
 
-// rank orders the waiting requests of a class where the order is OrderSoftDeadline: by
-// priority, then by how far their firm is beyond its part, then by whether they can
-// still meet their soft deadline, then by soft deadline. Requests of a starved kind go first.
+// rank orders the waiting requests of a class where the order is OrderSoftDeadline: calls
+// before requests of callers, then by priority, then by how far their firm is beyond its
+// part, then by whether they can still meet their soft deadline, then by soft deadline.
+// Requests of a starved kind go first among those of callers.
 type rank struct {
+	// goesFirst is set for calls, or for the others while calls are deferred.
+	goesFirst    bool
 	isStarved    bool
 	priority     int
 	excess       int
@@ -25,6 +28,8 @@
 // compare returns a negative number if a goes before b.
 func (a *rank) compare(b *rank) int {
 	switch {
+	case a.goesFirst != b.goesFirst:
+		return compareBools(b.goesFirst, a.goesFirst)
 	case a.isStarved != b.isStarved:
 		return compareBools(b.isStarved, a.isStarved)
 	case a.priority != b.priority:
@@ -69,15 +74,18 @@
 }
 
 func (m *room) rank(now time.Time, w *waitingRequest) rank {
-	r := rank{priority: w.priority, excess: m.parts.excess(w.use, m.decay.factor), softDeadline: w.softDeadline}
+	r := rank{goesFirst: w.isCall(), priority: w.priority, excess: m.parts.excess(w.use, m.decay.factor), softDeadline: w.softDeadline}
 	r.isLate = !w.softDeadline.IsZero() && now.Add(time.Duration(serviceMargin*float64(w.expected))).After(w.softDeadline)
 	r.isStarved = w.kind != nil && w.kind.isStarved
 	return r
 }
 
-// recordArrival counts an offered request and returns it as a queue entry.
+// recordArrival counts an offered request and adds what is known of its firm and kind. A
+// call counts for no firm.
 func (m *room) recordArrival(now time.Time, w *waitingRequest, rate int) {
-	w.use = m.parts.firm(now, w.firm, rate)
+	if !w.isCall() {
+		w.use = m.parts.firm(now, w.firm, rate)
+	}
 	w.kind = m.demand.kindOf(w.class, w.route, w.priority)
 	patience := time.Duration(0)
 	if !w.softDeadline.IsZero() {
@@ -108,16 +116,17 @@
 	m.demand.recordEnd(run.kind, run.expected, running)
 }
 
-// next returns the waiting request of the class that ranks first among those that leave
-// room for more urgent ones.
-func (m *room) next(now time.Time, list []waitingRequest, slots int) (waitingRequest, bool) {
+// next returns the waiting request of the class that ranks first among those that are
+// eligible and leave room for more urgent ones. If calls are deferred they go last.
+func (m *room) next(now time.Time, list []waitingRequest, slots int, callsDeferred bool, eligible func(*waitingRequest) bool) (waitingRequest, bool) {
 	m.demand.prepare(m.decay.factor, slots)
 	best, bestRank := -1, rank{}
 	for i := range list {
-		if k := list[i].kind; k != nil && k.isHeld {
+		if k := list[i].kind; k != nil && k.isHeld || !eligible(&list[i]) {
 			continue
 		}
 		r := m.rank(now, &list[i])
+		r.goesFirst = r.goesFirst != callsDeferred
 		if best < 0 || r.compare(&bestRank) < 0 {
 			best, bestRank = i, r
 		}
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -78,7 +78,11 @@
 	UnreadMillis   int64
 	NodeLateMillis int64
 	Count          int
-	Err            error
+	// Parent is the id of the request whose run made a call.
+	Parent string
+	// IsCall is set if a run at a target waits for the answer.
+	IsCall bool
+	Err    error
 }
 
 // Logger writes events. The zero value writes nothing.
@@ -150,6 +154,7 @@
 	out := logrus.Fields{"event": fmt.Sprintf("GB%04d", e.Number)}
 	texts := []struct{ key, value string }{
 		{"request-id", f.RequestID},
+		{"parent", f.Parent},
 		{"peer-data-centre", f.DataCentre},
 		{"peer-host", f.Host},
 		{"peer", f.Peer},
@@ -186,6 +191,9 @@
 	if f.RemainingMillis != 0 {
 		out["ms"], out["ms-left"] = f.DurationMillis, f.RemainingMillis
 	}
+	if f.IsCall {
+		out["call"] = true
+	}
 	if f.Count != 0 {
 		out["count"] = f.Count
 	}
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -23,6 +23,8 @@
 	}
 	m.RecordService(&exchanger.Request{Firm: "paza", Class: "no-such-class"}, time.Millisecond, time.Millisecond)
 	m.RecordAttempt("cost")
+	m.RecordCall("settle", retrier.OutcomeDone)
+	m.RecordRunsLimited("settle", true)
 	m.RecordUnread(OriginNode, time.Second)
 	m.RecordSent(&exchanger.Request{Attempt: 1})
 	m.RecordSent(&exchanger.Request{Attempt: 2})
--- a/internal/receiver/call.go
+++ b/internal/receiver/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gentianbarrow.example/internal/acceptor"
+	"gentianbarrow.example/internal/attributor"
 	"gentianbarrow.example/internal/deduplicator"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/explainer"
@@ -79,7 +80,9 @@
 		return exchanger.NotRun(exchanger.ReasonNodeDraining, nil)
 	}
 	c.done = done
-	return c.sendAttempts(c.httpRequest.Context())
+	a := c.sendAttempts(c.httpRequest.Context())
+	c.recordCall(a)
+	return a
 }
 
 // requestID returns the caller's id if it is printable ASCII without spaces and not
@@ -157,16 +160,18 @@
 	if !ok {
 		return exchanger.NotRun(exchanger.ReasonBadRequest, nil)
 	}
-	isCall := depth > 1 || len(running.Firms) > 0 && firm.Name == ""
+	isCall := c.isCall(route.Name, service.Name, depth)
+	// Without records of what runs here, a request without a key may be a call.
+	mayBeCall := isCall || c.receiver.cfg.OriginOf == nil && len(running.Firms) > 0 && firm.Name == ""
 	if refusal := c.takeToken(); refusal != nil {
 		return refusal
 	}
-	if refusal := c.admit(route, firm, deadline, isCall); refusal != nil {
+	if refusal := c.admit(route, firm, deadline, mayBeCall); refusal != nil {
 		c.returnToken(refusal)
 		return refusal
 	}
 	c.request = c.newRequest(route, service, depth, deadline, running.Version)
-	c.request.Path = target
+	c.request.Path, c.request.IsCall = target, isCall
 	if len(running.Firms) > 0 {
 		c.setFirm(firm)
 	}
@@ -205,6 +210,17 @@
 	return out
 }
 
+// isCall reports whether a run at this host's target waits for the answer.
+func (c *call) isCall(route, service string, depth int) bool {
+	originOf := c.receiver.cfg.OriginOf
+	if originOf == nil || c.caller.Connection == 0 {
+		return depth > 1
+	}
+	origin, parent := originOf(c.readAt, attributor.Arrival{ID: c.record.RequestID, Connection: c.caller.Connection, Route: route, Service: service})
+	c.record.Parent = parent
+	return origin == attributor.OriginTarget || depth > 1
+}
+
 // header returns the value of a header of the dialect; empty when the dialect does not use it.
 func (c *call) header(name string) string {
 	if name == "" {
--- a/internal/receiver/outcome.go
+++ b/internal/receiver/outcome.go
@@ -35,6 +35,7 @@
 	}
 	f.Class = string(c.class)
 	if c.request != nil {
+		f.IsCall = c.request.IsCall
 		f.RemainingMillis = c.request.Deadline.Sub(c.record.Arrived).Milliseconds()
 	}
 	c.receiver.cfg.Log.WriteRequest(event, f)
