--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -29,20 +29,18 @@
 	n.calledRoom = n.newCalledRoom(m)
 	n.guard = n.newGuard()
 	n.executor = executor.New(executor.Config{
-		Host:             n.settings.Host,
-		Target:           func() blackboard.Target { return n.board.Read().Target },
-		Service:          n.service,
-		Client:           dispatcher.NewHTTP(dispatcher.WithDialect(a.dialect)),
-		Observe:          n.observeRunEnd(m),
-		ObserveSent:      n.observeRunStart(m),
+		Host:    n.settings.Host,
+		Target:  func() blackboard.Target { return n.board.Read().Target },
+		Service: n.service,
+		Client:  dispatcher.NewHTTP(dispatcher.WithDialect(a.dialect)),
+		Observe: n.observeRunEnd(m), ObserveSent: n.observeRunStart(m),
 		ObserveRateLimit: m.RecordRateLimit,
 		ObserveShortage:  m.RecordShortage,
 		LinkQueue:        link.Queue,
 		ReportHealth:     o.observe,
-		Calls:            n.calledRoom.Calls,
-		DeeperWait:       n.calledRoom.WaitPerRun,
-		Lateness:         n.delay.StandingDelay,
-		Log:              n.log,
+		Calls:            n.calledRoom.Calls, DeeperWait: n.calledRoom.WaitPerRun,
+		Lateness: n.delay.StandingDelay,
+		Log:      n.log,
 		ReportWrongTarget: func(id string) {
 			n.board.Post(blackboard.TargetMismatched{ID: id, Now: time.Now()})
 		},
@@ -69,12 +67,11 @@
 	})
 	n.links.Handle(forwarder.Kind, n.forwarder.Handle)
 	n.receiver = receiver.New(receiver.Config{
-		State:        func() *blackboard.State { return n.board.Read() },
-		Match:        snapshotter.Match,
-		Execute:      n.executor.Execute,
-		Forward:      n.forwarder.Forward,
-		OriginOf:     n.calledRoom.Arrive,
-		RecordCall:   n.calledRoom.RecordCall,
+		State:    func() *blackboard.State { return n.board.Read() },
+		Match:    snapshotter.Match,
+		Execute:  n.executor.Execute,
+		Forward:  n.forwarder.Forward,
+		OriginOf: n.calledRoom.Arrive, RecordCall: n.calledRoom.RecordCall,
 		TakeToken:    n.takeToken,
 		ReturnToken:  n.returnToken,
 		Delay:        n.delay.MeanDelay,
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -140,7 +140,9 @@
 			x.forwarder.answerTimes.add(x.request.Route, time.Since(start))
 		}
 	}
-	x.sendAnswer(ctx, a)
+	sent, stop := x.bufferAnswer(cancel, a)
+	x.sendAnswer(ctx, sent)
+	stop()
 	a.Close()
 	if spooled, ok := x.request.Body.(*spool); ok {
 		spooled.close()
