Revert the buffering of long answers

Free slots let more long answers start than a full link sends in time, and pieces that go in turn make all of them late.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -26,7 +26,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -115,15 +114,11 @@
 	answerTimes *answerTimes
 	// ages estimates how long requests of peers were under way; nil without a clock.
 	ages *timekeeper.AgeEstimator
-	// bufferedAnswers counts the answers that are buffered while the link sends them, and
-	// answerSizes records which routes have long ones.
-	bufferedAnswers atomic.Int32
-	answerSizes     *answerSizes
 }
 
 // New returns a forwarder. Its Handle method must be registered with the linker under Kind.
 func New(cfg Config) *Forwarder {
-	f := &Forwarder{cfg: cfg, idle: newIdleStreams(), bodyGate: limiter.NewSyncGate(bodyLimits), answerTimes: newAnswerTimes(), answerSizes: newAnswerSizes()}
+	f := &Forwarder{cfg: cfg, idle: newIdleStreams(), bodyGate: limiter.NewSyncGate(bodyLimits), answerTimes: newAnswerTimes()}
 	if cfg.Clock != nil {
 		f.ages = timekeeper.NewAgeEstimator(cfg.Clock)
 	}
--- a/internal/forwarder/reuse_test.go
+++ b/internal/forwarder/reuse_test.go
@@ -28,7 +28,6 @@
 	// precheck is the Precheck of the serving side; nil refuses nothing.
 	precheck func(r *exchanger.Request, ahead int) *exchanger.Answer
 	client   *Forwarder
-	serving  *Forwarder
 	tracker  *drainer.Tracker
 	// openedStreams counts the streams that the client has opened.
 	openedStreams atomic.Int32
@@ -79,7 +78,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		p := &forwarderPair{tracker: drainer.NewTracker(), execute: echoID}
-		p.serving = New(Config{
+		serving := New(Config{
 			Tracker: p.tracker,
 			Execute: func(ctx context.Context, r *exchanger.Request) *exchanger.Answer { return p.execute(ctx, r) },
 			Precheck: func(r *exchanger.Request, ahead int) *exchanger.Answer {
@@ -93,7 +92,7 @@
 			},
 		})
 		server, client := linker.New(), linker.New()
-		server.Handle(Kind, p.serving.Handle)
+		server.Handle(Kind, serving.Handle)
 		var group sync.WaitGroup
 		client.Dial = func(context.Context, string) (net.Conn, error) {
 			local, remote := net.Pipe()
--- a/internal/forwarder/server.go
+++ b/internal/forwarder/server.go
@@ -140,9 +140,7 @@
 			x.forwarder.answerTimes.add(x.request.Route, time.Since(start))
 		}
 	}
-	sent, stop := x.bufferAnswer(cancel, a)
-	x.sendAnswer(ctx, sent)
-	stop()
+	x.sendAnswer(ctx, a)
 	a.Close()
 	if spooled, ok := x.request.Body.(*spool); ok {
 		spooled.close()
--- a/internal/forwarder/spool.go
+++ b/internal/forwarder/spool.go
@@ -76,13 +76,6 @@
 	return 0, s.err
 }
 
-// isFilled tells whether the body has been read to its end.
-func (s *spool) isFilled() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.err != nil
-}
-
 // close ends fill and makes reads return.
 func (s *spool) close() {
 	s.mu.Lock()
