--- a/internal/apportioner/exchange.go
+++ b/internal/apportioner/exchange.go
@@ -63,7 +63,7 @@
 	defer ticker.Stop()
 	lastReport := time.Now()
 	for {
-		now := time.Now()
+		var now time.Time
 		select {
 		case <-ctx.Done():
 			return nil
--- a/internal/rationer/fleet_test.go
+++ b/internal/rationer/fleet_test.go
@@ -39,7 +39,6 @@
 	current  string
 	reportAt time.Time
 	beatAt   time.Time
-	inbox    []func()
 }
 
 // tenantLoad is the load of one firm.
--- a/internal/rationer/node.go
+++ b/internal/rationer/node.go
@@ -161,7 +161,7 @@
 	u := n.local(now, firm)
 	u.demand.add(now, 1, demandWindow)
 	u.lastRequest, u.burstPart = now, n.part()*n.margin.burst(firm)
-	ratio := 1.0
+	var ratio float64
 	if now.Before(u.bridgeUntil) || n.keepers[u.keeper].isReliable(now) {
 		ratio = u.ratio
 		ok = u.takeByRatio()
