--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -63,6 +63,8 @@
 	lastReceived atomic.Int64
 	// lastUsed is when the session was last chosen for an exchange, in Unix nanoseconds.
 	lastUsed atomic.Int64
+	// opening counts the streams that wait to be opened.
+	opening atomic.Int32
 }
 
 func (l *link) touch(at *atomic.Int64) { at.Store(time.Now().UnixNano()) }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -44,7 +45,10 @@
 	// closed, with all its streams. A peer that is short of processor time answers pings late
 	// but answers, and so does one that serves maxStreams streams: the requests under way
 	// there are not given up for that. Sessions of peers that are gone end by their pings.
-	openTimeout  = 30 * time.Second
+	openTimeout = 30 * time.Second
+	// maxOpening bounds the streams of a session that wait to be opened. Each holds memory
+	// until the peer accepts streams again, also when its request has gone elsewhere.
+	maxOpening   = 64
 	maxKindBytes = 256
 	// defaultWindowBytes is the smallest window that yamux allows.
 	defaultWindowBytes = 256 << 10
@@ -188,7 +192,8 @@
 	}
 	conn, err := l.openStream(ctx, link)
 	if err != nil {
-		if ctx.Err() == nil {
+		var busy *BusyError
+		if ctx.Err() == nil && !errors.As(err, &busy) {
 			l.retire(l.linkSet(key), link)
 		}
 		return nil, &UnreachableError{Address: address, Cause: err}
@@ -208,12 +213,18 @@
 		err  error
 	}
 	opened := make(chan result)
+	if on.opening.Add(1) > maxOpening {
+		on.opening.Add(-1)
+		return nil, &BusyError{}
+	}
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
+		on.opening.Add(-1)
 		return nil, &ClosedError{}
 	}
 	l.monitors.Go(func() {
+		defer on.opening.Add(-1)
 		conn, err := on.session.Open()
 		select {
 		case opened <- result{conn, err}:
@@ -232,6 +243,11 @@
 	}
 }
 
+// BusyError reports that the peer leaves too many streams unaccepted.
+type BusyError struct{}
+
+func (*BusyError) Error() string { return "the peer accepts no streams" }
+
 // ClosedError reports that a linker opens no sessions any more.
 type ClosedError struct{}
 
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -233,6 +233,13 @@
 		var unreachable *UnreachableError
 		assert.Assert(t, errors.As(err, &unreachable), "%v", err)
 		assert.Equal(t, time.Since(start), 250*time.Millisecond)
+		for range maxOpening - 1 {
+			_, err = l.Open(ctx, "peer", TrafficShort, "echo")
+			assert.ErrorIs(t, err, context.DeadlineExceeded)
+		}
+		_, err = l.Open(t.Context(), "peer", TrafficShort, "echo")
+		var busy *BusyError
+		assert.Assert(t, errors.As(err, &unreachable) && errors.As(err, &busy), "%v", err)
 		time.Sleep(5 * time.Second)
 		_, err = io.WriteString(served, "answer")
 		assert.NilError(t, err)
