Let the keeper hear of a sudden multiple whatever the size of a local cap

A node reports early when half of a local cap is used up. It compared the number of admitted requests with half of the cap for equality; half of a cap is seldom whole, and the cap grows with what the node sees in the meantime, so that only caps of four requests ever caused an early report. The keeper heard of a large firm that suddenly sent many times its usual by the next regular report only.

Now the number of tokens at which to report is set with the tokens, and passing it is what counts.

TestReportSoon fails without the change for limits of 100, 1000 and 1001 a second: no report was asked for in 1000 requests at once.

--- a/internal/rationer/exchange.go
+++ b/internal/rationer/exchange.go
@@ -66,7 +66,7 @@
 		u.ratio, u.bridgeUntil = k.ratio(name), time.Time{}
 		if firm, known := firmOf(name); known {
 			u.demand.rate(now, demandWindow)
-			u.tokens = n.localCap(u, firm) - float64(max(u.used, 0))
+			n.refill(u, firm)
 		}
 	}
 }
--- a/internal/rationer/load_test.go
+++ b/internal/rationer/load_test.go
@@ -125,3 +125,30 @@
 		}
 	}
 }
+
+// newAnsweredNode returns one of a number of nodes that the keeper of all firms has answered.
+func newAnsweredNode(now time.Time, nodes int) *Node {
+	n := NewNode("host-1", testMargin, func(string) string { return "keeper" })
+	n.SetNodes(nodes)
+	r := n.Report(now, "keeper")
+	n.Apply(now, "keeper", Pace{Sequence: r.Sequence}, func(string) (Firm, bool) { return Firm{}, false })
+	return n
+}
+
+// TestReportSoon guards against a sudden multiple of a firm of which its keeper hears only
+// by the next regular report.
+func TestReportSoon(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	for _, rate := range []float64{1, 100, 1000, 1001} {
+		t.Run(fmt.Sprintf("limit of %.0f a second", rate), func(t *testing.T) {
+			n := newAnsweredNode(now, 2)
+			calls := 0
+			for range 1000 {
+				if _, _, soon := n.Take(now, Firm{Name: "firm-1", Rate: rate, Burst: rate}); soon {
+					calls++
+				}
+			}
+			assert.Equal(t, calls, 1)
+		})
+	}
+}
--- a/internal/rationer/node.go
+++ b/internal/rationer/node.go
@@ -97,6 +97,8 @@
 	lastRequest   time.Time
 	// tokens is what remains of the local cap until the keeper answers.
 	tokens float64
+	// reportAt is the number of tokens at which the keeper should hear of the firm soon.
+	reportAt float64
 	// ratio is the share of requests to admit; 1 below the limit.
 	ratio float64
 	// phase is between 0 and 1 and grows by ratio with each request; one that takes it to 1 is admitted.
@@ -161,6 +163,7 @@
 	u := n.local(now, firm)
 	u.demand.add(now, 1, demandWindow)
 	u.lastRequest, u.burstPart = now, n.part()*n.margin.burst(firm)
+	tokens := u.tokens
 	var ratio float64
 	if now.Before(u.bridgeUntil) || n.keepers[u.keeper].isReliable(now) {
 		ratio = u.ratio
@@ -178,7 +181,7 @@
 	}
 	n.stats.Admitted++
 	u.used++
-	return time.Time{}, true, float64(u.used) == max(n.localCap(u, firm)/2, minCap/2)
+	return time.Time{}, true, u.tokens <= u.reportAt && tokens > u.reportAt
 }
 
 func (u *localUse) takeByRatio() bool {
@@ -257,7 +260,7 @@
 			chance: float64(xxhash.Sum64String(n.host+"\x00"+firm.Name)>>11) / (1 << 53),
 		}
 		u.ratio, u.phase = n.keepers[u.keeper].ratio(firm.Name), u.chance
-		u.tokens = n.localCap(u, firm)
+		n.refill(u, firm)
 		n.firms[firm.Name] = u
 	}
 	return u
@@ -267,3 +270,9 @@
 func (n *Node) localCap(u *localUse, firm Firm) float64 {
 	return max(minCap, capFactor*n.part()*n.margin.burst(firm), u.demand.perSecond*capPeriod.Seconds())
 }
+
+// refill sets what the firm may have until the keeper answers.
+func (n *Node) refill(u *localUse, firm Firm) {
+	size := n.localCap(u, firm)
+	u.tokens, u.reportAt = size-float64(max(u.used, 0)), size/2
+}
