Let callers beyond a firm's limit return within a quarter of a second

A token is worth the same to a fresh request and to one that returns, as long as the returning one is not late.

--- a/internal/rationer/node.go
+++ b/internal/rationer/node.go
@@ -31,7 +31,7 @@
 	// request has the same chance of a token; the sooner it has one, the more its answer is
 	// worth. So callers return within the time in which most answers still have full worth.
 	minReturnDelay = 100 * time.Millisecond
-	maxReturnDelay = 500 * time.Millisecond
+	maxReturnDelay = 250 * time.Millisecond
 )
 
 // Node is the part of the decision at the node that requests reach. It is safe for
