Let a firm below its limit outlast a keeper that stands still

A node relies on a keeper for up to 0.7 s after its last answer, but its local cap held what it saw lately in 0.5 s. So each time that a keeper stood still, requests of firms far below their limits were refused for the time between. The cap now covers the whole time, with one request more for a steady firm that has one at its start and its end.

TestSteadyFirmOutlastsSilentKeeper fails without the change.

--- a/internal/rationer/load_test.go
+++ b/internal/rationer/load_test.go
@@ -152,3 +152,25 @@
 		})
 	}
 }
+
+// TestSteadyFirmOutlastsSilentKeeper guards against a node that runs out of its local cap
+// before it stops relying on a keeper that does not answer.
+func TestSteadyFirmOutlastsSilentKeeper(t *testing.T) {
+	const stepsPerRequest, silentFrom = 4, 500
+	now := time.Unix(1_800_000_000, 0)
+	firm := Firm{Name: "firm-1", Rate: 160, Burst: 160}
+	n := newAnsweredNode(now, 8)
+	for i := 0; n.Stats().Alone == 0; i++ {
+		if i%int(reportInterval/step) == 0 {
+			r := n.Report(now, "keeper")
+			if i < silentFrom {
+				n.Apply(now, "keeper", Pace{Sequence: r.Sequence}, func(string) (Firm, bool) { return firm, true })
+			}
+		}
+		if i%stepsPerRequest == 0 {
+			_, ok, _ := n.Take(now, firm)
+			assert.Assert(t, ok, "refused %v after the keeper fell silent", time.Duration(i-silentFrom)*step)
+		}
+		now = now.Add(step)
+	}
+}
--- a/internal/rationer/node.go
+++ b/internal/rationer/node.go
@@ -16,8 +16,10 @@
 	// capFactor is the local cap as a multiple of the node's part of the burst. Callers do
 	// not spread evenly over nodes.
 	capFactor = 0.6
-	// capPeriod is the time for which the local cap allows what the node saw lately.
-	capPeriod = 500 * time.Millisecond
+	// capPeriod is the time for which the local cap allows what the node saw lately: the
+	// longest from an answer to when the node no longer relies on its keeper. With less, a
+	// firm below its limit is refused for a keeper that stands still.
+	capPeriod = answerTimeout + reportInterval
 	// minCap is the least local cap. Requests of a page come together.
 	minCap = 4
 	// demandWindow is the time over which a node averages what a firm asks of it.
@@ -266,9 +268,10 @@
 	return u
 }
 
-// localCap returns how many requests the node admits until the keeper answers.
+// localCap returns how many requests the node admits until the keeper answers. A steady
+// firm may have a request at the start and at the end of capPeriod, hence one more.
 func (n *Node) localCap(u *localUse, firm Firm) float64 {
-	return max(minCap, capFactor*n.part()*n.margin.burst(firm), u.demand.perSecond*capPeriod.Seconds())
+	return max(minCap, capFactor*n.part()*n.margin.burst(firm), u.demand.perSecond*capPeriod.Seconds()+1)
 }
 
 // refill sets what the firm may have until the keeper answers.
