Let a node that becomes keeper answer itself at once

It reported to itself only after the first interval, and admitted by what was left of its local cap or by its own part until then. Others report when they open a stream.

The case keeperOfItself of TestMesh fails without the change: the first decision was made alone.

--- a/internal/apportioner/exchange.go
+++ b/internal/apportioner/exchange.go
@@ -40,7 +40,9 @@
 	defer e.cancel()
 	var err error
 	if e.host == e.a.cfg.State().Self.Host {
-		err = e.every(ctx, e.reportToSelf)
+		if err = e.reportToSelf(time.Now()); err == nil {
+			err = e.every(ctx, e.reportToSelf)
+		}
 	} else {
 		err = e.reportToPeer(ctx)
 	}
--- a/internal/apportioner/mesh_test.go
+++ b/internal/apportioner/mesh_test.go
@@ -172,7 +172,9 @@
 // must not be used outside the synctest bubble that created them.
 func TestMesh(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		for _, run := range []func(context.Context, *testing.T) *mesh{hotFirm, keeperKilled, keeperSilent, demandInOneDataCentre} {
+		for _, run := range []func(context.Context, *testing.T) *mesh{
+			hotFirm, keeperKilled, keeperSilent, demandInOneDataCentre, keeperOfItself,
+		} {
 			ctx, cancel := context.WithCancel(t.Context())
 			m := run(ctx, t)
 			cancel()
@@ -235,3 +237,12 @@
 	m.assertWindows(t)
 	return m
 }
+
+// keeperOfItself guards against a node that has become keeper and does not hear of itself
+// until its first regular report.
+func keeperOfItself(ctx context.Context, t *testing.T) *mesh {
+	m := newMesh(ctx, 1, "a")
+	m.load(step, 100, m.nodes)
+	assert.Equal(t, m.nodes[0].part.Stats(), rationer.Stats{Admitted: 1})
+	return m
+}
