--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -257,7 +257,7 @@
 	}{
 		"not a request":                       {"what is this\r\n\r\n", http.StatusBadRequest},
 		"no Host header":                      {"GET / HTTP/1.1\r\n\r\n", http.StatusBadRequest},
-		"a space behind the name of a header": {"GET / HTTP/1.1\r\nHost: a\r\nTenant : x\r\n\r\n", http.StatusBadRequest},
+		"a space behind the name of a header": {"GET / HTTP/1.1\r\nHost: a\r\nAccept : x\r\n\r\n", http.StatusBadRequest},
 		"a space in the name of a header":     {"GET / HTTP/1.1\r\nHost: a\r\nTen ant: x\r\n\r\n", http.StatusBadRequest},
 		"endless headers":                     {"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 64<<10), http.StatusRequestHeaderFieldsTooLarge},
 		"slow sender":                         {"GET / HTTP/1.1\r\nHo", http.StatusRequestTimeout},
--- a/internal/rationer/fleet_test.go
+++ b/internal/rationer/fleet_test.go
@@ -41,8 +41,8 @@
 	beatAt   time.Time
 }
 
-// tenantLoad is the load of one firm.
-type tenantLoad struct {
+// firmLoad is the load of one firm.
+type firmLoad struct {
 	firm   Firm
 	usual  float64
 	factor float64
@@ -64,7 +64,7 @@
 	now   time.Time
 	steps int
 	hosts []*host
-	loads map[string]*tenantLoad
+	loads map[string]*firmLoad
 	names []string
 	// delay returns how long a message is under way, processors included.
 	delay    func() time.Duration
@@ -81,7 +81,7 @@
 // newFleet returns hosts in three data centres and firms with a skewed load, as described
 // in docs/design/firm-limits.md.
 func newFleet(seed uint64, hosts, firms int, perSecond float64) *fleet {
-	f := &fleet{rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0), loads: map[string]*tenantLoad{}}
+	f := &fleet{rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0), loads: map[string]*firmLoad{}}
 	f.delay = func() time.Duration { return time.Duration(1+f.rnd.IntN(4)) * time.Millisecond }
 	weights, sum := make([]float64, firms), 0.0
 	for i := range weights {
@@ -93,7 +93,7 @@
 		limit := math.Ceil(1.6 * usual)
 		name := fmt.Sprintf("firm-%d", i)
 		f.names = append(f.names, name)
-		f.loads[name] = &tenantLoad{firm: Firm{Name: name, Rate: limit, Burst: limit}, usual: usual, factor: 1}
+		f.loads[name] = &firmLoad{firm: Firm{Name: name, Rate: limit, Burst: limit}, usual: usual, factor: 1}
 	}
 	for i := range hosts {
 		h := &host{name: fmt.Sprintf("host-%d", i), dataCentre: i % 3, reportAt: f.now.Add(time.Duration(i%20) * step)}
@@ -258,7 +258,7 @@
 }
 
 // arrive sends one request of a firm to a host that runs; a refused one may come back.
-func (f *fleet) arrive(l *tenantLoad, isReturn bool) {
+func (f *fleet) arrive(l *firmLoad, isReturn bool) {
 	h := f.hosts[f.rnd.IntN(len(f.hosts))]
 	if h.down || h.frozen {
 		return
@@ -318,7 +318,7 @@
 
 // worstWindow returns the greatest number admitted of a firm in a window, as a share of
 // what the greatest limit in force in it allows. A lower limit counts from changed steps on.
-func (l *tenantLoad) worstWindow(lateBy time.Duration) (worst float64, at int) {
+func (l *firmLoad) worstWindow(lateBy time.Duration) (worst float64, at int) {
 	window, late := int(testMargin.Window/step), int(lateBy/step)
 	sum := 0
 	for i, n := range l.admitted {
--- a/internal/rationer/load_test.go
+++ b/internal/rationer/load_test.go
@@ -12,7 +12,7 @@
 )
 
 // useOfLimit returns what was admitted of a firm from a step on, as a share of its limit.
-func (l *tenantLoad) useOfLimit(since int) float64 {
+func (l *firmLoad) useOfLimit(since int) float64 {
 	return float64(sum(l.admitted[since:])) / (l.firm.Rate * float64(len(l.admitted)-since) * step.Seconds())
 }
 
