Limit runs by the room that they call only where a setting asks for it

So limits.runs-that-call is unlimited by default. Where it is set, a call may wait for a share of the time that it has, as its run can use the answer until then; TestRecordCall expects that time in place of the objective.

--- a/internal/composer/called_room.go
+++ b/internal/composer/called_room.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gentianbarrow.example/internal/exchanger"
+	"gentianbarrow.example/internal/loader"
 	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/internal/meter"
 	"gentianbarrow.example/internal/moderator"
@@ -12,22 +13,28 @@
 
 // newCalledRoom returns what limits the runs of this host's target that make calls.
 func (n *Node) newCalledRoom(m *meter.Meter) *moderator.Room {
-	return moderator.NewRoom(moderator.Config{
+	cfg := moderator.Config{
 		StartedAt: time.Now(),
 		Slots: func() int {
 			l, _ := n.executor.Load()
 			return l.Slots
 		},
-		Apply: func(limits map[string]float64) { n.executor.SetCallLimits(limits) },
-		Observe: func(service string, limited bool) {
-			m.RecordRunsLimited(service, limited)
-			reason := "ceased"
-			if limited {
-				reason = "began"
-			}
-			n.log.Write(logger.RunsLimited, logger.Fields{Service: service, Reason: reason})
-		},
-	})
+		Apply: func(map[string]float64) {},
+	}
+	if n.settings.Limits.RunsThatCall == loader.RunsByCalledRoom {
+		cfg.Apply = func(limits map[string]float64) { n.executor.SetCallLimits(limits) }
+		cfg.Observe = func(service string, limited bool) { n.observeRunLimit(m, service, limited) }
+	}
+	return moderator.NewRoom(cfg)
+}
+
+func (n *Node) observeRunLimit(m *meter.Meter, service string, limited bool) {
+	m.RecordRunsLimited(service, limited)
+	reason := "ceased"
+	if limited {
+		reason = "began"
+	}
+	n.log.Write(logger.RunsLimited, logger.Fields{Service: service, Reason: reason})
 }
 
 // observeRunStart returns the function that is called with each request that is sent to
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -74,6 +74,17 @@
 	Service string `yaml:"service,omitempty" doc:"Service that the target belongs to. Required with the platform API objects."`
 }
 
+// RunsThatCall says which runs of this host's target that call other services may be under way.
+type RunsThatCall string
+
+// The choices of RunsThatCall.
+const (
+	// RunsUnlimited lets them start like others.
+	RunsUnlimited RunsThatCall = "unlimited"
+	// RunsByCalledRoom limits them by how long their calls wait for room.
+	RunsByCalledRoom RunsThatCall = "by-called-room"
+)
+
 // Limits holds the limits of the node.
 type Limits struct {
 	// CallerConnections is at least 1.
@@ -83,6 +94,8 @@
 	// DrainSeconds is how long a stopping node waits for requests in flight before it
 	// aborts them; 0 means without limit.
 	DrainSeconds int `yaml:"drain-seconds" doc:"How long a stopping node waits for requests in flight before it aborts them, in seconds. 0 means without limit." default:"0" min:"0" max:"86400"`
+	// RunsThatCall limits the runs of this host's target.
+	RunsThatCall RunsThatCall `yaml:"runs-that-call" doc:"Limit of the runs of this host's target that call other services: unlimited, or by-called-room to refuse them while their calls wait long for room." default:"unlimited" oneof:"unlimited by-called-room"`
 }
 
 // Log configures the log.
--- a/internal/moderator/moderator.go
+++ b/internal/moderator/moderator.go
@@ -40,7 +40,7 @@
 	sampleWeight = 0.3
 	// forgetAfter is how long a service may see no call before its limit is dropped.
 	forgetAfter = 5 * time.Second
-	// waitShare is the share of the objective of a call that it may wait for a slot. The
+	// waitShare is the share of the time left to a call that it may wait for a slot. The
 	// rest is for its run, which takes much longer than usual now and then.
 	waitShare = 0.4
 )
@@ -51,8 +51,8 @@
 	Service string
 	// Wait is how long the call waited for slots on its way; at least 0.
 	Wait time.Duration
-	// Objective is the time within which the call should be answered; above 0.
-	Objective time.Duration
+	// TimeLeft is for how long the run can still use the answer when it makes the call; above 0.
+	TimeLeft time.Duration
 	// IsRefused is set if the call was not served for lack of room.
 	IsRefused bool
 }
@@ -98,12 +98,12 @@
 	}
 	wait := c.Wait
 	if c.IsRefused {
-		wait = max(wait, c.Objective)
+		wait = max(wait, c.TimeLeft)
 	}
 	w.lastCall = now
 	w.wait += sampleWeight * (float64(wait) - w.wait)
 	w.current.calls++
-	w.current.excess += wait - time.Duration(waitShare*float64(c.Objective))
+	w.current.excess += wait - time.Duration(waitShare*float64(c.TimeLeft))
 }
 
 // RecordRun records the end of a run that took the given time and calls the services.
--- a/internal/receiver/called.go
+++ b/internal/receiver/called.go
@@ -9,10 +9,6 @@
 	"gentianbarrow.example/internal/retrier"
 )
 
-// defaultCallObjective is the objective of a call whose route has no target latency, as a
-// divisor of the time that it has.
-const defaultCallObjective = 4
-
 // recordCall records the end of a call of this host's target, from which its node learns
 // how much room the called service has.
 func (c *call) recordCall(a *exchanger.Answer) {
@@ -32,13 +28,10 @@
 	}
 	end := moderator.Call{
 		Service:   c.request.Service,
-		Objective: c.request.Deadline.Sub(c.record.Arrived) / defaultCallObjective,
+		TimeLeft:  c.request.Deadline.Sub(c.record.Arrived),
 		IsRefused: a.Outcome == retrier.OutcomeNotRun && isFull(a.Reason) || a.Reason == exchanger.ReasonDeadline,
 	}
-	if !c.request.SoftDeadline.IsZero() {
-		end.Objective = c.request.SoftDeadline.Sub(c.record.Arrived)
-	}
-	if end.IsRefused && c.request.Deadline.Sub(c.record.Arrived) < end.Objective {
+	if end.IsRefused && c.request.Deadline.Before(c.request.SoftDeadline) {
 		// Its run had too little time left, whatever room there was.
 		return
 	}
