review: case 9 plays four rounds

How long the others keep the old version depends on when within a second they last heard of the machines that are cut off. The script now cuts them off four times, each a quarter of a second later.

--- a/review/_standin2/cut_watchers.go
+++ b/review/_standin2/cut_watchers.go
@@ -12,6 +12,14 @@
 // most 0.35 of the machines.
 const cutTime = 5500 * time.Millisecond
 
+const (
+	// cutRounds is how often the machines are cut off, each time a quarter of a second later
+	// within the interval of a second in which nodes hear from each other.
+	cutRounds = 4
+	// rejoinTime is the pause after the end of a cut.
+	rejoinTime = 8 * time.Second
+)
+
 // playCutWatchers cuts one machine of each of three zones off, three of nine, right before the
 // operator adds a route. To all others a machine that is cut off looks like one whose process
 // is stopped: it answers nothing, and new connections to it get no answer either.
@@ -32,7 +40,29 @@
 	if err := m.startAll(); err != nil {
 		return verdict{}, err
 	}
-	cut := m.machines[:3]
+	broken, worst := 0, verdict{}
+	for k := range cutRounds {
+		time.Sleep(time.Duration(k) * time.Second / cutRounds)
+		prefix := fmt.Sprintf("/nopu%d/", 550+k)
+		routes[fmt.Sprintf("r-new-%d", k+1)] = route(host, prefix, "idempotent", "status-page", "2500ms", "400ms", 2)
+		v := playCut(e, m.machines[:3], m.machines[3:], host, prefix, func() { m.configure(routes, services...) })
+		if v.broken {
+			broken++
+		}
+		if v.count > worst.count {
+			worst = v
+		}
+		e.record.note("round %d: %s", k+1, v.text)
+		time.Sleep(rejoinTime)
+	}
+	if broken == 0 {
+		return verdict{text: fmt.Sprintf("CONFIG: no request was answered 404 later than %v after the acknowledgement in %d rounds", boundConfigApply, cutRounds)}, nil
+	}
+	return verdict{broken: true, text: fmt.Sprintf("%d of %d rounds broken; the worst of them: %s", broken, cutRounds, worst.text)}, nil
+}
+
+// playCut cuts machines off, changes the configuration and asks the others for the new route.
+func playCut(e *env, cut, others []*machine, host, prefix string, change func()) verdict {
 	cutAt := time.Now()
 	if e.trouble {
 		for _, n := range cut {
@@ -40,16 +70,15 @@
 			e.record.note("%s is cut off", n.name)
 		}
 	}
-	routes["r-new"] = route(host, "/nopu555/", "idempotent", "status-page", "2500ms", "400ms", 2)
-	m.configure(routes, services...)
+	change()
 	acked := time.Now()
-	e.record.note("the store has acknowledged version %08x, which adds the route /nopu555/", m.version)
+	e.record.note("the store has acknowledged version %08x, which adds the route %s", e.mesh.version, prefix)
 	time.Sleep(time.Until(acked.Add(boundConfigApply + 20*time.Millisecond)))
-	v := probeRoute(e, m.machines[3:], host, "/nopu555/2f", acked, cutAt.Add(cutTime-2*time.Second))
+	v := probeRoute(e, others, host, prefix+"2f", acked, cutAt.Add(cutTime-2*time.Second))
 	for _, n := range cut {
 		n.signal(syscall.SIGCONT)
 	}
-	return v, nil
+	return v
 }
 
 // probeRoute sends requests on the new route to the nodes of the machines until end, and counts
@@ -80,7 +109,7 @@
 	}
 	group.Wait()
 	return verdict{
-		broken: total > 0,
+		broken: total > 0, count: total,
 		text: fmt.Sprintf("CONFIG: %d requests on the new route, sent more than %v after its acknowledgement to machines in touch; %d at %d machines were answered 404, the latest sent %v after the acknowledgement (allowed: 0)",
 			sent, boundConfigApply, total, len(stale), latest.Round(time.Millisecond)),
 	}
