--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -26,7 +26,9 @@
 // verdict is the result of a case.
 type verdict struct {
 	broken bool
-	text   string
+	// count is how often the rule was broken, where a case has several rounds.
+	count int
+	text  string
 }
 
 // record writes what was sent, answered and run.
@@ -54,9 +56,10 @@
 }
 
 var cases = map[string]func(e *env) (verdict, error){
-	"broken-answer": playBrokenAnswer,
-	"leave-restart": playLeaveRestart,
-	"cut-watchers":  playCutWatchers,
+	"broken-answer":    playBrokenAnswer,
+	"leave-restart":    playLeaveRestart,
+	"cut-watchers":     playCutWatchers,
+	"leave-store-away": playLeaveStoreAway,
 }
 
 func main() {
