--- a/review/_standin2/leave_restart.go
+++ b/review/_standin2/leave_restart.go
@@ -11,20 +11,11 @@
 func playLeaveRestart(e *env) (verdict, error) {
 	const host, path = "jepu9.example", "/lepu270/2f"
 	m := e.mesh
-	for _, z := range []int{1, 2, 3} {
-		m.addMachine(z, "status-page", 1500*time.Millisecond)
-	}
-	m.configure(map[string]any{
-		"r-status": route(host, "/lepu270/", "idempotent", "status-page", "2500ms", "400ms", 2),
-	}, "status-page")
-	instances, closeAll, err := startInstances(m, instanceConfig{slots: 18, work: 20 * time.Millisecond, chunkBytes: 1000})
+	instances, closeAll, err := startStatusMesh(m, host)
 	if err != nil {
 		return verdict{}, err
 	}
 	defer closeAll()
-	if err := m.startAll(); err != nil {
-		return verdict{}, err
-	}
 	leaving, node := instances[0], m.machines[0]
 	late := leaving.heartbeat()
 	e.record.note("%s sends a heartbeat (ready) that arrives late", leaving.cfg.id)
@@ -57,6 +48,25 @@
 	return judgeLeave(e, host, path, leaving, acked), nil
 }
 
+// startStatusMesh starts three machines of one service, one in each zone, and waits until they serve.
+func startStatusMesh(m *mesh, host string) (instances []*instance, closeAll func(), err error) {
+	for _, z := range []int{1, 2, 3} {
+		m.addMachine(z, "status-page", 1500*time.Millisecond)
+	}
+	m.configure(map[string]any{
+		"r-status": route(host, "/lepu270/", "idempotent", "status-page", "2500ms", "400ms", 2),
+	}, "status-page")
+	instances, closeAll, err = startInstances(m, instanceConfig{slots: 18, work: 20 * time.Millisecond, chunkBytes: 1000})
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := m.startAll(); err != nil {
+		closeAll()
+		return nil, nil, err
+	}
+	return instances, closeAll, nil
+}
+
 // judgeLeave sends requests by all machines and counts those that reach the instance later than
 // the drain time after its leaving was acknowledged.
 func judgeLeave(e *env, host, path string, leaving *instance, acked time.Time) verdict {
--- a/review/_standin2/leave_store_away.go
+++ b/review/_standin2/leave_store_away.go
@@ -22,20 +22,11 @@
 func playLeaveStoreAway(e *env) (verdict, error) {
 	const host, path = "jepu9.example", "/lepu270/2f"
 	m := e.mesh
-	for _, z := range []int{1, 2, 3} {
-		m.addMachine(z, "status-page", 1500*time.Millisecond)
-	}
-	m.configure(map[string]any{
-		"r-status": route(host, "/lepu270/", "idempotent", "status-page", "2500ms", "400ms", 2),
-	}, "status-page")
-	instances, closeAll, err := startInstances(m, instanceConfig{slots: 18, work: 20 * time.Millisecond, chunkBytes: 1000})
+	instances, closeAll, err := startStatusMesh(m, host)
 	if err != nil {
 		return verdict{}, err
 	}
 	defer closeAll()
-	if err := m.startAll(); err != nil {
-		return verdict{}, err
-	}
 	leaving, node := instances[0], m.machines[0]
 	begin := time.Now()
 	if e.trouble {
