--- a/review/_standin2/broken_answer.go
+++ b/review/_standin2/broken_answer.go
@@ -12,6 +12,8 @@
 const (
 	garbleTime  = 5000 * time.Millisecond
 	garbleShare = 0.03
+	// garbleSpells is how often it comes, with a pause between.
+	garbleSpells = 2
 	// maxCut is how often a machine may close a connection without an answer.
 	maxCut = 3
 )
@@ -52,13 +54,15 @@
 		clients.Go(func() { pipeline(ctx, n, host, path, 2500*time.Millisecond, 8, report) })
 	}
 	time.Sleep(2 * time.Second)
-	if e.trouble {
-		e.record.note("%s breaks off %v of its answers for %v", instances[0].cfg.id, garbleShare, garbleTime)
-		setTruncate(faulty, garbleShare)
+	for range garbleSpells {
+		if e.trouble {
+			e.record.note("%s breaks off %v of its answers for %v", instances[0].cfg.id, garbleShare, garbleTime)
+			setTruncate(faulty, garbleShare)
+		}
+		time.Sleep(garbleTime)
+		setTruncate(faulty, 0)
+		time.Sleep(2 * time.Second)
 	}
-	time.Sleep(garbleTime)
-	setTruncate(faulty, 0)
-	time.Sleep(2 * time.Second)
 	cancel()
 	clients.Wait()
 	return judgeBrokenAnswer(e, instances, faulty, fates), nil
