Keep a target's departure in the other nodes too, for a store that is away

What callers saw: requests to an instance that had deregistered six seconds before.

Cause: an acknowledged departure lived in the process that acknowledged it and in the store, which is one place while the store is away. The other nodes knew the target's phase, but not which process of the target had left, so they had nothing to tell the next process of the node.

Ruled out: the next process does read what the store keeps, and the first one tries the write until it is killed. A health check does not tell: some targets answer 200 after their leave.

The change: nodes publish the latest departure of their target; others keep it by host, also while the host is gone, and tell it to each process that starts there, in the request that subscribes to it and in the feed that it subscribes to. Observers bring those of a whole data centre, whose nodes may all have restarted. A statement that the store lacks is written to it. Of two, the one of the process that started later counts, in a total order.

Why it works: the kill of one process no longer ends all who know. In each order in which the store or another node that knows is left, the next process learns of the departure before another node can send work to its target, as the stream on which it would learn that the target is ready tells it.

No further call to the store.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -17,7 +17,9 @@
 // node may have acknowledged that the target leaves. An announcement alone does not
 // show that it stays either, since it may have been delayed. So what the target
 // states of its departure is kept by the platform, where there is one that does, and
-// read by the next process of the node before its target gets work.
+// read by the next process of the node before its target gets work. The other nodes
+// keep it as well, and tell the next process when they connect to it: the platform may
+// have been away when the target left.
 //
 // A target that leaves the ready phase is held down for a time that doubles each
 // time, so that a flapping target receives little work and its changes are
@@ -181,7 +183,13 @@
 		s.Target = updatePhase(t, s.Lifecycle, m.Now)
 		effects = r.confirmation(m.Applied, departs)
 	case blackboard.TargetDepartureRead:
-		s.Target = updatePhase(applyDeparture(t, m.Departure), s.Lifecycle, m.Now)
+		t = applyDeparture(t, m.Departure)
+		t.DepartureRead = true
+		s.Target = updatePhase(t, s.Lifecycle, m.Now)
+	case blackboard.DeparturesReported:
+		t, learned := learnDeparture(t, s.Self.Host, m.Departures)
+		s.Target = updatePhase(t, s.Lifecycle, m.Now)
+		effects = r.confirmation(nil, learned)
 	case blackboard.TargetMismatched:
 		s.Target = updatePhase(applyMismatch(t, m), s.Lifecycle, m.Now)
 	case blackboard.TargetObserved:
--- a/internal/announcer/departure.go
+++ b/internal/announcer/departure.go
@@ -27,8 +27,7 @@
 // applyDeparture applies what an earlier process of this node was told by the target. A
 // process of the target that started later is not affected.
 func applyDeparture(t blackboard.Target, d blackboard.TargetDeparture) blackboard.Target {
-	t.DepartureRead = true
-	if d.ID == "" || t.Departure.ID != "" {
+	if !d.Supersedes(t.Departure) {
 		return t
 	}
 	t.Departure = d
@@ -44,6 +43,18 @@
 	return t
 }
 
+// learnDeparture applies the statement of this host's target among those that another
+// node or the platform keeps. learned is false if it is known.
+func learnDeparture(t blackboard.Target, host string, departures []blackboard.HostDeparture) (next blackboard.Target, learned bool) {
+	next = t
+	for _, d := range departures {
+		if d.Host == host {
+			next = applyDeparture(next, d.TargetDeparture)
+		}
+	}
+	return next, next.Departure != t.Departure
+}
+
 // awaitDeparture sets until when a node that has just started waits for the departure.
 func awaitDeparture(t blackboard.Target, r rules, now time.Time) blackboard.Target {
 	if t.AssumeStayingAt.IsZero() {
--- a/internal/blackboard/message_membership.go
+++ b/internal/blackboard/message_membership.go
@@ -77,6 +77,7 @@
 }
 
 // TargetDepartureRead reports what the platform keeps of earlier statements of the target.
+// What other nodes keep of them comes as DeparturesReported.
 type TargetDepartureRead struct {
 	// Departure is the zero value when the platform keeps none.
 	Departure TargetDeparture
--- a/internal/blackboard/state.go
+++ b/internal/blackboard/state.go
@@ -192,6 +192,12 @@
 	// UnobserveAt is when a node that is no longer among the first of its data centre
 	// stops observing; zero while it is among them.
 	UnobserveAt time.Time
+	// Departures holds the statements of targets by host, this node's included. It keeps
+	// those of hosts that have left until the platform drops the host. Only the subscriber
+	// maintains it. Read-only; replaced on change.
+	Departures map[string]HostDeparture
+	// DepartureChanges counts the changes of Departures.
+	DepartureChanges uint64
 	// Remote holds the summaries of the other data centres by data centre. Read-only; replaced on change.
 	Remote map[string]DataCentreSummary
 	// Gossip is the state of the membership protocol; nil before the first message. Read-only; replaced on change.
@@ -283,16 +289,3 @@
 	// read; zero before the first tick or announcement.
 	AssumeStayingAt time.Time
 }
-
-// TargetDeparture is the statement of a process of the target that it accepts no more
-// work. It is comparable.
-type TargetDeparture struct {
-	// ID and Started identify the process, as in Target. ID is empty when there is no statement.
-	ID      string `json:"id"`
-	Started int64  `json:"started,omitempty"`
-	// Sequence is the sequence number of the latest announcement by then. An earlier one
-	// arrives late.
-	Sequence uint64 `json:"sequence,omitempty"`
-	// Leaving is true when the process is about to exit; otherwise it drains.
-	Leaving bool `json:"leaving,omitempty"`
-}
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -5,7 +5,8 @@
 // no node joins, moves or leaves writes nothing.
 //
 // The object also keeps the latest statement of the node's target that it drains or
-// leaves, which must outlive the process of the node that acknowledges it.
+// leaves, which must outlive the process of the node that acknowledges it. Nodes learn
+// the statements of each other's targets from there too.
 //
 // When the platform is restored from a copy it may lose objects. Nodes tell each
 // other its era, and each one makes sure that its object is there in a new era.
@@ -229,6 +230,7 @@
 // logs and skips objects that are not valid.
 func (cfg Config) reportChanges(c storer.Changes, whole bool, post blackboard.Post) {
 	records := make([]blackboard.NodeRecord, 0, len(c.Objects))
+	var departures []blackboard.HostDeparture
 	for _, o := range c.Objects {
 		record, err := decodeRecord(o)
 		if err != nil {
@@ -236,11 +238,17 @@
 			continue
 		}
 		records = append(records, record)
+		if d := decodeDeparture(o.Value); d.ID != "" {
+			departures = append(departures, blackboard.HostDeparture{Host: record.Host, DataCentre: record.DataCentre, TargetDeparture: d})
+		}
 	}
 	now := cfg.Now()
 	if len(records) > 0 || whole {
 		post(blackboard.NodesFound{Nodes: records, Complete: whole, Now: now})
 	}
+	if len(departures) > 0 {
+		post(blackboard.DeparturesReported{Departures: departures, Now: now})
+	}
 	for _, key := range c.Removed {
 		post(blackboard.NodeRemoved{Host: strings.TrimPrefix(key, Kind+"/"), Now: now})
 	}
--- a/internal/enroller/object.go
+++ b/internal/enroller/object.go
@@ -120,11 +120,11 @@
 }
 
 // putObject writes the object over its old state if its value differs, and returns the
-// departure that it holds: the one that this process knows, or else the old one.
+// departure that it holds: the newest of the one that this process knows and the old one.
 func (cfg Config) putObject(ctx context.Context, old storer.Object) (blackboard.TargetDeparture, error) {
 	d := cfg.departure()
-	if d.ID == "" {
-		d = decodeDeparture(old.Value)
+	if kept := decodeDeparture(old.Value); kept.Supersedes(d) {
+		d = kept
 	}
 	value, err := cfg.encodeObject(d)
 	if err != nil || bytes.Equal(compactJSON(old.Value), value) {
--- a/internal/subscriber/feed.go
+++ b/internal/subscriber/feed.go
@@ -30,12 +30,14 @@
 		self := decodeRecords([]*wirepb.NodeRecord{request.GetSelf()})
 		sub.cfg.Post(blackboard.NodesFound{Nodes: self, SelfReported: true, Now: sub.cfg.Now()})
 	}
+	sub.postDepartures(request.GetDepartures(), "", sub.cfg.Post)
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
 	f := feed{
-		sub: sub, stream: s, wantsDataCentre: request.GetWantsDataCentre(),
+		sub: sub, stream: s, subscriber: request.GetSelf().GetHost(), wantsDataCentre: request.GetWantsDataCentre(),
 		sameDataCentre: request.GetSelf().GetDataCentre() == sub.cfg.Self.DataCentre,
 		sentViews:      map[string]map[string]blackboard.PeerState{},
+		sentDepartures: map[string]blackboard.TargetDeparture{},
 	}
 	if request.GetWantsKnown() {
 		f.sentHosts = map[string]bool{request.GetSelf().GetHost(): true}
@@ -47,6 +49,8 @@
 type feed struct {
 	sub    *Subscriber
 	stream *linker.Stream
+	// subscriber is the host of the subscriber.
+	subscriber string
 	// wantsDataCentre is true when the subscriber observes this data centre.
 	wantsDataCentre bool
 	// sameDataCentre is true when the subscriber is in this data centre. Only then it also
@@ -57,6 +61,8 @@
 	sentHosts map[string]bool
 	// sentViews holds, by data centre, the nodes that the subscriber has been sent.
 	sentViews map[string]map[string]blackboard.PeerState
+	// sentDepartures holds the statements that the subscriber has been sent, by host.
+	sentDepartures map[string]blackboard.TargetDeparture
 	// sentCalls is what the subscriber was last told of calls, and ticks counts the updates.
 	sentCalls *wirepb.RunCalls
 	ticks     int
@@ -80,6 +86,8 @@
 	latest := f.sub.encodeUpdate(current, f.sentHosts)
 	update := withOrder(latest, current.order)
 	update.Views = f.nextViews(current)
+	departed, departuresChanged := f.sub.currentDepartures()
+	update.Departures = f.nextDepartures(departed)
 	for {
 		if err := f.write(update); err != nil {
 			return
@@ -99,6 +107,11 @@
 		case <-restChanged:
 			restChanged = nil
 			delay.Reset(viewDelay)
+		case <-departuresChanged:
+			departed, departuresChanged = f.sub.currentDepartures()
+			if departures := f.nextDepartures(departed); len(departures) > 0 {
+				update = &wirepb.NodeUpdate{Departures: departures}
+			}
 		case <-delay.C:
 			current, _, restChanged = f.sub.current(f.wantsDataCentre)
 			if views := f.nextViews(current); len(views) > 0 {
--- a/internal/subscriber/observation.go
+++ b/internal/subscriber/observation.go
@@ -125,7 +125,10 @@
 // receiveView posts what a node of another data centre reports of it until the stream
 // ends. It reports whether a view was received.
 func (sub *Subscriber) receiveView(ctx context.Context, key blackboard.ViewKey, source blackboard.Member, post blackboard.Post) (received bool, err error) {
-	request := &wirepb.SubscribeRequest{Self: encodeRecord(sub.cfg.Self), Host: source.Host, WantsDataCentre: true}
+	request := &wirepb.SubscribeRequest{
+		Self: encodeRecord(sub.cfg.Self), Host: source.Host, WantsDataCentre: true,
+		Departures: sub.departuresFor(source.Host, source.DataCentre),
+	}
 	s, end, err := sub.openUpdates(ctx, source.Address, request, observeTimeout)
 	if err != nil {
 		return false, err
@@ -152,6 +155,7 @@
 		}
 		received = true
 		sub.postKnown(&m, post)
+		sub.postDepartures(m.GetDepartures(), source.Host, post)
 		for _, v := range m.GetViews() {
 			if isView(v) {
 				post(decoder.decode(key, v, sub.cfg.Now()))
--- a/internal/subscriber/stream.go
+++ b/internal/subscriber/stream.go
@@ -92,7 +92,9 @@
 // receiveUpdates opens a stream and posts each update until the stream ends. It reports
 // whether any update was received.
 func (sub *Subscriber) receiveUpdates(ctx context.Context, e subscribe, post blackboard.Post) (received bool, err error) {
-	request := &wirepb.SubscribeRequest{Self: encodeRecord(sub.cfg.Self), Host: e.host}
+	request := &wirepb.SubscribeRequest{
+		Self: encodeRecord(sub.cfg.Self), Host: e.host, Departures: sub.departuresFor(e.host, sub.cfg.Self.DataCentre),
+	}
 	s, end, err := sub.openUpdates(ctx, e.address, request, openTimeout)
 	if err != nil {
 		return false, err
@@ -118,6 +120,7 @@
 		}
 		received = true
 		sub.postKnown(&m, post)
+		sub.postDepartures(m.GetDepartures(), e.host, post)
 		if l := encoder.DecodeLoad(m.GetLoad()); l != nil {
 			sub.cfg.OnLoad(e.host, latest.Target.Service, *l)
 		}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -86,8 +86,8 @@
 	mu sync.Mutex
 	// latest is the state that this node last published. Guarded by mu.
 	latest publishedState
-	// own, members and views notify of changes of the parts of latest. Guarded by mu.
-	own, members, views broadcast
+	// own, members, views and departures notify of changes of the parts of latest. Guarded by mu.
+	own, members, views, departures broadcast
 	// streams holds the stream to each node, by host. Guarded by mu.
 	streams map[string]stream
 	// observations holds the function that ends the observation of each data centre. Guarded by mu.
@@ -112,8 +112,10 @@
 	members map[string]blackboard.Member
 	// views holds the views, of which those of this node's own observation are passed on.
 	views map[blackboard.ViewKey]blackboard.View
-	// memberChanges and viewChanges tell whether members and views have changed.
-	memberChanges, viewChanges uint64
+	// departures holds the statements of targets that they leave, by host.
+	departures map[string]blackboard.HostDeparture
+	// memberChanges, viewChanges and departureChanges tell whether these parts have changed.
+	memberChanges, viewChanges, departureChanges uint64
 }
 
 // broadcast wakes all waiters at once.
@@ -146,7 +148,7 @@
 		cfg.OnLoad = func(string, string, limiter.Load) {}
 	}
 	return &Subscriber{
-		cfg: cfg, own: newBroadcast(), members: newBroadcast(), views: newBroadcast(),
+		cfg: cfg, own: newBroadcast(), members: newBroadcast(), views: newBroadcast(), departures: newBroadcast(),
 		streams: map[string]stream{}, observations: map[string]context.CancelFunc{},
 	}
 }
@@ -189,24 +191,34 @@
 		effects = append(effects, chosen...)
 	case blackboard.NodesFound:
 		s, effects = addNodes(s, msg)
+		if msg.Complete {
+			s = forgetUnlisted(s, msg.Nodes)
+		}
 	case blackboard.NodeRemoved:
 		s, effects = removeNodes(s, msg.Now, msg.Host)
+		s = forgetDepartures(s, func(host string) bool { return host == msg.Host })
+	case blackboard.DeparturesReported:
+		s = noteDepartures(s, msg.Departures...)
 	case blackboard.NodeUpdated:
 		s, effects = updateNode(s, msg)
 	case blackboard.NodeLost:
 		s, effects = loseNode(s, msg)
+		s = doubtDeparture(s, msg.Host)
 	case blackboard.ViewChanged:
 		s, effects = changeView(s, msg)
 	case blackboard.ViewInterrupted:
 		s = interruptView(s, msg)
 	}
+	s = noteDepartures(s, ownDeparture(&s))
 	state := nodeState(&s)
-	if state != s.Members.Published || s.Members.Changes != before.Changes || s.Members.ViewChanges != before.ViewChanges {
+	if state != s.Members.Published || s.Members.Changes != before.Changes || s.Members.ViewChanges != before.ViewChanges ||
+		s.Members.DepartureChanges != before.DepartureChanges {
 		s.Members.Published = state
 		s.Members.PublishCount++
 		effects = append(effects, publish{update: publishedState{
 			order: s.Members.PublishCount, state: state, known: s.Members.Records, members: s.Members.ByHost, views: s.Members.Views,
-			memberChanges: s.Members.Changes, viewChanges: s.Members.ViewChanges,
+			departures:    s.Members.Departures,
+			memberChanges: s.Members.Changes, viewChanges: s.Members.ViewChanges, departureChanges: s.Members.DepartureChanges,
 		}})
 	}
 	return s, effects
@@ -258,6 +270,17 @@
 	if e.update.viewChanges != before.viewChanges {
 		sub.views.notify()
 	}
+	if e.update.departureChanges != before.departureChanges {
+		sub.departures.notify()
+	}
+}
+
+// currentDepartures returns the latest published state, and a channel that is closed when
+// its departures change.
+func (sub *Subscriber) currentDepartures() (latest publishedState, changed <-chan struct{}) {
+	sub.mu.Lock()
+	defer sub.mu.Unlock()
+	return sub.latest, sub.departures.wait()
 }
 
 // current returns the latest published state, and channels that are closed when this
