Keep the object of a node that stops beside a target that leaves

Cause: a node that stopped while its target was leaving took this for the end of its host and removed its object from the store, and with it the departure that the object keeps for the next process. The other nodes dropped the host with the object. A node may also be restarted on its own while its target, which happens to leave, goes on serving, and it cannot tell the two apart.

Ruled out: the departure is in the store before the leave is answered, and the next process reads its object; there was none.

The change: a stop removes nothing. The node marks its object with the time after which it may go. The next process on the host reads the departure and clears the mark; otherwise a node that watches the objects removes it ten minutes later, if its revision is still the same. Until then the host counts like one that was killed, and its neighbours keep what its target stated.

Why it works: what the stop does can be undone by a start, so it no longer matters which of the two the stop was.

--- a/internal/blackboard/departure.go
+++ b/internal/blackboard/departure.go
@@ -58,3 +58,14 @@
 	Departures []HostDeparture
 	Now        time.Time
 }
+
+// NodeLeft reports a node that has stopped beside a target that was leaving. The
+// platform keeps its object for a time, because the node may be started again while the
+// target still runs.
+type NodeLeft struct {
+	Host string
+	// Revision is that of the node's object in the platform.
+	Revision uint64
+	// ForgetAt is when the object may be removed.
+	ForgetAt time.Time
+}
--- a/internal/blackboard/state.go
+++ b/internal/blackboard/state.go
@@ -40,9 +40,11 @@
 type Enrolment struct {
 	// Started is true once this node registers itself with the platform and looks for other nodes.
 	Started bool
-	// Removed is true once this node has begun to remove its registration, because it
-	// leaves for good.
+	// Removed is true once this node has begun to mark its registration for removal,
+	// because it leaves for good as far as it can tell.
 	Removed bool
+	// ForgetAt is when the registration may be removed; zero unless Removed is true.
+	ForgetAt time.Time
 	// Era is the greatest era of the platform, as in storer.Changes, that this node knows
 	// of; 0 when none. It never falls.
 	Era uint64
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -6,7 +6,10 @@
 //
 // The object also keeps the latest statement of the node's target that it drains or
 // leaves, which must outlive the process of the node that acknowledges it. Nodes learn
-// the statements of each other's targets from there too.
+// the statements of each other's targets from there too. A node that stops beside a
+// target that leaves cannot tell whether its host goes for good or whether it is started
+// again beside the same target. So it only marks its object, and a node that watches the
+// objects removes it later.
 //
 // When the platform is restored from a copy it may lose objects. Nodes tell each
 // other its era, and each one makes sure that its object is there in a new era.
@@ -49,8 +52,11 @@
 	// confirmRate is how many nodes a second confirm their objects after a restore, a
 	// quarter of the reads that the platform takes.
 	confirmRate = 500
-	// removeTimeout bounds the removal of this node's object when it leaves permanently.
-	removeTimeout = 1 * time.Second
+	// leaveTimeout bounds the marking of this node's object when it stops.
+	leaveTimeout = 1 * time.Second
+	// forgetDelay is how long the object of a node that has left is kept. A target that
+	// leaves may go on serving for some of that time, and its announcements may be late.
+	forgetDelay = 10 * time.Minute
 )
 
 // Config configures an enroller.
@@ -72,15 +78,17 @@
 	// so at the same time.
 	confirm struct{ nodes int }
 	// recordDeparture writes the departure of the target to this node's object. recorded
-	// may be nil. An object that has been removed is not written again.
+	// may be nil. An object that was marked for removal is not created again.
 	recordDeparture struct {
 		recorded func()
 		removed  bool
 	}
 	// poll follows the other nodes' objects.
 	poll struct{}
-	// remove deletes this node's object.
-	remove struct{}
+	// leave marks this node's object for removal.
+	leave struct{}
+	// forget removes the object of another node once its time has come.
+	forget struct{ left blackboard.NodeLeft }
 )
 
 // New returns the controller that owns the entry Enrolment.
@@ -117,8 +125,13 @@
 		if s.Target.Evidence.Announced != blackboard.TargetDraining {
 			return s, nil
 		}
-		s.Enrolment.Removed = true
-		return s, []blackboard.Effect{remove{}}
+		s.Enrolment.Removed, s.Enrolment.ForgetAt = true, msg.Now.Add(forgetDelay)
+		return s, []blackboard.Effect{leave{}}
+	case blackboard.NodeLeft:
+		if msg.Host == s.Self.Host {
+			return s, nil
+		}
+		return s, []blackboard.Effect{forget{left: msg}}
 	}
 	return s, nil
 }
@@ -164,23 +177,10 @@
 		if poller.Sleep(ctx, startDelay) {
 			cfg.poll(ctx, post)
 		}
-	case remove:
-		cfg.remove(ctx)
-	}
-}
-
-// remove deletes this node's object. It is not retried: an object that stays
-// because the platform cannot be reached is harmless, since other nodes get no
-// response at its address.
-func (cfg Config) remove(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, removeTimeout)
-	defer cancel()
-	old, err := cfg.Platform.Get(ctx, cfg.objectKey())
-	if err == nil {
-		err = cfg.Platform.Delete(ctx, cfg.objectKey(), old.Revision)
-	}
-	if err != nil {
-		cfg.Log.Write(logger.EnrolFailed, logger.Fields{Reason: "remove", Err: err})
+	case leave:
+		cfg.leave(ctx)
+	case forget:
+		cfg.forget(ctx, e.left)
 	}
 }
 
@@ -241,6 +241,9 @@
 		if d := decodeDeparture(o.Value); d.ID != "" {
 			departures = append(departures, blackboard.HostDeparture{Host: record.Host, DataCentre: record.DataCentre, TargetDeparture: d})
 		}
+		if at := decodeForgetAt(o.Value); !at.IsZero() {
+			post(blackboard.NodeLeft{Host: record.Host, Revision: o.Revision, ForgetAt: at})
+		}
 	}
 	now := cfg.Now()
 	if len(records) > 0 || whole {
--- a/internal/enroller/object.go
+++ b/internal/enroller/object.go
@@ -19,6 +19,9 @@
 	// recordTimeout is how long a target waits for the record of its departure. It takes an
 	// answer that comes within a second, and has to get one while the platform is away.
 	recordTimeout = 600 * time.Millisecond
+	// minForgetDelay is how long a node that has just started waits before it removes an
+	// object, so that it knows by then which nodes watch the objects.
+	minForgetDelay = 5 * time.Second
 )
 
 // nodeObject is the value of a node's object.
@@ -27,6 +30,9 @@
 	// Departure is the latest statement of the node's target that it drains or leaves; nil
 	// when there is none.
 	Departure *blackboard.TargetDeparture `json:"target-departure,omitempty"`
+	// ForgetAt is when the object may be removed; nil unless the node has stopped beside
+	// a target that was leaving.
+	ForgetAt *time.Time `json:"forget-at,omitempty"`
 }
 
 func (cfg Config) objectKey() string { return Kind + "/" + cfg.Self.Host }
@@ -45,9 +51,24 @@
 	if d.ID != "" {
 		o.Departure = &d
 	}
+	if cfg.State != nil {
+		if at := cfg.State().Enrolment.ForgetAt.UTC(); !at.IsZero() {
+			o.ForgetAt = &at
+		}
+	}
 	return json.Marshal(o)
 }
 
+// decodeForgetAt returns when the object with a value may be removed; the zero value when
+// it belongs to a node of the mesh or another program has written the value.
+func decodeForgetAt(value []byte) time.Time {
+	var o nodeObject
+	if json.Unmarshal(value, &o) != nil || o.ForgetAt == nil {
+		return time.Time{}
+	}
+	return *o.ForgetAt
+}
+
 // decodeDeparture returns the departure in a value; the zero value when there is none or
 // another program has written the value.
 func decodeDeparture(value []byte) blackboard.TargetDeparture {
@@ -146,8 +167,50 @@
 			}
 		}()
 	}
-	if !e.removed {
-		cfg.retry(ctx, "departure", cfg.confirmObject)
+	if e.removed {
+		cfg.retry(ctx, "departure", cfg.updateObject)
+		return
+	}
+	cfg.retry(ctx, "departure", cfg.confirmObject)
+}
+
+// leave marks this node's object for removal. An object that stays unmarked because the
+// platform cannot be reached is harmless, since other nodes get no response at its address.
+func (cfg Config) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	cfg.retry(ctx, "leave", cfg.updateObject)
+}
+
+// updateObject writes the object if it differs, but does not create one that is missing.
+func (cfg Config) updateObject(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	old, err := cfg.Platform.Get(ctx, cfg.objectKey())
+	var missing *storer.NotFoundError
+	if errors.As(err, &missing) {
+		return nil
+	}
+	if err == nil {
+		_, err = cfg.putObject(ctx, old)
+	}
+	return err
+}
+
+// forget removes the object of a node that has left, if this node watches the objects by
+// the time at which that is due. A node that has returned has written its object anew,
+// which then has another revision.
+func (cfg Config) forget(ctx context.Context, left blackboard.NodeLeft) {
+	if !poller.Sleep(ctx, max(time.Until(left.ForgetAt), minForgetDelay)) || cfg.State != nil && !poller.IsWatcher(cfg.State()) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	err := cfg.Platform.Delete(ctx, Kind+"/"+left.Host, left.Revision)
+	var missing *storer.NotFoundError
+	var conflict *storer.ConflictError
+	if err != nil && !errors.As(err, &missing) && !errors.As(err, &conflict) {
+		cfg.Log.Write(logger.EnrolFailed, logger.Fields{Reason: "forget " + left.Host, Err: err})
 	}
 }
 
--- a/internal/logger/events_membership.go
+++ b/internal/logger/events_membership.go
@@ -24,7 +24,7 @@
 	}
 	EnrolFailed = Event{
 		Number: 304, Name: "enrol-failed", Level: LevelWarn,
-		Meaning: "The address of this node, or the departure of its target if the reason says so, could not be stored on the platform or removed from it. The node retries a failed write; after a failed removal during a stop, the address may remain.",
+		Meaning: "The address of this node, or the departure of its target if the reason says so, could not be stored on the platform, or the object of a node that has left could not be marked or removed. The node retries a failed write; after a failure during a stop, the address may remain.",
 		Action:  "Check the platform.",
 	}
 	EnrolmentRefused = Event{
