--- a/internal/enroller/departure_orders_test.go
+++ b/internal/enroller/departure_orders_test.go
@@ -15,6 +15,7 @@
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/logger"
+	"gentianbarrow.example/internal/piper"
 	"gentianbarrow.example/internal/poller"
 	"gentianbarrow.example/internal/subscriber"
 	"gentianbarrow.example/pkg/storer"
@@ -23,48 +24,32 @@
 // fleet is a few nodes that are connected in memory and share a store. Addresses are those
 // of their records.
 type fleet struct {
-	store *storer.Fake
-	group sync.WaitGroup
-	mu    sync.Mutex
-	// nodes holds the running processes by address. Guarded by mu.
-	nodes map[string]*fleetNode
+	store   *storer.Fake
+	network piper.Network
 }
 
 // fleetNode is one process of a node.
 type fleetNode struct {
 	nodeProcess
-	self  blackboard.NodeRecord
-	links *linker.Linker
-	ctx   context.Context
-}
-
-func (f *fleet) dial(address string) (net.Conn, error) {
-	f.mu.Lock()
-	to := f.nodes[address]
-	f.mu.Unlock()
-	if to == nil {
-		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
-	}
-	client, server := net.Pipe()
-	f.group.Go(func() { to.links.ServeConn(to.ctx, server) })
-	return client, nil
+	self blackboard.NodeRecord
 }
 
 // start starts a process of a node.
 func (f *fleet) start(ctx context.Context, self blackboard.NodeRecord) *fleetNode {
-	n := &fleetNode{self: self, links: linker.New()}
+	n, links := &fleetNode{self: self}, linker.New()
 	ctx, cancel := context.WithCancel(ctx)
-	n.ctx = ctx
-	n.links.Dial = func(_ context.Context, address string) (net.Conn, error) { return f.dial(address) }
+	links.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		return f.network.Dial(ctx, self.Address, address)
+	}
 	read := func() *blackboard.State { return n.board.Read() }
 	nodes := subscriber.New(subscriber.Config{
 		Self: self, Incarnation: uint64(time.Now().UnixMicro()), State: read, Log: &logger.Logger{},
 		Open: func(ctx context.Context, address string) (*linker.Stream, error) {
-			return n.links.Open(ctx, address, linker.TrafficControl, subscriber.StreamKind)
+			return links.Open(ctx, address, linker.TrafficControl, subscriber.StreamKind)
 		},
 		Post: func(msg blackboard.Msg) { n.board.Post(msg) },
 	})
-	n.links.Handle(subscriber.StreamKind, nodes.Serve)
+	links.Handle(subscriber.StreamKind, nodes.Serve)
 	s := blackboard.State{
 		Self:      blackboard.Self{Host: self.Host, Address: self.Address, DataCentre: self.DataCentre},
 		Lifecycle: blackboard.Lifecycle{Phase: blackboard.LifecycleServing},
@@ -75,9 +60,7 @@
 		New(Config{Self: self, Platform: f.store.Client(), State: read}),
 		nodes.Controller(),
 	})
-	f.mu.Lock()
-	f.nodes[self.Address] = n
-	f.mu.Unlock()
+	f.network.Listen(ctx, self.Address, links)
 	var group sync.WaitGroup
 	group.Go(func() { _ = n.board.Run(ctx) })
 	group.Go(func() {
@@ -86,11 +69,9 @@
 		}
 	})
 	n.stop = func() {
-		f.mu.Lock()
-		delete(f.nodes, self.Address)
-		f.mu.Unlock()
+		f.network.Close(self.Address)
 		cancel()
-		n.links.Close()
+		links.Close()
 		group.Wait()
 	}
 	return n
@@ -165,8 +146,8 @@
 }
 
 func (o departureOrder) play(ctx context.Context) (phases targetPhases) {
-	f := &fleet{store: storer.NewFake(), nodes: map[string]*fleetNode{}}
-	defer f.group.Wait()
+	f := &fleet{store: storer.NewFake()}
+	defer f.network.Wait()
 	setAway := func(away bool) { f.store.SetFaults(storer.Faults{Outage: away}) }
 	self := nodeRecord("reyk-a-1", "10.0.0.1:7600")
 	first := f.start(ctx, self)
