Read the configuration where nobody else has read it, whoever counts as alive

Cause: a node took "somebody watches" from membership. A silent node counts as alive for 2.5 s, and must, since membership decides where requests go; until then nobody else read the store. A substitute whose calls to the store hang held the watch for as long again.

Ruled out: a version that lies at a running node (none has it before one reads the store), and a slow read by the node that takes over.

The change: a node that has read the store tells its data centre so, with the position that it has read to, in place of an update that it would send anyway. A reading expires after a second. Others follow from the position that they were told, so such a read brings only what has changed.

Why it works: each node knows how old the news is that there is no news, and that does not depend on who is thought to be alive.

TestWatchPolicy drops the second result that awaitPoll has now; what it asserts is as before.

--- a/internal/blackboard/config.go
+++ b/internal/blackboard/config.go
@@ -44,6 +44,19 @@
 	PollerStarted bool
 	// PlatformLost reports whether the platform does not respond to this node's poller.
 	PlatformLost bool
+	// Reading is the latest reading of the platform by a node of this data centre.
+	Reading ConfigReading
+}
+
+// ConfigReading tells how far the configuration has been read from the platform. It is
+// comparable.
+type ConfigReading struct {
+	// Revision and Era are the position in the changes of the platform up to which this
+	// node has them all, from its own reads or from other nodes; zero when unknown.
+	Revision, Era uint64
+	// ExpiresAt is until when the reading shows that there is no newer configuration; zero
+	// before the first one.
+	ExpiresAt time.Time
 }
 
 // RefusedVersion is a version that was refused whole. It is kept until a version that is
--- a/internal/blackboard/message_node.go
+++ b/internal/blackboard/message_node.go
@@ -98,6 +98,18 @@
 	Now  time.Time
 }
 
+// ConfigReadingDone reports that a node has read the configuration from the platform and
+// runs the newest one that it found.
+type ConfigReadingDone struct {
+	// Host is the node that reports it; empty for this one.
+	Host string
+	// Revision and Era are the position in the changes of the platform that it has read.
+	Revision, Era uint64
+	// Version is what the other node runs.
+	Version uint64
+	Now     time.Time
+}
+
 // ConfigFetchFailed reports that a request to another node returned no newer configuration.
 type ConfigFetchFailed struct {
 	// Address is that of the node that was asked.
--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -9,6 +9,10 @@
 // node has read reaches every node that is connected to it, directly or through
 // others, and the whole configuration crosses few links. A process never goes
 // back to a lower version.
+//
+// A node tells its data centre each time that it has read the platform. A node that hears
+// of no reading for readingLifetime reads the platform itself, so that it learns of a
+// version whatever nodes fall silent, and before these count as lost.
 package fetcher
 
 import (
@@ -52,6 +56,9 @@
 	// remoteAskDelay it leaves half of the two seconds within which a version must
 	// be applied.
 	maxWatchWait = 700 * time.Millisecond
+	// readingLifetime is how long a reading of the platform shows that there is no newer
+	// version. It is longer than the time between two readings of a node that watches.
+	readingLifetime = 1 * time.Second
 	// pollInterval is how often the nodes that do not watch poll the platform, in
 	// case they learn of no version from other nodes. The platform has dropped the
 	// history by then, so it returns the whole configuration. A configuration of
@@ -127,6 +134,8 @@
 		s.Config.NoteRefused(blackboard.RefusedVersion{Version: msg.Version, Source: msg.Source, Reason: msg.Reason, SinceAt: msg.Now})
 	case blackboard.PlatformReachabilityChanged:
 		s.Config.PlatformLost = msg.Lost
+	case blackboard.ConfigReadingDone:
+		s.Config.Reading = noteReading(s.Config.Reading, msg, versionOf(s.Config.Running))
 	}
 	return s, nil
 }
@@ -158,6 +167,16 @@
 	return s, []blackboard.Effect{logApplied{version: msg.Snapshot.Version, before: before, source: msg.Source}}
 }
 
+// noteReading applies a reading of this node or another one. Its position holds for this
+// node only if this node runs all that the other one has read.
+func noteReading(r blackboard.ConfigReading, msg blackboard.ConfigReadingDone, running uint64) blackboard.ConfigReading {
+	r.ExpiresAt = msg.Now.Add(readingLifetime)
+	if running >= msg.Version {
+		r.Revision, r.Era = msg.Revision, msg.Era
+	}
+	return r
+}
+
 // askDelay returns how long to wait for a version that another node runs to
 // arrive by itself.
 func askDelay(s *blackboard.State, sameDataCentre bool) time.Duration {
@@ -201,13 +220,17 @@
 
 func (cfg Config) followPlatform(ctx context.Context, post blackboard.Post) {
 	p := poller.Poller{
-		Kind: cfg.Kind, Client: cfg.Platform, MaxWait: maxWatchWait, WatchPolicy: poller.WatchPolicy{State: cfg.State, PollInterval: pollInterval},
+		Kind: cfg.Kind, Client: cfg.Platform, MaxWait: maxWatchWait,
+		WatchPolicy: poller.WatchPolicy{State: cfg.State, PollInterval: pollInterval, Confirmed: true},
 		OnChange: func(c storer.Changes, _ bool) {
 			for _, o := range c.Objects {
 				cfg.decodeObject(o, post)
 			}
 		},
-		OnScan:               func(era uint64) { post(blackboard.PlatformEraRead{Era: era, Now: cfg.Now()}) },
+		OnScan: func(era uint64) { post(blackboard.PlatformEraRead{Era: era, Now: cfg.Now()}) },
+		OnAnswer: func(revision, era uint64) {
+			post(blackboard.ConfigReadingDone{Revision: revision, Era: era, Now: cfg.Now()})
+		},
 		OnReachabilityChange: func(lost bool) { post(blackboard.PlatformReachabilityChanged{Lost: lost, Now: cfg.Now()}) },
 		Log:                  cfg.Log,
 	}
--- a/internal/logger/events_distribution.go
+++ b/internal/logger/events_distribution.go
@@ -64,8 +64,8 @@
 	}
 	PlatformWatch = Event{
 		Number: 226, Name: "platform-watch", Level: LevelInfo,
-		Meaning: "The node has started or stopped watching the objects of the kind in the reason field for its data centre.",
-		Action:  "None. A node that does not watch learns of changes from other nodes.",
+		Meaning: "The node has started or stopped watching the objects of the kind in the reason field for its data centre, or has read them once because no other node of it had read them in time.",
+		Action:  "None. A node that does not watch learns of changes from other nodes. If nodes often read once, look for nodes that stand still or for a slow platform.",
 	}
 	PlatformRestored = Event{
 		Number: 227, Name: "platform-restored", Level: LevelWarn,
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -46,6 +46,9 @@
 	// OnScan, if not nil, is called with the era of the platform after each full scan,
 	// before OnChange.
 	OnScan func(era uint64)
+	// OnAnswer, if not nil, is called after each answer, once OnChange has returned, with
+	// the position up to which all changes have been reported.
+	OnAnswer func(revision, era uint64)
 	// OnReachabilityChange, if not nil, is called on the first failure after a
 	// success, with lost set, and on the first success after a failure.
 	OnReachabilityChange func(lost bool)
@@ -103,8 +106,17 @@
 }
 
 func (f *follower) pollOnce(ctx context.Context) {
-	if f.hasScanned && f.failures == 0 {
-		f.setWatching(f.poller.WatchPolicy.awaitPoll(ctx, f.poller.Sleep))
+	switch {
+	case !f.hasScanned:
+	case f.failures == 0:
+		isWatcher, tookOver := f.poller.WatchPolicy.awaitPoll(ctx, f.poller.Sleep)
+		f.setWatching(isWatcher)
+		if tookOver {
+			f.poller.Log.Write(logger.PlatformWatch, logger.Fields{Reason: f.poller.Kind + " read once, since no other node has read it"})
+		}
+	case f.poller.WatchPolicy.awaitRetry(ctx, f.poller.Sleep):
+		f.endFailures()
+		return
 	}
 	changes, err := f.fetch(ctx)
 	if ctx.Err() != nil {
@@ -119,11 +131,7 @@
 		f.recordFailure(ctx, err)
 		return
 	}
-	if f.failures > 0 {
-		f.poller.Log.Write(logger.PlatformRegained, logger.Fields{Reason: f.poller.Kind, Count: f.failures})
-		f.reportReachability(false)
-	}
-	f.failures = 0
+	f.endFailures()
 	f.logHistory(changes)
 	if f.hasScanned && changes.Era != 0 && changes.Era != f.era {
 		// The answer starts from a revision of another history and may lack changes.
@@ -136,8 +144,14 @@
 	if isFullScan && f.poller.OnScan != nil {
 		f.poller.OnScan(changes.Era)
 	}
-	if isFullScan || len(changes.Objects)+len(changes.Removed) > 0 {
+	hasChanges := isFullScan || len(changes.Objects)+len(changes.Removed) > 0
+	if hasChanges {
 		f.poller.OnChange(changes, isFullScan)
+	}
+	if f.poller.OnAnswer != nil {
+		f.poller.OnAnswer(f.revision, f.era)
+	}
+	if hasChanges {
 		f.poller.Sleep(ctx, cmp.Or(f.poller.BatchDelay, defaultBatchDelay))
 	}
 	if !f.hasSettled {
@@ -146,6 +160,17 @@
 	}
 }
 
+// endFailures reports that the platform is reached again, by this node or another one of
+// its data centre.
+func (f *follower) endFailures() {
+	if f.failures == 0 {
+		return
+	}
+	f.poller.Log.Write(logger.PlatformRegained, logger.Fields{Reason: f.poller.Kind, Count: f.failures})
+	f.failures = 0
+	f.reportReachability(false)
+}
+
 // logHistory logs a full scan after the first, and that it read another history than
 // the one before.
 func (f *follower) logHistory(c storer.Changes) {
@@ -165,6 +190,9 @@
 	if !f.hasScanned {
 		return f.poller.Client.Scan(ctx, f.poller.Kind)
 	}
+	if r := f.poller.WatchPolicy.reading(); r.Era == f.era {
+		f.revision = max(f.revision, r.Revision)
+	}
 	return f.poller.Client.Follow(ctx, f.poller.Kind, f.revision, f.maxWait())
 }
 
--- a/internal/poller/watch_policy_test.go
+++ b/internal/poller/watch_policy_test.go
@@ -64,7 +64,7 @@
 func TestWatchPolicy(t *testing.T) {
 	awaitPoll := func(policy WatchPolicy, whenSlept func(n int)) (watch bool, slept time.Duration) {
 		n := 0
-		watch = policy.awaitPoll(t.Context(), func(_ context.Context, d time.Duration) bool {
+		watch, _ = policy.awaitPoll(t.Context(), func(_ context.Context, d time.Duration) bool {
 			slept += d
 			n++
 			whenSlept(n)
--- a/internal/subscriber/feed.go
+++ b/internal/subscriber/feed.go
@@ -88,6 +88,7 @@
 	update.Views = f.nextViews(current)
 	departed, departuresChanged := f.sub.currentDepartures()
 	update.Departures = f.nextDepartures(departed)
+	_, read := f.nextReading()
 	for {
 		if err := f.write(update); err != nil {
 			return
@@ -117,6 +118,10 @@
 			if views := f.nextViews(current); len(views) > 0 {
 				update = &wirepb.NodeUpdate{Views: views}
 			}
+		case <-read:
+			update = &wirepb.NodeUpdate{Load: f.load(), RunCalls: f.runCalls()}
+			update.ConfigReading, read = f.nextReading()
+			ticker.Reset(f.interval())
 		case <-ticker.C:
 			update = &wirepb.NodeUpdate{Load: f.load(), RunCalls: f.runCalls()}
 		}
--- a/internal/subscriber/stream.go
+++ b/internal/subscriber/stream.go
@@ -129,6 +129,7 @@
 		}
 		latest.Now = sub.cfg.Now()
 		post(latest)
+		sub.postReading(m.GetConfigReading(), e.host, post)
 		for _, v := range m.GetViews() {
 			post(views.decode(blackboard.ViewKey{Source: e.host, DataCentre: v.GetDataCentre()}, v, latest.Now))
 		}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -30,6 +30,7 @@
 	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/logger"
+	"gentianbarrow.example/internal/wirepb"
 )
 
 // StreamKind identifies the protocol to the linker.
@@ -88,6 +89,10 @@
 	latest publishedState
 	// own, members, views and departures notify of changes of the parts of latest. Guarded by mu.
 	own, members, views, departures broadcast
+	// reading is the latest reading of the configuration by this node; nil before it.
+	// readings notifies of the next one. Guarded by mu.
+	reading  *wirepb.ConfigReading
+	readings broadcast
 	// streams holds the stream to each node, by host. Guarded by mu.
 	streams map[string]stream
 	// observations holds the function that ends the observation of each data centre. Guarded by mu.
@@ -148,7 +153,7 @@
 		cfg.OnLoad = func(string, string, limiter.Load) {}
 	}
 	return &Subscriber{
-		cfg: cfg, own: newBroadcast(), members: newBroadcast(), views: newBroadcast(), departures: newBroadcast(),
+		cfg: cfg, own: newBroadcast(), members: newBroadcast(), views: newBroadcast(), departures: newBroadcast(), readings: newBroadcast(),
 		streams: map[string]stream{}, observations: map[string]context.CancelFunc{},
 	}
 }
@@ -165,6 +170,9 @@
 	unobserve struct{ dataCentre string }
 	// publish publishes this node's state.
 	publish struct{ update publishedState }
+	// tellReading tells the nodes of this data centre that this node has read the
+	// configuration from the platform.
+	tellReading struct{ reading *wirepb.ConfigReading }
 	// report logs a change of a node's state.
 	report struct {
 		event        logger.Event
@@ -199,6 +207,8 @@
 		s = forgetDepartures(s, func(host string) bool { return host == msg.Host })
 	case blackboard.DeparturesReported:
 		s = noteDepartures(s, msg.Departures...)
+	case blackboard.ConfigReadingDone:
+		effects = ownReading(&s, msg)
 	case blackboard.NodeUpdated:
 		s, effects = updateNode(s, msg)
 	case blackboard.NodeLost:
@@ -248,6 +258,8 @@
 		sub.endObservation(e.dataCentre)
 	case publish:
 		sub.publish(e)
+	case tellReading:
+		sub.tellReading(e.reading)
 	case report:
 		sub.cfg.Log.Write(e.event, logger.Fields{Host: e.host, Reason: e.reason, Version: e.version})
 	}
