Read chunked answers whole where others are pipelined behind them

Cause: an answer is read to its end before any of it is sent, so that a broken one need not end the connection, but only if it states its length. Without one a short answer was passed on as it came.

Ruled out: the length (3 kB, 32 kB are read), and the way between nodes.

The change: while other requests of the connection are in flight, up to 32 kB of an answer without a length are read before any of it is sent. With no other in flight it is passed on as it comes, and the connection reads no further request before its end.

Why it works: an answer that breaks off can end the connection only when no other request depends on it, or when it is longer than 32 kB.

--- a/internal/acceptor/caller.go
+++ b/internal/acceptor/caller.go
@@ -18,6 +18,10 @@
 	IsGone func() bool
 	// Connection numbers the connections of the Server from 1.
 	Connection uint64
+	// MayStream reports whether the answer may be sent before its end is known: if it
+	// breaks off, it takes the connection with it. It returns false while other requests of
+	// the connection are in flight. Otherwise no further one starts before this one is done.
+	MayStream func() bool
 }
 
 type callerKey struct{}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -40,6 +40,9 @@
 	started int
 	// closing tells whether no further request is read. Guarded by mu.
 	closing bool
+	// streaming tells whether the only request in flight may send an answer whose end is
+	// not known, so that no other one may start. Guarded by mu.
+	streaming bool
 	// awaitingRequest tells whether the reading goroutine waits for the first byte of a request. Guarded by mu.
 	awaitingRequest bool
 	// idleFrom is when the connection became idle, if no request runs and none is being
@@ -100,16 +103,10 @@
 	return x.awaitBody()
 }
 
-// awaitRequest waits until fewer than maxPipelined requests run and the first byte of a request has come.
+// awaitRequest waits until fewer than maxPipelined requests run and the first byte of a
+// request has come that may start.
 func (c *conn) awaitRequest() bool {
-	for !c.canStartRequest() {
-		select {
-		case <-c.requestEnded:
-		case <-c.ctx.Done():
-			return false
-		}
-	}
-	if !c.setIdleDeadline() {
+	if !c.awaitRoom(func() bool { return c.pending < maxPipelined }) || !c.setIdleDeadline() {
 		return false
 	}
 	c.source.setLimit(c.server.effectiveLimits().MaxHeaderBytes)
@@ -119,13 +116,40 @@
 		return false
 	}
 	c.requestArrived = c.source.arrivedAt
-	return true
+	// What is not started is not read either, so that its caller may send it again.
+	return c.awaitRoom(func() bool { return !c.streaming }) && !c.isClosing()
 }
 
-func (c *conn) canStartRequest() bool {
+func (c *conn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pending < maxPipelined
+	return c.closing
+}
+
+// awaitRoom waits until hasRoom returns true, which is called with mu held. It returns
+// false if the connection ends before.
+func (c *conn) awaitRoom(hasRoom func() bool) bool {
+	for {
+		c.mu.Lock()
+		ok := hasRoom()
+		c.mu.Unlock()
+		if ok {
+			return true
+		}
+		select {
+		case <-c.requestEnded:
+		case <-c.ctx.Done():
+			return false
+		}
+	}
+}
+
+// mayStream implements Caller.MayStream.
+func (c *conn) mayStream() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streaming = c.streaming || c.pending == 1
+	return c.streaming
 }
 
 // setIdleDeadline bounds the wait for the next request while none runs.
@@ -230,12 +254,19 @@
 }
 
 // startRequest counts a request and puts it in the order of answers. It returns false when the connection is closing.
-func (c *conn) startRequest(r *http.Request) (*exchange, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closing {
-		return nil, false
-	}
+func (c *conn) startRequest(r *http.Request) (x *exchange, ok bool) {
+	ok = c.awaitRoom(func() bool {
+		if c.closing || c.streaming {
+			return c.closing
+		}
+		x = c.addExchange(r)
+		return true
+	})
+	return x, ok && x != nil
+}
+
+// addExchange starts a request. mu is held.
+func (c *conn) addExchange(r *http.Request) *exchange {
 	c.pending++
 	c.started++
 	ctx, cancel := context.WithCancel(c.ctx)
@@ -243,17 +274,18 @@
 		conn: c, cancel: cancel, sequence: c.started, previousDone: c.latestDone, done: make(chan struct{}),
 		header: http.Header{}, contentLength: -1,
 	}
-	caller := Caller{Arrived: c.requestArrived, IsGone: c.isClosedByPeer, Connection: c.number}
+	caller := Caller{Arrived: c.requestArrived, IsGone: c.isClosedByPeer, Connection: c.number, MayStream: c.mayStream}
 	x.request = r.WithContext(context.WithValue(ctx, callerKey{}, caller))
 	x.body = newRequestBody(x, r)
 	x.request.Body = x.body
 	c.latestDone = x.done
-	return x, true
+	return x
 }
 
 func (c *conn) endRequest() {
 	c.mu.Lock()
 	c.pending--
+	c.streaming = false
 	if c.pending == 0 && !c.closing && c.awaitingRequest {
 		c.idleFrom = time.Now()
 		// The reading goroutine began to wait while a request was running, hence without a deadline.
--- a/internal/receiver/attempt.go
+++ b/internal/receiver/attempt.go
@@ -167,7 +167,7 @@
 	}
 	request.Leaving = rc.recordStart(t.host)
 	start := time.Now()
-	a := readWhole(ctx, &request, r.deliver(ctx, t, &request))
+	a := readWhole(ctx, &request, r.deliver(ctx, t, &request), r.call.caller.MayStream)
 	if a.TargetHost == "" && a.Outcome != retrier.OutcomeNotRun {
 		a.TargetHost = t.host
 	}
--- a/internal/receiver/whole_test.go
+++ b/internal/receiver/whole_test.go
@@ -2,23 +2,28 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"gentianbarrow.example/internal/acceptor"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/retrier"
 	"gentianbarrow.example/internal/targeter"
 )
 
-// sendPipelined sends all requests on one connection before it reads their answers.
-func (m *mesh) sendPipelined(t *testing.T, i int, method string, paths ...string) []reply {
+// sendPipelined sends all requests on one connection to an address before it reads their
+// answers.
+func (m *mesh) sendPipelined(t *testing.T, address, method string, paths ...string) []reply {
 	t.Helper()
-	nc, err := m.pipes.dial(t.Context(), "tcp", m.nodes[i].callers)
+	nc, err := m.pipes.dial(t.Context(), "tcp", address)
 	assert.NilError(t, err)
 	defer nc.Close()
 	var text strings.Builder
@@ -56,7 +61,7 @@
 				}}
 				runInMesh(t, nodes, cfg, func(t *testing.T, m *mesh) {
 					forwardToPeer(m)
-					replies := m.sendPipelined(t, 0, method, "/book?bytes=2000", "/book?bytes=2000", "/book?bytes=2000")
+					replies := m.sendPipelined(t, m.nodes[0].callers, method, "/book?bytes=2000", "/book?bytes=2000", "/book?bytes=2000")
 					assertOutcome(t, replies[0], retrier.OutcomeUnknown, http.StatusGatewayTimeout)
 					for n, r := range replies[1:] {
 						assertDone(t, r)
@@ -68,6 +73,48 @@
 	}
 }
 
+// serveConcurrently serves callers of a node at another address by the server that runs
+// pipelined requests at once, and returns the address.
+func (m *mesh) serveConcurrently(t *testing.T, i int) string {
+	t.Helper()
+	ln := m.pipes.listen("concurrent")
+	ctx, cancel := context.WithCancel(t.Context())
+	server := &acceptor.Server{Handler: m.nodes[i].receiver}
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(ctx, ln) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	return ln.Addr().String()
+}
+
+// TestTruncatedChunksBeforeOthers guards the same answers behind one that states no length.
+func TestTruncatedChunksBeforeOthers(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		for _, nodes := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%s over %d nodes", method, nodes), func(t *testing.T) {
+				cfg := targeter.Config{ServiceTime: 100 * time.Millisecond, Choose: func(id string) targeter.Fault {
+					if id == "p-0" {
+						return targeter.FaultCutAfter
+					}
+					return targeter.FaultNone
+				}}
+				runInMesh(t, nodes, cfg, func(t *testing.T, m *mesh) {
+					forwardToPeer(m)
+					const path = "/book?bytes=9000&chunked"
+					replies := m.sendPipelined(t, m.serveConcurrently(t, 0), method, path, path, path)
+					assertOutcome(t, replies[0], retrier.OutcomeUnknown, http.StatusGatewayTimeout)
+					for n, r := range replies[1:] {
+						assertDone(t, r)
+						assert.DeepEqual(t, r.body, targeter.Pattern(fmt.Sprintf("p-%d", n+1), 9000))
+					}
+				})
+			})
+		}
+	}
+}
+
 func TestTruncatedReadIsRetried(t *testing.T) {
 	runInMesh(t, 3, targeter.Config{}, func(t *testing.T, m *mesh) {
 		for _, n := range m.nodes[:2] {
