Answer requests that have arrived on a connection before it is closed as idle

Cause: a connection counted as idle when no request was in flight, although one lay unread in its socket or had been read in part. Marked as closing, it dropped what it read after that, as if the caller had been told of the close.

Ruled out: requests that were passed on and cut, and the idle timeout.

The change: such a connection retires. It closes when no request is in flight and the socket has no unread bytes; what has arrived is handled, and its answer closes the connection. Only an answer that says so stops the reading at once.

Why it works: the decision to close is taken again right before the close, by what has arrived until then, so that a late process drops nothing that came before.

--- a/internal/acceptor/caller.go
+++ b/internal/acceptor/caller.go
@@ -35,22 +35,32 @@
 
 // isClosedByPeer reports whether the peer has closed or reset the connection.
 func (c *conn) isClosedByPeer() bool {
-	if c.ctx.Err() != nil {
-		return true
-	}
+	return c.ctx.Err() != nil || c.poll(unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// hasUnread reports whether bytes have arrived that the process has not read.
+func (c *conn) hasUnread() bool { return c.poll(unix.POLLIN)&unix.POLLIN != 0 }
+
+// poll returns which of the events have occurred on the connection; none if that cannot be
+// told.
+func (c *conn) poll(events int16) int16 {
 	sc, ok := c.nc.(syscall.Conn)
 	if !ok {
-		return false
+		return 0
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0
 	}
-	closed := false
+	occurred := int16(0)
 	err = raw.Control(func(fd uintptr) {
-		list := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, pollErr := unix.Poll(list, 0)
-		closed = pollErr == nil && n > 0 && list[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		list := []unix.PollFd{{Fd: int32(fd), Events: events}}
+		if n, pollErr := unix.Poll(list, 0); pollErr == nil && n > 0 {
+			occurred = list[0].Revents
+		}
 	})
-	return closed && err == nil
+	if err != nil {
+		return 0
+	}
+	return occurred
 }
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -40,6 +40,9 @@
 	started int
 	// closing tells whether no further request is read. Guarded by mu.
 	closing bool
+	// retiring tells whether the connection is to be closed as soon as no request is in
+	// flight or waits to be read. Its caller has not been told. Guarded by mu.
+	retiring bool
 	// streaming tells whether the only request in flight may send an answer whose end is
 	// not known, so that no other one may start. Guarded by mu.
 	streaming bool
@@ -110,7 +113,17 @@
 		return false
 	}
 	c.source.setLimit(c.server.effectiveLimits().MaxHeaderBytes)
-	if _, err := c.r.Peek(1); err != nil {
+	for {
+		_, err := c.r.Peek(1)
+		if err == nil {
+			break
+		}
+		if c.isRetired(err) {
+			if c.hasUnread() && c.nc.SetReadDeadline(time.Now().Add(c.server.effectiveLimits().HeaderTimeout)) == nil {
+				continue
+			}
+			c.stopReading()
+		}
 		c.peerClosed = errors.Is(err, io.EOF)
 		c.cancelUnlessClosing()
 		return false
@@ -160,12 +173,27 @@
 		return false
 	}
 	c.awaitingRequest = true
-	deadline := time.Time{}
-	if c.pending == 0 {
-		c.idleFrom = time.Now()
-		deadline = time.Now().Add(c.server.effectiveLimits().IdleTimeout)
+	if c.pending > 0 {
+		return c.nc.SetReadDeadline(time.Time{}) == nil
 	}
-	return c.nc.SetReadDeadline(deadline) == nil
+	return c.startIdling() == nil
+}
+
+// startIdling bounds the wait for the next request of an idle connection. mu is held.
+func (c *conn) startIdling() error {
+	c.idleFrom = time.Now()
+	if c.retiring {
+		return c.nc.SetReadDeadline(longAgo)
+	}
+	return c.nc.SetReadDeadline(time.Now().Add(c.server.effectiveLimits().IdleTimeout))
+}
+
+// isRetired reports whether a read failed because the connection is to be closed.
+func (c *conn) isRetired(err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var netErr net.Error
+	return c.retiring && !c.closing && c.pending == 0 && errors.As(err, &netErr) && netErr.Timeout()
 }
 
 // setHeaderDeadline bounds the time in which the headers of a request must come. An
@@ -287,9 +315,8 @@
 	c.pending--
 	c.streaming = false
 	if c.pending == 0 && !c.closing && c.awaitingRequest {
-		c.idleFrom = time.Now()
 		// The reading goroutine began to wait while a request was running, hence without a deadline.
-		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.effectiveLimits().IdleTimeout))
+		_ = c.startIdling()
 	}
 	c.mu.Unlock()
 	select {
@@ -316,20 +343,26 @@
 	c.closing = true
 }
 
+func (c *conn) isRetiring() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retiring
+}
+
 // interruptRead makes a pending read return with a timeout.
 func (c *conn) interruptRead() { _ = c.nc.SetReadDeadline(longAgo) }
 
 var longAgo = time.Unix(1, 0)
 
-// closeWhenIdle closes the connection if no request is running. Otherwise the
-// answer that is sent last closes it, because the server is draining.
+// closeWhenIdle closes the connection as soon as no request is in flight. A request that
+// has arrived by then is answered first, as its caller knows of no close: the answer
+// tells it.
 func (c *conn) closeWhenIdle() {
 	c.mu.Lock()
-	idle := c.pending == 0
-	c.closing = c.closing || idle
-	c.mu.Unlock()
-	if idle {
-		c.interruptRead()
+	defer c.mu.Unlock()
+	c.retiring = true
+	if c.pending == 0 && c.awaitingRequest && !c.closing {
+		_ = c.nc.SetReadDeadline(longAgo)
 	}
 }
 
@@ -337,7 +370,7 @@
 func (c *conn) idleSince() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idleFrom, c.pending == 0 && c.awaitingRequest && !c.closing
+	return c.idleFrom, c.pending == 0 && c.awaitingRequest && !c.closing && !c.retiring
 }
 
 // reset makes the close of the connection a reset, which a caller does not take for the
--- a/internal/acceptor/exchange.go
+++ b/internal/acceptor/exchange.go
@@ -198,7 +198,7 @@
 	case !x.body.isComplete():
 		return true
 	default:
-		return requested || x.conn.server.draining.Load()
+		return requested || x.conn.server.draining.Load() || x.conn.isRetiring()
 	}
 }
 
