Keep the stated length of an answer that has no body

An answer to HEAD states the length of a body that does not come. Since answers without a length are read whole behind which others are pipelined, the length that was read replaced the stated one, so a caller was told 0 bytes.

--- a/internal/receiver/whole.go
+++ b/internal/receiver/whole.go
@@ -35,7 +35,10 @@
 	}
 	a.Close()
 	if err == nil {
-		a.Body, a.ContentLength = io.NopCloser(body), read
+		a.Body = io.NopCloser(body)
+		if a.ContentLength < 0 {
+			a.ContentLength = read
+		}
 		return a
 	}
 	broken := exchanger.Unknown(truncationReason(ctx, r), err)
--- a/internal/receiver/whole_test.go
+++ b/internal/receiver/whole_test.go
@@ -115,6 +115,21 @@
 	}
 }
 
+// TestLengthOfAnswer guards the stated length of an answer to a HEAD request, which has no
+// body, and of one that states no length.
+func TestLengthOfAnswer(t *testing.T) {
+	pipelined := func() bool { return false }
+	lengthOf := func(method string, stated int64, body string) int64 {
+		a := &exchanger.Answer{Outcome: retrier.OutcomeDone, ContentLength: stated, Body: io.NopCloser(strings.NewReader(body))}
+		return readWhole(t.Context(), &exchanger.Request{Method: method}, a, pipelined).ContentLength
+	}
+	assert.Equal(t, lengthOf(http.MethodHead, 2000, ""), int64(2000))
+	assert.Equal(t, lengthOf(http.MethodHead, -1, ""), int64(-1))
+	assert.Equal(t, lengthOf(http.MethodGet, 5, "whole"), int64(5))
+	assert.Equal(t, lengthOf(http.MethodGet, -1, "whole"), int64(5))
+	assert.Equal(t, lengthOf(http.MethodGet, -1, strings.Repeat("x", maxWholeAnswerBytes+1)), int64(-1))
+}
+
 func TestTruncatedReadIsRetried(t *testing.T) {
 	runInMesh(t, 3, targeter.Config{}, func(t *testing.T, m *mesh) {
 		for _, n := range m.nodes[:2] {
