Rely on another node's reading only where this node runs what was read

A node that lacked the version which another one had read still took that reading for a sign that it is up to date, and would not have read the store itself if no node sent it the version. A reading now counts only at nodes that run what it found, or later; a version that arrives counts as one.

TestReading failed before for a node that lacks the version. The plays of TestVersionWithSilentNodes hold as before.

WatchPolicy.SharesReadings says what Confirmed meant.

--- a/internal/fetcher/fetcher.go
+++ b/internal/fetcher/fetcher.go
@@ -158,6 +158,8 @@
 		s.Config.Recent = s.Config.Recent[max(len(s.Config.Recent)-maxRecentVersions, 0):]
 	}
 	s.Config.Running = msg.Snapshot
+	// A version is taken from a node that has just read it.
+	s.Config.Reading.ExpiresAt = msg.Now.Add(readingLifetime)
 	s.Config.Floor = msg.Snapshot.Version
 	s.Config.Recovering = false
 	s.Config.ForgetRefused()
@@ -167,14 +169,13 @@
 	return s, []blackboard.Effect{logApplied{version: msg.Snapshot.Version, before: before, source: msg.Source}}
 }
 
-// noteReading applies a reading of this node or another one. Its position holds for this
-// node only if this node runs all that the other one has read.
+// noteReading applies a reading of this node or another one. It says nothing of what this
+// node runs if the other one runs a greater version.
 func noteReading(r blackboard.ConfigReading, msg blackboard.ConfigReadingDone, running uint64) blackboard.ConfigReading {
-	r.ExpiresAt = msg.Now.Add(readingLifetime)
-	if running >= msg.Version {
-		r.Revision, r.Era = msg.Revision, msg.Era
+	if running < msg.Version {
+		return r
 	}
-	return r
+	return blackboard.ConfigReading{Revision: msg.Revision, Era: msg.Era, ExpiresAt: msg.Now.Add(readingLifetime)}
 }
 
 // askDelay returns how long to wait for a version that another node runs to
@@ -221,7 +222,7 @@
 func (cfg Config) followPlatform(ctx context.Context, post blackboard.Post) {
 	p := poller.Poller{
 		Kind: cfg.Kind, Client: cfg.Platform, MaxWait: maxWatchWait,
-		WatchPolicy: poller.WatchPolicy{State: cfg.State, PollInterval: pollInterval, Confirmed: true},
+		WatchPolicy: poller.WatchPolicy{State: cfg.State, PollInterval: pollInterval, SharesReadings: true},
 		OnChange: func(c storer.Changes, _ bool) {
 			for _, o := range c.Objects {
 				cfg.decodeObject(o, post)
--- a/internal/fetcher/silence_test.go
+++ b/internal/fetcher/silence_test.go
@@ -281,6 +281,23 @@
 	f.play("after an outage", nil, nil)
 }
 
+// TestReading guards against a node that relies on the reading of another one although it
+// does not run what that one has read.
+func TestReading(t *testing.T) {
+	reading := blackboard.ConfigReadingDone{Host: "a-1", Revision: 40, Era: 1, Version: 7, Now: start}
+	read := func(running uint64) blackboard.ConfigReading {
+		s, _ := Reduce(stateWith(running), reading)
+		return s.Config.Reading
+	}
+	want := blackboard.ConfigReading{Revision: 40, Era: 1, ExpiresAt: start.Add(readingLifetime)}
+	assert.Equal(t, read(3), blackboard.ConfigReading{}, "this node lacks the version")
+	assert.Equal(t, read(7), want)
+	assert.Equal(t, read(9), want, "this node runs a later version")
+	s, _ := Reduce(stateWith(3), blackboard.ConfigRead{Snapshot: snapshot(7), Now: start})
+	assert.Equal(t, s.Config.Reading.ExpiresAt, want.ExpiresAt, "a version counts as a reading")
+	assert.Equal(t, s.Config.Reading.Revision, uint64(0))
+}
+
 // TestTakeoverFitsIntoApplyTime guards against times that leave no room to pass a version
 // on, after the first 84 nodes of a data centre have fallen silent.
 func TestTakeoverFitsIntoApplyTime(t *testing.T) {
--- a/internal/poller/takeover_test.go
+++ b/internal/poller/takeover_test.go
@@ -32,7 +32,7 @@
 // TestTakeover guards against a node that reads the platform although others do, and one
 // that does not although nobody does.
 func TestTakeover(t *testing.T) {
-	policy := WatchPolicy{Confirmed: true}
+	policy := WatchPolicy{SharesReadings: true}
 	// second returns the state of a node with one before it, whose latest reading expires
 	// in a time.
 	second := func(expiresIn time.Duration) *blackboard.State {
--- a/internal/poller/watch_policy.go
+++ b/internal/poller/watch_policy.go
@@ -39,7 +39,7 @@
 // others learn of changes from the watchers, and poll rarely themselves in case
 // they do not.
 //
-// With Confirmed set, a node that does not watch relies on the readings of other nodes of
+// With SharesReadings set, a node that does not watch relies on the readings of other nodes of
 // its data centre. It polls itself when the latest one has expired, whether or not the
 // nodes that should have read count as alive: the first nodes in the order at once, four
 // times as many with each step after.
@@ -48,8 +48,8 @@
 	State func() *blackboard.State
 	// PollInterval is how often a node polls that does not watch.
 	PollInterval time.Duration
-	// Confirmed is true if the nodes tell each other of their readings of the kind.
-	Confirmed bool
+	// SharesReadings is true if the nodes tell each other of their readings of the kind.
+	SharesReadings bool
 }
 
 // awaitPoll waits until this node has to poll. isWatcher is true if it has to watch, and
@@ -75,7 +75,7 @@
 // awaitRetry waits after a failed poll until this node has to poll again. It returns true
 // if another node has read the platform meanwhile, so that this one need not.
 func (t WatchPolicy) awaitRetry(ctx context.Context, sleep func(context.Context, time.Duration) bool) bool {
-	if !t.Confirmed || t.State == nil {
+	if !t.SharesReadings || t.State == nil {
 		return false
 	}
 	for waited := time.Duration(0); ; waited += watchCheckPeriod {
@@ -95,7 +95,7 @@
 // time, has to poll because no reading of another node has come.
 func (t WatchPolicy) mustTakeOver(s *blackboard.State, waited time.Duration) bool {
 	expiresAt, now := s.Config.Reading.ExpiresAt, time.Now()
-	if !t.Confirmed || expiresAt.IsZero() || now.Before(expiresAt) {
+	if !t.SharesReadings || expiresAt.IsZero() || now.Before(expiresAt) {
 		return false
 	}
 	n := nodesBefore(s)
@@ -127,7 +127,7 @@
 // reading returns the latest reading of a node of this data centre; zero when the nodes
 // do not tell each other.
 func (t WatchPolicy) reading() blackboard.ConfigReading {
-	if !t.Confirmed || t.State == nil {
+	if !t.SharesReadings || t.State == nil {
 		return blackboard.ConfigReading{}
 	}
 	return t.State().Config.Reading
