fetcher: run the test of silent nodes on one processor

Cause: not our code. The program counters lie in the race detector's own code (StackDepot::Put), and the crashed goroutine in runtime.(*timer).maybeRunChan. Go 1.26.8 runs the timers of a synctest bubble with one context of the race detector (runtime/time.go, unlockAndRun: bubble.timers.raceCtx), which it uses without a lock. Two threads that find timers of the bubble expired at once use it at the same time, which the detector does not allow.

Why this is as strict: the test plays the same schedules with the same checks, under the race detector, which finds races by the order of synchronisation and not by two threads at the same moment. Time in the bubble is fake.

--- a/internal/fetcher/silence_test.go
+++ b/internal/fetcher/silence_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -308,7 +309,11 @@
 // nodes that should tell them count as lost, which takes longer than a version may. All
 // meshes are in one test because yamux reuses timers, which must not be used outside the
 // synctest bubble that created them.
+//
+// The test runs on one processor: Go 1.26 shares one context of the race detector between
+// the timers of a bubble, and the detector crashes when two threads use it at once.
 func TestVersionWithSilentNodes(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	synctest.Test(t, func(t *testing.T) {
 		for _, perDataCentre := range []int{3, 8} {
 			ctx, cancel := context.WithCancel(t.Context())
