Take no answer whose status is not one of HTTP

What callers saw: a target in trouble sent an answer with the status 000. Its caller got it as an answer: 200 at the node of the target, with the target's body. Through another node it was answered 502.

Cause: http.ReadResponse takes any three characters that read as a number that is not negative, such as 000, 099, +20 and -00. The dispatcher passed them on, and the caller's server takes status 0 for one that has not been set, and writes 200. Only the protocol between nodes had a bound of its own, 200 to 999.

Why this fixes it: the head of an answer is looked at as received, before net/http reads it, and internal/validator says what a status line is: HTTP/1.x, three digits from 100 to 999, a reason without control bytes. 101 is refused, since no request asks for another protocol. Anything else is a failed attempt with the reason malformed-answer, of unknown outcome, and its connection is closed. The nodes use the same bound among themselves.

The head is now held in the connection's buffer, which grows to the bound that there was, 64 KiB; that replaces the count of bytes below it.

--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -12,6 +12,7 @@
 
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/internal/validator"
 )
 
 const (
@@ -209,6 +210,7 @@
 	var timeout net.Error
 	var unsigned *UnsignedError
 	var headTooLarge *HeadTooLargeError
+	var malformed *validator.MalformedError
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || r.IsDeadlineReached(time.Now()):
 		return exchanger.ReasonDeadline
@@ -218,7 +220,7 @@
 		return exchanger.ReasonTargetFailed
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return exchanger.ReasonSilentConnection
-	case errors.As(err, &unsigned), errors.As(err, &headTooLarge):
+	case errors.As(err, &unsigned), errors.As(err, &headTooLarge), errors.As(err, &malformed):
 		return exchanger.ReasonMalformedAnswer
 	default:
 		return exchanger.ReasonConnectionLost
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -45,9 +46,9 @@
 // conn is a connection to a target. It carries one exchange at a time.
 type conn struct {
 	net.Conn
-	// r reads through head.
-	r    *bufio.Reader
-	head *headLimiter
+	// r reads from source. Its buffer holds the whole head of an answer.
+	r      *bufio.Reader
+	source io.Reader
 	// written counts the bytes handed to the operating system.
 	written atomic.Int64
 	// expiresAt is the end of the idle timeout. After that, put closes the connection.
@@ -224,8 +225,7 @@
 		if d.err != nil {
 			return nil, d.err
 		}
-		head := &headLimiter{r: d.conn, remaining: noHeadLimit}
-		return &conn{Conn: d.conn, r: bufio.NewReaderSize(head, bufferBytes), head: head, idleTimeout: defaultIdleTimeout}, nil
+		return &conn{Conn: d.conn, r: bufio.NewReaderSize(d.conn, bufferBytes), source: d.conn, idleTimeout: defaultIdleTimeout}, nil
 	case <-ctx.Done():
 		p.dials.Go(func() {
 			if d := <-result; d.err == nil {
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -10,6 +10,7 @@
 	"gentianbarrow.example/internal/encoder"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/retrier"
+	"gentianbarrow.example/internal/validator"
 	"gentianbarrow.example/internal/wirepb"
 	"gentianbarrow.example/pkg/snapshotter"
 )
@@ -194,7 +195,7 @@
 	default:
 		return nil, &malformedAnswerError{InvalidFieldError{Field: "outcome"}}
 	}
-	if m.GetStatus() < 200 || m.GetStatus() > 999 {
+	if !validator.IsFinalStatus(int(m.GetStatus())) {
 		return nil, &malformedAnswerError{InvalidFieldError{Field: "status"}}
 	}
 	if m.GetContentLength() < -1 {
--- /dev/null
+++ b/internal/soaker/raw_mesh_test.go
@@ -0,0 +1,112 @@
+package soaker
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/platform/emulator"
+)
+
+// rawBody is the body of the answers of targets.
+const rawBody = "the body of a target"
+
+// rawMesh is a mesh of real nodes in which only the first data centre has targets. They
+// write their answers byte by byte.
+type rawMesh struct {
+	*mesh
+	targets []*emulator.RawTarget
+}
+
+func newRawMesh(t *testing.T, seed uint64) *rawMesh {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	m := &rawMesh{mesh: newMesh(ctx, t, buildNode(t), seed)}
+	m.settle(t, "at first")
+	for _, h := range m.hosts {
+		h.crashTarget()
+	}
+	for _, h := range m.hostsOf(dataCentres[0]) {
+		raw, err := emulator.StartRaw(ctx, emulator.TargetConfig{
+			ID: h.name + "-raw", Service: h.service, Address: h.ip + ":7605", Control: h.ip + ":7602",
+			Zone: h.dataCentre, Slots: targetSlots, AnnounceEvery: announceEvery,
+		}, m.ledger, answerSound)
+		assert.NilError(t, err)
+		t.Cleanup(raw.Crash)
+		m.targets = append(m.targets, raw)
+	}
+	return m
+}
+
+// answerSound gives an ordinary answer.
+func answerSound(x *emulator.RawExchange) {
+	x.Write("HTTP/1.1 200 OK\r\n" + x.Fields(rawBody) + "Connection: close\r\nContent-Length: " + strconv.Itoa(len(rawBody)) + "\r\n\r\n" + rawBody)
+}
+
+// atBothNodes runs a test for the node on the host of the target of a kind of request, and
+// for a node of another data centre.
+func (m *rawMesh) atBothNodes(t *testing.T, kind int, f func(t *testing.T, c *emulator.Caller)) {
+	t.Helper()
+	for name, dataCentre := range map[string]string{"at the node of the target": dataCentres[0], "at another node": dataCentres[1]} {
+		t.Run(name, func(t *testing.T) {
+			h := m.hostsOf(dataCentre)[kind]
+			c := emulator.NewCaller(h.name, h.callers(), m.ledger)
+			defer c.Close()
+			f(t, c)
+		})
+	}
+}
+
+// ask sends requests until the target has answered n of them by the function, and passes
+// on what their callers received. The target answers other requests well in between, so
+// that its node does not take it out for a series of failures.
+func (m *rawMesh) ask(t *testing.T, c *emulator.Caller, kind int, r emulator.Request, n int, answer func(x *emulator.RawExchange), check func(reply emulator.Reply)) {
+	t.Helper()
+	end := time.Now().Add(patience)
+	for range n {
+		var answered atomic.Bool
+		m.targets[kind].SetAnswer(func(x *emulator.RawExchange) {
+			answered.Store(true)
+			answer(x)
+		})
+		for reply := c.Ask(m.ctx, rand.Text(), r); ; reply = c.Ask(m.ctx, rand.Text(), r) {
+			if answered.Load() {
+				check(reply)
+				break
+			}
+			assert.Assert(t, time.Now().Before(end), "the target is not asked: status %d, %v", reply.Status, reply.Err)
+			time.Sleep(pollEvery)
+		}
+		m.targets[kind].SetAnswer(answerSound)
+		for c.Ask(m.ctx, rand.Text(), kinds()[kind]).Status != http.StatusOK {
+			assert.Assert(t, time.Now().Before(end), "the target is not asked again")
+			time.Sleep(pollEvery)
+		}
+	}
+}
+
+// assertFailed checks that answers of the target are not passed on, and that no other
+// request comes on a connection that has carried one.
+func (m *rawMesh) assertFailed(t *testing.T, c *emulator.Caller, kind int, r emulator.Request, n int, answer func(x *emulator.RawExchange)) {
+	t.Helper()
+	var reused atomic.Int64
+	m.ask(t, c, kind, r, n, func(x *emulator.RawExchange) {
+		reused.Add(int64(x.Sequence - 1))
+		answer(x)
+	}, func(reply emulator.Reply) {
+		if reply.Err != nil {
+			return
+		}
+		assert.Check(t, reply.Status/100 == 5 && !reply.IsSigned(), "the caller got status %d, header %v, body %q", reply.Status, reply.Header, shorten(reply.Body))
+	})
+	assert.Check(t, reused.Load() == 0, "the connection was used again")
+}
+
+func shorten(b []byte) string { return string(b[:min(len(b), 60)]) }
