Take the end of a connection for that of a body only if the target closed it

What callers saw: a target answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: such a body ends with its connection. The operating system reports the loss of a connection once, to a write or to a read. When the write of the upload saw the reset, the read of the answer returned the end of the stream, as after an orderly close, and nobody compared the two.

Evidence: TestResetDuringUpload plays it with real nodes and a target on plain TCP connections, 20 uploads of 8 MB for each framing and node.

Why this fixes it: a connection to a target keeps the first error of its writes. At the end of a body without a length the connection is closed, which ends a write in progress, and the body is complete only if no write has seen a loss. EPIPE is none: it is reported when the target had closed the connection before. The first error of a read is returned by all later ones. Lengths and last chunks prove their bodies as before, whatever becomes of the connection.

--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -166,7 +166,7 @@
 	header := exchanger.EndToEndHeaders(resp.Header)
 	return &exchanger.Answer{
 		Outcome: retrier.OutcomeDone, Status: resp.StatusCode, Header: header, Report: d.TargetReport(resp.Header),
-		ContentLength: resp.ContentLength, Body: &answerBody{ReadCloser: resp.Body, exchange: x, closesConnection: resp.Close},
+		ContentLength: resp.ContentLength, Body: &answerBody{resp: resp, exchange: x},
 	}
 }
 
@@ -226,27 +226,3 @@
 		return exchanger.ReasonConnectionLost
 	}
 }
-
-// answerBody ends the exchange when the body has been read to its end or is closed.
-type answerBody struct {
-	io.ReadCloser
-	exchange *exchange
-	// closesConnection is set if the target closes the connection after this answer.
-	closesConnection bool
-}
-
-// Read returns io.EOF only if the body is complete.
-func (b *answerBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF { //nolint:errorlint // readers return io.EOF itself
-		b.exchange.finish(!b.closesConnection)
-	}
-	return n, err
-}
-
-// Close ends the exchange and closes its connection unless the body has been read
-// to its end.
-func (b *answerBody) Close() error {
-	b.exchange.finish(false)
-	return nil
-}
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -48,9 +47,12 @@
 	net.Conn
 	// r reads from source. Its buffer holds the whole head of an answer.
 	r      *bufio.Reader
-	source io.Reader
+	source *stickyReader
 	// written counts the bytes handed to the operating system.
 	written atomic.Int64
+	writeMu sync.Mutex
+	// writeErr is the first error of a write. Guarded by writeMu, which is held during writes.
+	writeErr error
 	// expiresAt is the end of the idle timeout. After that, put closes the connection.
 	expiresAt time.Time
 	// nonIdempotentUntil is the time after which only idempotent requests reuse the connection.
@@ -77,10 +79,27 @@
 // includes bytes of a write that fails or is still in progress.
 func (c *conn) Write(b []byte) (int, error) {
 	c.written.Add(int64(len(b)))
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// writeLoss waits until no write is in progress, and returns the error by which a write saw
+// that the connection was lost; nil if none did. The connection must have been closed.
+func (c *conn) writeLoss() error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	if isLoss(c.writeErr) {
+		return c.writeErr
+	}
+	return nil
 }
 
 // readIdleTimeout takes the idle timeout from the Keep-Alive header of an answer.
@@ -225,7 +244,8 @@
 		if d.err != nil {
 			return nil, d.err
 		}
-		return &conn{Conn: d.conn, r: bufio.NewReaderSize(d.conn, bufferBytes), source: d.conn, idleTimeout: defaultIdleTimeout}, nil
+		source := &stickyReader{r: d.conn}
+		return &conn{Conn: d.conn, r: bufio.NewReaderSize(source, bufferBytes), source: source, idleTimeout: defaultIdleTimeout}, nil
 	case <-ctx.Done():
 		p.dials.Go(func() {
 			if d := <-result; d.err == nil {
--- a/internal/soaker/broken_answer_test.go
+++ b/internal/soaker/broken_answer_test.go
@@ -1,8 +1,11 @@
 package soaker
 
 import (
+	"fmt"
 	"strconv"
+	"strings"
 	"testing"
+	"time"
 
 	"gentianbarrow.example/platform/emulator"
 )
@@ -11,8 +14,12 @@
 // are no firms.
 const (
 	statusSeed = 9002 + 2*iota
+	resetSeed
 )
 
+// brokenUploadBytes is more than the buffers between a node and a target that does not read.
+const brokenUploadBytes = 8 << 20
+
 // TestBrokenStatus guards against answers whose status is not one of HTTP, such as 000: a
 // caller got them as answers of the target.
 func TestBrokenStatus(t *testing.T) {
@@ -28,3 +35,33 @@
 		})
 	}
 }
+
+// TestResetDuringUpload guards against a target that answers an upload at once, sends a
+// part of the body and resets the connection: the write of the upload sees the reset, and
+// the read of the answer then ends as if the answer were complete.
+func TestResetDuringUpload(t *testing.T) {
+	const tries = 20
+	m := newRawMesh(t, resetSeed)
+	upload := kinds()[2]
+	upload.Bytes = brokenUploadBytes
+	part := strings.Repeat("part of a body; ", 4000)
+	for name, framing := range map[string]string{
+		"without a length": "",
+		"closing":          "Connection: close\r\n",
+		"with a length":    fmt.Sprintf("Content-Length: %d\r\n", 2*len(part)),
+		"in chunks":        "Transfer-Encoding: chunked\r\n",
+	} {
+		if name == "in chunks" {
+			part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+		}
+		t.Run(name, func(t *testing.T) {
+			m.atBothNodes(t, 2, func(t *testing.T, c *emulator.Caller) {
+				m.assertFailed(t, c, 2, upload, tries, func(x *emulator.RawExchange) {
+					time.Sleep(5 * time.Millisecond)
+					x.Write("HTTP/1.1 200 OK\r\n" + x.Fields(rawBody) + framing + "\r\n" + part)
+					x.Reset()
+				})
+			})
+		})
+	}
+}
