Take no answer whose head or trailers have a malformed field

What callers saw: a target in trouble sent an answer in whose head the name of a field held a blank. Its caller got it as an answer. Where the field was to state the length ("Content-Length : 20", "Transfer-Encoding : chunked") it was not seen as such: the body was taken to end with the connection, and chunks came with their sizes as a part of it.

Cause: net/textproto accepts blanks in names and leaves such names as they are, so that nothing finds them. It also joins a line that begins with a blank to the line before, and accepts both in trailers.

Evidence: TestBrokenFieldName plays each line with and without a length at both nodes. Before, callers got 200 for a blank before the colon, within a name and at the start of a line, and for both fields of the length with a blank. Control bytes, tabs, a missing name and a missing colon were refused already and keep their tests. TestTrailers failed for blanks in trailers, TestForwardFailures for a field with a blank or a line feed that another node passes on.

Why this fixes it: internal/validator checks each line of a head as received: a name is a token that ends at the colon, a value has no control byte but tabs, and no line continues the one before, which HTTP/1.1 leaves to the recipient. Such an answer is a failed attempt of unknown outcome (malformed-answer); its connection is closed.

--- a/internal/dispatcher/body.go
+++ b/internal/dispatcher/body.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"os"
 	"syscall"
+
+	"gentianbarrow.example/internal/validator"
 )
 
 // LostConnectionError reports a body whose end would be that of the connection, which was
@@ -50,6 +52,10 @@
 		b.exchange.finish(false)
 		return err
 	}
+	if malformed := validator.CheckFields(b.resp.Trailer); malformed != nil {
+		b.exchange.finish(false)
+		return malformed
+	}
 	b.exchange.finish(!b.resp.Close)
 	if endsWithConnection(b.resp) {
 		// The connection has been closed, so no write is in progress for long.
--- a/internal/dispatcher/body_test.go
+++ b/internal/dispatcher/body_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -15,6 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/retrier"
 )
 
@@ -151,3 +153,27 @@
 		}
 	}
 }
+
+// TestTrailers guards against trailers that are no fields: they end a body whose end cannot
+// be told, while sound ones come behind one that is complete.
+func TestTrailers(t *testing.T) {
+	for trailer, isSound := range map[string]bool{
+		"":                         true,
+		"X-Sum: 7\r\n":             true,
+		"X-Sum: 7\r\nX-Other:\r\n": true,
+		"X-Sum : 7\r\n":            false,
+		"X Sum: 7\r\n":             false,
+		"X-\x01: 7\r\n":            false,
+		"no field\r\n":             false,
+	} {
+		t.Run(trailer, func(t *testing.T) {
+			head := "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+			dispatchSigned(t, head+"4\r\nbody\r\n0\r\n"+trailer+"\r\n", func(t *testing.T, a *exchanger.Answer, _ http.Header) {
+				assert.Equal(t, a.Outcome, retrier.OutcomeDone)
+				body, err := io.ReadAll(a.Body)
+				assert.Equal(t, string(body), "body")
+				assert.Equal(t, err == nil, isSound, "%v", err)
+			})
+		})
+	}
+}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -115,6 +115,16 @@
 	}
 }
 
+// doneAnswer returns the head of an answer without a body; field may be nil.
+func doneAnswer(status int32, field *wirepb.Header) *wirepb.ForwardResponse {
+	m := doneResponse("r-1", 0)
+	m.Status = status
+	if field != nil {
+		m.Headers = append(m.Headers, field)
+	}
+	return m
+}
+
 func TestForwardFailures(t *testing.T) {
 	cases := []struct {
 		name   string
@@ -124,6 +134,9 @@
 		{"answer to another request", answerWith(doneResponse("r-2", 0)), exchanger.ReasonCrossedAnswer},
 		{"answer without an outcome", answerWith(&wirepb.ForwardResponse{RequestId: "r-1"}), exchanger.ReasonMalformedAnswer},
 		{"answer without a status", answerWith(&wirepb.ForwardResponse{RequestId: "r-1", Outcome: "done"}), exchanger.ReasonMalformedAnswer},
+		{"answer with a status of two digits", answerWith(doneAnswer(99, nil)), exchanger.ReasonMalformedAnswer},
+		{"answer with a blank in the name of a field", answerWith(doneAnswer(200, &wirepb.Header{Name: "X Field", Value: "v"})), exchanger.ReasonMalformedAnswer},
+		{"answer with a line feed in a field", answerWith(doneAnswer(200, &wirepb.Header{Name: "X-Field", Value: "v\nX-Other: v"})), exchanger.ReasonMalformedAnswer},
 		{"no answer", readRequestHeader, exchanger.ReasonConnectionLost},
 		{"answer over the limit", func(s *linker.Stream) {
 			readRequestHeader(s)
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -203,6 +203,9 @@
 	}
 	a.Status = int(m.GetStatus())
 	a.Header = decodeHeaders(m.GetHeaders())
+	if validator.CheckFields(a.Header) != nil {
+		return nil, &malformedAnswerError{InvalidFieldError{Field: "headers"}}
+	}
 	a.ContentLength = m.GetContentLength()
 	return a, nil
 }
--- a/internal/soaker/broken_answer_test.go
+++ b/internal/soaker/broken_answer_test.go
@@ -15,6 +15,7 @@
 const (
 	statusSeed = 9002 + 2*iota
 	resetSeed
+	fieldSeed
 )
 
 // brokenUploadBytes is more than the buffers between a node and a target that does not read.
@@ -65,3 +66,35 @@
 		})
 	}
 }
+
+// TestBrokenFieldName guards against heads in which the name of a field holds a blank or a
+// control byte. A field that states the length of the body was not seen as such, so the
+// caller got a body that was not the target's.
+func TestBrokenFieldName(t *testing.T) {
+	m := newRawMesh(t, fieldSeed)
+	for name, field := range map[string]string{
+		"blank before the colon":     "X-Field : v",
+		"tab before the colon":       "X-Field\t: v",
+		"blank within":               "X Field: v",
+		"blank at the start":         " X-Field: v",
+		"length with a blank":        fmt.Sprintf("Content-Length : %d", len(rawBody)),
+		"encoding with a blank":      "Transfer-Encoding : chunked",
+		"control byte":               "X-\x01Field: v",
+		"control byte in the length": fmt.Sprintf("Content-Length\x00: %d", len(rawBody)),
+		"delete":                     "X-Field\x7f: v",
+		"carriage return":            "X-Field\r: v",
+		"no name":                    ": v",
+		"no colon":                   "X-Field",
+	} {
+		t.Run(name, func(t *testing.T) {
+			m.atBothNodes(t, 0, func(t *testing.T, c *emulator.Caller) {
+				for _, framing := range []string{"", fmt.Sprintf("Content-Length: %d\r\n", len(rawBody))} {
+					m.assertFailed(t, c, 0, kinds()[0], 1, func(x *emulator.RawExchange) {
+						x.Write("HTTP/1.1 200 OK\r\n" + x.Fields(rawBody) + field + "\r\n" + framing + "\r\n" + rawBody)
+						x.Keep = framing != ""
+					})
+				}
+			})
+		})
+	}
+}
--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // Rule is what a malformed head violates.
@@ -23,6 +24,13 @@
 	// RuleStatus requires a status from 100 to 999 other than 101: no request asks for
 	// another protocol.
 	RuleStatus Rule = "status"
+	// RuleFieldName requires that the name of a field is a token that ends at the colon.
+	RuleFieldName Rule = "field-name"
+	// RuleFieldValue requires that the value of a field has no control byte but tabs.
+	RuleFieldValue Rule = "field-value"
+	// RuleFolding requires that no line continues the one before. HTTP/1.1 lets a recipient
+	// refuse such lines; without the blank most of them are fields of their own.
+	RuleFolding Rule = "folding"
 	// RuleFraming requires that the head states one way in which the body ends.
 	RuleFraming Rule = "framing"
 )
@@ -52,8 +60,49 @@
 
 // CheckHead checks a head as received, from the status line to the empty line that ends it.
 func CheckHead(head []byte) error {
-	line, _ := cutLine(head)
-	return checkStatusLine(line)
+	line, rest := cutLine(head)
+	if err := checkStatusLine(line); err != nil {
+		return err
+	}
+	for line, rest = cutLine(rest); len(line) > 0; line, rest = cutLine(rest) {
+		if err := checkFieldLine(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkFieldLine(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		return &MalformedError{Rule: RuleFolding, Detail: string(line)}
+	}
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok {
+		return &MalformedError{Rule: RuleFieldName, Detail: string(line)}
+	}
+	return checkField(name, value)
+}
+
+// CheckFields checks fields that have been received: those of a head, or the trailers of a body.
+func CheckFields(h http.Header) error {
+	for name, values := range h {
+		for _, value := range values {
+			if err := checkField(name, value); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func checkField[T string | []byte](name, value T) error {
+	if !isToken(name) {
+		return &MalformedError{Rule: RuleFieldName, Detail: string(name)}
+	}
+	if !isText(value) {
+		return &MalformedError{Rule: RuleFieldValue, Detail: string(name)}
+	}
+	return nil
 }
 
 // cutLine returns the first line of a head without its end, and what follows it. The end is
@@ -105,3 +154,16 @@
 	}
 	return true
 }
+
+// isToken reports whether a text is a token of HTTP, as the name of a field must be.
+func isToken[T string | []byte](text T) bool {
+	for i := range len(text) {
+		c := text[i]
+		isLetter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		isDigit := '0' <= c && c <= '9'
+		if !isLetter && !isDigit && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return len(text) > 0
+}
--- a/internal/validator/validator_test.go
+++ b/internal/validator/validator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -57,3 +58,48 @@
 		}
 	}
 }
+
+// fields are lines of a head with the rules that they violate.
+var fields = map[string]Rule{
+	"X-Field: v":                  "",
+	"X-Field:v":                   "",
+	"X-Field:":                    "",
+	"X-Field: \t caf\xe9 \t":      "",
+	"x!#$%&'*+-.^_`|~09AZ: v":     "",
+	"X-Field: a: b":               "",
+	"Content-Length: 4":           "",
+	"X-Field : v":                 RuleFieldName,
+	"X-Field\t: v":                RuleFieldName,
+	"X Field: v":                  RuleFieldName,
+	"Content-Length : 4":          RuleFieldName,
+	"Transfer-Encoding : chunked": RuleFieldName,
+	"X-\x00Field: v":              RuleFieldName,
+	"X-Field\r: v":                RuleFieldName,
+	"X-Field\x7f: v":              RuleFieldName,
+	"X-F\xe9ld: v":                RuleFieldName,
+	"X-(Field): v":                RuleFieldName,
+	": v":                         RuleFieldName,
+	"X-Field":                     RuleFieldName,
+	"X-Field: a\x00b":             RuleFieldValue,
+	"X-Field: a\rb":               RuleFieldValue,
+	"X-Field: a\x7fb":             RuleFieldValue,
+	" X-Field: v":                 RuleFolding,
+	"\tv":                         RuleFolding,
+	" ":                           RuleFolding,
+}
+
+func TestFields(t *testing.T) {
+	for line, want := range fields {
+		t.Run(line, func(t *testing.T) {
+			assertRule(t, CheckHead([]byte("HTTP/1.1 200 OK\r\n"+line+"\r\nX-Last: v\r\n\r\n")), want)
+			assertRule(t, CheckHead([]byte("HTTP/1.1 200 OK\nX-First: v\n"+line+"\n\n")), want)
+		})
+	}
+}
+
+func TestCheckFields(t *testing.T) {
+	assertRule(t, CheckFields(nil), "")
+	assertRule(t, CheckFields(http.Header{"X-Field": {"v", ""}}), "")
+	assertRule(t, CheckFields(http.Header{"X-Field ": {"v"}}), RuleFieldName)
+	assertRule(t, CheckFields(http.Header{"X-Field": {"v", "a\nb"}}), RuleFieldValue)
+}
