Refuse an answer of HTTP/1.0 that states a transfer encoding

What callers saw: a target that answers as HTTP/1.0, in chunks: the sizes of the chunks came as a part of the body, with status 200.

Cause: a kin of the malformed names. net/http drops the field of such an answer and takes the body to end with the connection. HTTP/1.1 asks to treat its framing as faulty, since nobody can tell which of the two the target means.

Evidence: TestBrokenFraming, "chunks of HTTP/1.0", failed before at both nodes: "the caller got status 200, body 14\r\nthe body of a target\r\n0". The other eight framings of the test were refused already.

Why this fixes it: the check of the head knows the version of its status line.

--- a/internal/soaker/broken_answer_test.go
+++ b/internal/soaker/broken_answer_test.go
@@ -16,6 +16,7 @@
 	statusSeed = 9002 + 2*iota
 	resetSeed
 	fieldSeed
+	framingSeed
 )
 
 // brokenUploadBytes is more than the buffers between a node and a target that does not read.
@@ -98,3 +99,30 @@
 		})
 	}
 }
+
+// TestBrokenFraming guards against heads by which the end of the body cannot be told. A
+// Transfer-Encoding in an answer of HTTP/1.0 was ignored, so the caller got the sizes of the
+// chunks as a part of the body.
+func TestBrokenFraming(t *testing.T) {
+	m := newRawMesh(t, framingSeed)
+	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(rawBody), rawBody)
+	for name, answer := range map[string]struct{ version, fields, body string }{
+		"chunks of HTTP/1.0":       {"HTTP/1.0", "Transfer-Encoding: chunked\r\n", chunked},
+		"another encoding":         {"HTTP/1.1", "Transfer-Encoding: gzip, chunked\r\n", chunked},
+		"two encodings":            {"HTTP/1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", chunked},
+		"two lengths":              {"HTTP/1.1", "Content-Length: 3\r\nContent-Length: 4\r\n", rawBody},
+		"a length with a sign":     {"HTTP/1.1", "Content-Length: +3\r\n", rawBody},
+		"an empty length":          {"HTTP/1.1", "Content-Length:\r\n", rawBody},
+		"a length of HTTP/2":       {"HTTP/2.0", "Content-Length: 3\r\n", rawBody},
+		"chunks without sizes":     {"HTTP/1.1", "Transfer-Encoding: chunked\r\n", rawBody + "\r\n"},
+		"a chunk that is too long": {"HTTP/1.1", "Transfer-Encoding: chunked\r\n", "3\r\n" + rawBody + "\r\n0\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m.atBothNodes(t, 0, func(t *testing.T, c *emulator.Caller) {
+				m.assertFailed(t, c, 0, kinds()[0], 2, func(x *emulator.RawExchange) {
+					x.Write(answer.version + " 200 OK\r\n" + x.Fields(rawBody) + answer.fields + "\r\n" + answer.body)
+				})
+			})
+		})
+	}
+}
--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -64,15 +64,18 @@
 	if err := checkStatusLine(line); err != nil {
 		return err
 	}
+	hasEncodings := !bytes.HasPrefix(line, []byte("HTTP/1.0"))
 	for line, rest = cutLine(rest); len(line) > 0; line, rest = cutLine(rest) {
-		if err := checkFieldLine(line); err != nil {
+		if err := checkFieldLine(line, hasEncodings); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func checkFieldLine(line []byte) error {
+// checkFieldLine checks a line behind the status line. HTTP/1.0 has no transfer encodings, so
+// an answer of that version which states one ends where nobody can tell.
+func checkFieldLine(line []byte, hasEncodings bool) error {
 	if line[0] == ' ' || line[0] == '\t' {
 		return &MalformedError{Rule: RuleFolding, Detail: string(line)}
 	}
@@ -80,6 +83,9 @@
 	if !ok {
 		return &MalformedError{Rule: RuleFieldName, Detail: string(line)}
 	}
+	if !hasEncodings && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		return &MalformedError{Rule: RuleFraming, Detail: "a transfer encoding in an answer of HTTP/1.0"}
+	}
 	return checkField(name, value)
 }
 
--- a/internal/validator/validator_test.go
+++ b/internal/validator/validator_test.go
@@ -97,6 +97,12 @@
 	}
 }
 
+func TestEncodingOfOldVersion(t *testing.T) {
+	const fields = "X-First: v\r\ntransfer-encoding: chunked\r\n\r\n"
+	assertRule(t, CheckHead([]byte("HTTP/1.0 200 OK\r\n"+fields)), RuleFraming)
+	assertRule(t, CheckHead([]byte("HTTP/1.1 200 OK\r\n"+fields)), "")
+}
+
 func TestCheckFields(t *testing.T) {
 	assertRule(t, CheckFields(nil), "")
 	assertRule(t, CheckFields(http.Header{"X-Field": {"v", ""}}), "")
