Pass on the bytes above 127 of a field between nodes

What callers saw: an answer with a byte above 127 in the value of a field, such as a file name in Latin-1, came from the node of its target and was answered 502 through any other node.

Cause: the message between nodes holds values of fields as text, which protobuf wants to be UTF-8. HTTP does not: the node of the target could not write the answer and ended the stream. It holds for fields of requests as well.

Why this fixes it: the value is a field of bytes, which looks the same on the wire, so nodes of either version read each other.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -135,8 +135,8 @@
 		{"answer without an outcome", answerWith(&wirepb.ForwardResponse{RequestId: "r-1"}), exchanger.ReasonMalformedAnswer},
 		{"answer without a status", answerWith(&wirepb.ForwardResponse{RequestId: "r-1", Outcome: "done"}), exchanger.ReasonMalformedAnswer},
 		{"answer with a status of two digits", answerWith(doneAnswer(99, nil)), exchanger.ReasonMalformedAnswer},
-		{"answer with a blank in the name of a field", answerWith(doneAnswer(200, &wirepb.Header{Name: "X Field", Value: "v"})), exchanger.ReasonMalformedAnswer},
-		{"answer with a line feed in a field", answerWith(doneAnswer(200, &wirepb.Header{Name: "X-Field", Value: "v\nX-Other: v"})), exchanger.ReasonMalformedAnswer},
+		{"answer with a blank in the name of a field", answerWith(doneAnswer(200, &wirepb.Header{Name: "X Field", Value: []byte("v")})), exchanger.ReasonMalformedAnswer},
+		{"answer with a line feed in a field", answerWith(doneAnswer(200, &wirepb.Header{Name: "X-Field", Value: []byte("v\nX-Other: v")})), exchanger.ReasonMalformedAnswer},
 		{"no answer", readRequestHeader, exchanger.ReasonConnectionLost},
 		{"answer over the limit", func(s *linker.Stream) {
 			readRequestHeader(s)
--- a/internal/forwarder/message.go
+++ b/internal/forwarder/message.go
@@ -143,7 +143,7 @@
 	out := make([]*wirepb.Header, 0, len(h))
 	for name, values := range h {
 		for _, value := range values {
-			out = append(out, &wirepb.Header{Name: name, Value: value})
+			out = append(out, &wirepb.Header{Name: name, Value: []byte(value)})
 		}
 	}
 	return out
@@ -152,7 +152,7 @@
 func decodeHeaders(list []*wirepb.Header) http.Header {
 	out := make(http.Header, len(list))
 	for _, h := range list {
-		out.Add(h.GetName(), h.GetValue())
+		out.Add(h.GetName(), string(h.GetValue()))
 	}
 	return out
 }
