Take no malformed answer of the store, of a health check or of a node

A health check passed with 200 although a name held a blank or the version was HTTP/2.0; a read of the store did, and a conflict was read from such an answer; a write that was answered 000 counted as failed, though it may have taken effect; gentianctl showed a view. The connections were kept. A value of our own platform that was longer than its bound was cut there and shown as whole.

The clients looked at the status only.

Evidence: tests with a listener that answers with bytes as told.

A read of the store has then failed, and a write has an unknown outcome, as after any lost answer; callers log both already. A body beyond its bound is an error of its own.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"gentianbarrow.example/internal/inspector"
+	"gentianbarrow.example/internal/validator"
 	"gentianbarrow.example/pkg/storer"
 	"gentianbarrow.example/pkg/ticketer"
 )
@@ -65,13 +66,16 @@
 	return os.ReadFile(path)
 }
 
+// nodeClient asks nodes for their state.
+var nodeClient = &http.Client{Transport: &validator.Transport{Base: http.DefaultTransport}}
+
 func fetchView(ctx context.Context, address string) (inspector.View, error) {
 	var v inspector.View
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/debug/blackboard", nil)
 	if err != nil {
 		return v, &NodeError{Address: address, Cause: err}
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := nodeClient.Do(req)
 	if err != nil {
 		return v, &NodeError{Address: address, Cause: err}
 	}
--- a/internal/commander/view_test.go
+++ b/internal/commander/view_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"gentianbarrow.example/internal/answerer"
 	"gentianbarrow.example/internal/blackboard"
 	"gentianbarrow.example/internal/inspector"
 )
@@ -35,3 +36,15 @@
 		runNodes(t, http.NotFoundHandler(), ExitUnreachable)
 	})
 }
+
+// TestNodesOverBrokenHTTP guards against a view that is shown although the answer is none.
+func TestNodesOverBrokenHTTP(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nX Field: v\r\n", "HTTP/2.0 200 OK\r\n", "HTTP/1.1 000 OK\r\n"} {
+		t.Run(head, func(t *testing.T) {
+			a, err := answerer.Listen(head + "Content-Length: 2\r\n\r\n{}")
+			assert.NilError(t, err)
+			defer a.Close()
+			assert.Equal(t, New(io.Discard, io.Discard).Run(t.Context(), []string{"nodes", "--node", a.Address}), ExitUnreachable)
+		})
+	}
+}
--- a/internal/dispatcher/health.go
+++ b/internal/dispatcher/health.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"net/http"
+
+	"gentianbarrow.example/internal/validator"
 )
 
 // HealthPath is the default path of a target's health check.
@@ -18,7 +20,7 @@
 }
 
 // healthClient makes health checks. It bounds the head of an answer as requests do.
-var healthClient = &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}}
+var healthClient = &http.Client{Transport: &validator.Transport{Base: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes}}}
 
 // CheckHealth runs a health check of the target at the address over a new
 // connection. An empty path means HealthPath.
--- a/internal/dispatcher/health_test.go
+++ b/internal/dispatcher/health_test.go
@@ -8,6 +8,9 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"gentianbarrow.example/internal/answerer"
+	"gentianbarrow.example/internal/validator"
 )
 
 func TestCheckHealth(t *testing.T) {
@@ -31,3 +34,22 @@
 		assert.Assert(t, err != nil)
 	})
 }
+
+// TestBrokenHealthCheck guards against a health check that passes by an answer that is none.
+func TestBrokenHealthCheck(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX Field: v\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(answer, func(t *testing.T) {
+			a, err := answerer.Listen(answer)
+			assert.NilError(t, err)
+			defer a.Close()
+			var malformed *validator.MalformedError
+			err = CheckHealth(t.Context(), a.Address, "")
+			assert.Assert(t, errors.As(err, &malformed), "%v", err)
+		})
+	}
+}
--- a/internal/surveyor/fleet.go
+++ b/internal/surveyor/fleet.go
@@ -13,6 +13,7 @@
 
 	"gentianbarrow.example/internal/elector"
 	"gentianbarrow.example/internal/inspector"
+	"gentianbarrow.example/internal/validator"
 	"gentianbarrow.example/pkg/storer"
 	"gentianbarrow.example/pkg/ticketer"
 )
@@ -63,7 +64,7 @@
 	client := storer.NewHTTPClient(f.platform)
 	out := &fleet{
 		platformURL: f.platform, dataCentre: f.dataCentre, platform: client, tickets: ticketer.New(client),
-		http: &http.Client{Timeout: callTimeout},
+		http: &http.Client{Timeout: callTimeout, Transport: &validator.Transport{Base: http.DefaultTransport}},
 	}
 	for line := range strings.Lines(string(data)) {
 		n, err := parseNode(line)
--- a/pkg/storer/errors.go
+++ b/pkg/storer/errors.go
@@ -69,3 +69,12 @@
 func (e *TooLargeError) Error() string {
 	return fmt.Sprintf("value of %q has %d bytes, more than %d", e.Key, e.Bytes, MaxValueBytes)
 }
+
+// LongAnswerError is the cause of an *UnavailableError or an *UnknownOutcomeError when the
+// body of an answer is longer than Max bytes, so that a part of it was not read. Source: the
+// platform.
+type LongAnswerError struct{ Max int64 }
+
+func (e *LongAnswerError) Error() string {
+	return fmt.Sprintf("body of an answer is longer than %d bytes", e.Max)
+}
--- a/pkg/storer/http.go
+++ b/pkg/storer/http.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"gentianbarrow.example/internal/validator"
 )
 
 // Paths, headers and times of the object API over HTTP.
@@ -86,6 +88,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.http.Transport = &validator.Transport{Base: c.http.Transport}
 	return Client{Get: c.get, Put: c.put, Delete: c.remove, List: c.list, Watch: c.watch}
 }
 
@@ -120,7 +123,11 @@
 		limit = maxListBytes
 	}
 	resp := response{status: httpResp.StatusCode}
-	if resp.body, err = io.ReadAll(io.LimitReader(httpResp.Body, limit)); err != nil {
+	resp.body, err = io.ReadAll(io.LimitReader(httpResp.Body, limit+1))
+	if err == nil && int64(len(resp.body)) > limit {
+		err = &LongAnswerError{Max: limit}
+	}
+	if err != nil {
 		return response{}, transportError(key, isWrite, err)
 	}
 	resp.revision, _ = strconv.ParseUint(httpResp.Header.Get(RevisionHeader), 10, 64)
