Log and count the broken answers of a target

What operators saw: nothing at the node of the target. A request whose first answer was malformed showed as an attempt of unknown outcome in the line of the request at the node of its caller, without what was wrong; a body that broke off and was tried again left no line of its own.

Change: the dispatcher gives each answer that it does not take, of which at least a part has come, one type of error with the part and the cause. The executor logs it as answer-broken (GB0414), within the bound for failures, with request, target, part and the rule that is violated, and counts it as gentian_broken_answers_total. No value of a field is quoted but those that frame the body. A caller that goes away while its answer is read leaves neither.

Evidence: TestBrokenStatus waits for a line and a count for each of its 32 answers at the node of the target.

--- a/internal/composer/path.go
+++ b/internal/composer/path.go
@@ -35,6 +35,7 @@
 		Client:           dispatcher.NewHTTP(dispatcher.WithDialect(a.dialect)),
 		Observe:          n.observeRunEnd(m),
 		ObserveSent:      n.observeRunStart(m),
+		ObserveBroken:    m.RecordBrokenAnswer,
 		ObserveRateLimit: m.RecordRateLimit,
 		ObserveShortage:  m.RecordShortage,
 		ReportHealth:     o.observe,
--- a/internal/dispatcher/body.go
+++ b/internal/dispatcher/body.go
@@ -11,12 +11,12 @@
 	"gentianbarrow.example/internal/validator"
 )
 
-// LostConnectionError reports a body whose end would be that of the connection, which was
-// lost and not closed by the target: a part of the body may be missing.
+// LostConnectionError reports a body that ends with its connection, which was lost and not
+// closed by the target: a part of the body may be missing.
 type LostConnectionError struct{ Cause error }
 
 func (e *LostConnectionError) Error() string {
-	return fmt.Sprintf("body has no length and its connection was lost: %v", e.Cause)
+	return fmt.Sprintf("the connection that marks the end of the body was lost: %v", e.Cause)
 }
 
 // Unwrap returns the error of the write that saw the loss.
@@ -46,24 +46,20 @@
 	return n, b.err
 }
 
-// end ends the exchange, and returns io.EOF if the body is complete.
+// end ends the exchange. It returns io.EOF if the body is complete, else a *BrokenAnswerError.
 func (b *answerBody) end(err error) error {
-	if err != io.EOF { //nolint:errorlint // readers return io.EOF itself
-		b.exchange.finish(false)
-		return err
+	if err == io.EOF { //nolint:errorlint // readers return io.EOF itself
+		err = validator.CheckFields(b.resp.Trailer)
 	}
-	if malformed := validator.CheckFields(b.resp.Trailer); malformed != nil {
-		b.exchange.finish(false)
-		return malformed
-	}
-	b.exchange.finish(!b.resp.Close)
-	if endsWithConnection(b.resp) {
+	b.exchange.finish(err == nil && !b.resp.Close)
+	if err == nil && endsWithConnection(b.resp) {
 		// The connection has been closed, so no write is in progress for long.
-		if lost := b.exchange.conn.writeLoss(); lost != nil {
-			return &LostConnectionError{Cause: lost}
-		}
+		err = b.exchange.conn.writeLoss()
+	}
+	if err != nil {
+		return &BrokenAnswerError{Part: PartBody, Cause: err}
 	}
-	return err
+	return io.EOF
 }
 
 // Close ends the exchange and closes its connection unless the body has been read
--- a/internal/dispatcher/head.go
+++ b/internal/dispatcher/head.go
@@ -22,19 +22,22 @@
 }
 
 // readHead reads the head of the next answer on the connection. Its error is a
-// *validator.MalformedError if the head is complete and cannot be accepted.
+// *BrokenAnswerError if at least a part of the head has been received.
 func (c *conn) readHead(r *http.Request) (*http.Response, error) {
 	head, err := c.peekHead()
-	if err != nil {
+	if err != nil && c.r.Buffered() == 0 {
 		return nil, err
 	}
-	if err := validator.CheckHead(head); err != nil {
-		return nil, err
+	if err == nil {
+		err = validator.CheckHead(head)
+	}
+	if err != nil {
+		return nil, &BrokenAnswerError{Part: PartHead, Cause: err}
 	}
 	resp, err := http.ReadResponse(c.r, r)
 	if err != nil {
 		// The whole head has been received, so this is no failure of the connection.
-		return nil, &validator.MalformedError{Rule: validator.RuleFraming, Detail: err.Error()}
+		return nil, &BrokenAnswerError{Part: PartHead, Cause: &validator.MalformedError{Rule: validator.RuleFraming, Detail: err.Error()}}
 	}
 	return resp, nil
 }
--- a/internal/dispatcher/http.go
+++ b/internal/dispatcher/http.go
@@ -113,7 +113,7 @@
 			return x.accept(resp)
 		}
 		stale++
-		crossed = &CrossedError{Want: x.request.ID, Got: got}
+		crossed = &BrokenAnswerError{Part: PartHead, Cause: &CrossedError{Want: x.request.ID, Got: got}}
 		if !discardAnswer(resp) {
 			break
 		}
@@ -161,7 +161,7 @@
 		return x.finishNotRun(resp)
 	}
 	if d.Signature != "" && resp.Header.Get(d.Signature) == "" {
-		return x.fail(&UnsignedError{Status: resp.StatusCode}, nil)
+		return x.fail(&BrokenAnswerError{Part: PartHead, Cause: &UnsignedError{Status: resp.StatusCode}}, nil)
 	}
 	header := exchanger.EndToEndHeaders(resp.Header)
 	return &exchanger.Answer{
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -91,13 +91,13 @@
 	return n, err
 }
 
-// writeLoss waits until no write is in progress, and returns the error by which a write saw
-// that the connection was lost; nil if none did. The connection must have been closed.
+// writeLoss waits until no write is in progress, and returns a *LostConnectionError if a
+// write saw that the connection was lost. The connection must have been closed.
 func (c *conn) writeLoss() error {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
 	if isLoss(c.writeErr) {
-		return c.writeErr
+		return &LostConnectionError{Cause: c.writeErr}
 	}
 	return nil
 }
--- a/internal/executor/exchange.go
+++ b/internal/executor/exchange.go
@@ -74,9 +74,9 @@
 	copied bytes.Buffer
 	// complete is set when the body was read to its end.
 	complete bool
-	// truncated is set when the body ended with an error.
-	truncated bool
-	once      sync.Once
+	// err ended the body before it was complete; nil if none did.
+	err  error
+	once sync.Once
 }
 
 // Read returns io.EOF only when the answer is complete.
@@ -90,7 +90,9 @@
 		b.complete = true
 		b.finish()
 	}
-	b.truncated = err != nil && !b.complete
+	if err != nil && !b.complete {
+		b.err = err
+	}
 	return n, err
 }
 
@@ -103,6 +105,9 @@
 
 func (b *trackedBody) finish() {
 	b.once.Do(func() {
+		if b.isTruncated() {
+			b.exchange.executor.reportBroken(b.exchange.request, b.err)
+		}
 		b.exchange.end(&b.answer, b.signal())
 		if b.exchange.entry != nil {
 			b.exchange.entry.Complete(time.Now(), b.recordedAnswer())
@@ -110,13 +115,16 @@
 	})
 }
 
-// signal returns what the body shows of the target's health. A truncated body
-// counts against the target unless the caller went away.
+// isTruncated reports whether the target broke off the body. When the caller goes away, the
+// body ends early as well.
+func (b *trackedBody) isTruncated() bool { return b.err != nil && !b.exchange.callerGone() }
+
+// signal returns what the body shows of the target's health.
 func (b *trackedBody) signal() healthSignal {
 	switch {
 	case b.complete:
 		return signalGood
-	case b.truncated && !b.exchange.callerGone():
+	case b.isTruncated():
 		return signalBad
 	default:
 		return signalNone
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -55,6 +55,8 @@
 	InitialRate limiter.RateState
 	// ObserveSent is called with each request that is sent to the target; nil means no call.
 	ObserveSent func(r *exchanger.Request)
+	// ObserveBroken is called with each broken answer of the target; nil means no call.
+	ObserveBroken func(part dispatcher.Part)
 	// ObserveRateLimit is called when the target states another limit on the requests a
 	// second that it accepts, or none; nil means no call.
 	ObserveRateLimit func(perSecond float64, isLimited bool)
@@ -281,6 +283,9 @@
 	if a.Reason == exchanger.ReasonWrongTarget && e.cfg.ReportWrongTarget != nil {
 		e.cfg.ReportWrongTarget(a.TargetID)
 	}
+	if a.Reason != exchanger.ReasonDeadline && a.Reason != exchanger.ReasonCancelled {
+		e.reportBroken(r, a.Err)
+	}
 	x := &exchange{
 		executor: e, request: r, release: release, entry: entry, arrived: arrived, started: started,
 		callerGone: func() bool { return ctx.Err() != nil },
--- a/internal/executor/report.go
+++ b/internal/executor/report.go
@@ -1,16 +1,33 @@
 package executor
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 	"time"
 
 	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/dispatcher"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/limiter"
 	"gentianbarrow.example/internal/logger"
 )
 
+// reportBroken logs and counts an answer of the target that is broken. err is the error that
+// ended it, or nil.
+func (e *Executor) reportBroken(r *exchanger.Request, err error) {
+	var broken *dispatcher.BrokenAnswerError
+	if !errors.As(err, &broken) {
+		return
+	}
+	if e.cfg.ObserveBroken != nil {
+		e.cfg.ObserveBroken(broken.Part)
+	}
+	e.cfg.Log.WriteRequest(logger.AnswerBroken, logger.Fields{
+		RequestID: r.ID, Service: r.Service, Route: r.Route, Version: r.ConfigVersion, Target: r.TargetID, IsCall: r.IsCall, Err: broken,
+	})
+}
+
 func processOf(t blackboard.Target) exchanger.TargetProcess {
 	return exchanger.TargetProcess{ID: t.ID, Started: t.Started}
 }
--- a/internal/logger/events_request.go
+++ b/internal/logger/events_request.go
@@ -97,6 +97,11 @@
 		Meaning: "The node begins to limit the runs of its target that call the service, or ceases to. It does so while their calls wait long for slots. Requests beyond the limit are refused with the reason called-room.",
 		Action:  "If this lasts, the called service needs more targets.",
 	}
+	AnswerBroken = Event{
+		Number: 414, Name: "answer-broken", Level: LevelWarn,
+		Meaning: "The target on this host sent an answer that is malformed, that does not belong to the request, or that ended early. Its connection was closed. The attempt has failed and may have run: the request is sent again if that does no harm, else its caller gets a failure, or an answer that is seen to be cut if its start was sent. The error field holds the part and what is wrong with it.",
+		Action:  "Look at the target in the log line: it, or what stands between it and the node, does not follow HTTP/1.1.",
+	}
 	ForwardRejected = Event{
 		Number: 413, Name: "forward-rejected", Level: LevelWarn,
 		Meaning: "A peer sent a malformed or too large message. The stream was closed.",
@@ -106,6 +111,6 @@
 
 var requestEvents = []Event{
 	DrainStarted, DrainWouldCut, DrainCut,
-	RequestOutcomeUnknown, AnswerTruncated, RequestAnswered, RequestRefused, RequestFailed, RequestNotAdmitted, RequestPanicked, RequestLinesSuppressed, AnswerCrossed, ForwardRejected,
+	RequestOutcomeUnknown, AnswerTruncated, RequestAnswered, RequestRefused, RequestFailed, RequestNotAdmitted, RequestPanicked, RequestLinesSuppressed, AnswerCrossed, AnswerBroken, ForwardRejected,
 	ProcessorShort, ProcessorRecovered, FirmOverPart, LongRequestsHeld, RouteStarved, CallFailed, RunsLimited,
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -9,6 +9,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"gentianbarrow.example/internal/dispatcher"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/retrier"
 	"gentianbarrow.example/pkg/snapshotter"
@@ -65,6 +66,10 @@
 		Name: "gentian_target_requests_total", Labels: []string{"attempt"},
 		Help: "Requests that this node sent to the target on its host. The attempt is first, or repeat if the request was sent to another host before, even if that refused it.",
 	}
+	brokenAnswers = Metric{
+		Name: "gentian_broken_answers_total", Labels: []string{"part"},
+		Help: "Answers of the target on this host that were malformed, belonged to another request or ended early, by the part that was being read: head or body.",
+	}
 	targetRateLimit = Metric{
 		Name: "gentian_target_rate_limit",
 		Help: "Requests a second that the target on this host states that it accepts from all nodes together; -1 when it states no limit.",
@@ -86,7 +91,7 @@
 // Metrics lists the metrics that Meter, RegisterConfig and Traffic register.
 func Metrics() []Metric {
 	return []Metric{
-		latency, queueWait, serviceTime, outcomes, calls, runsLimited, attempts, targetRequests, targetRateLimit, targetStarts, firmsOverPart, linkQueue,
+		latency, queueWait, serviceTime, outcomes, calls, runsLimited, attempts, targetRequests, brokenAnswers, targetRateLimit, targetStarts, firmsOverPart, linkQueue,
 		unread, processorDelay, inFlight, configVersion, configRefusedVersion, configRefused,
 		linkBytes, linkTransfers, packetBytes, packets, limitedFirms, limitDecisions,
 	}
@@ -109,6 +114,7 @@
 	// targetRequests counts by attempt; targetRateLimit is noRateLimit without a limit.
 	targetRequests  *prometheus.CounterVec
 	targetRateLimit prometheus.Gauge
+	brokenAnswers   *prometheus.CounterVec
 	unread          *prometheus.HistogramVec
 	shortage        *shortage
 
@@ -125,6 +131,7 @@
 		outcomes: newCounter(outcomes), attempts: newCounter(attempts), calls: newCounter(calls),
 		runsLimited:     prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: runsLimited.Name, Help: runsLimited.Help}, runsLimited.Labels),
 		targetRequests:  newCounter(targetRequests),
+		brokenAnswers:   newCounter(brokenAnswers),
 		unread:          newHistogram(unread),
 		shortage:        newShortage(registry),
 		targetRateLimit: prometheus.NewGauge(prometheus.GaugeOpts{Name: targetRateLimit.Name, Help: targetRateLimit.Help}),
@@ -146,7 +153,7 @@
 		prometheus.GaugeOpts{Name: processorDelay.Name, Help: processorDelay.Help},
 		func() float64 { return delay().Seconds() },
 	)
-	registry.MustRegister(delayGauge, m.unread, m.latency, m.queueWait, m.serviceTime, m.outcomes, m.calls, m.runsLimited, m.attempts, m.targetRequests, m.targetRateLimit, gauge)
+	registry.MustRegister(delayGauge, m.unread, m.latency, m.queueWait, m.serviceTime, m.outcomes, m.calls, m.runsLimited, m.attempts, m.targetRequests, m.brokenAnswers, m.targetRateLimit, gauge)
 	m.targetRateLimit.Set(noRateLimit)
 	return m
 }
@@ -238,6 +245,13 @@
 	m.targetRequests.WithLabelValues(attempt).Inc()
 }
 
+// RecordBrokenAnswer records a broken answer of the target on this host.
+func (m *Meter) RecordBrokenAnswer(part dispatcher.Part) {
+	if m != nil {
+		m.brokenAnswers.WithLabelValues(string(part)).Inc()
+	}
+}
+
 // RecordRateLimit records the limit that the target on this host states, if any.
 func (m *Meter) RecordRateLimit(perSecond float64, isLimited bool) {
 	if m == nil {
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"gentianbarrow.example/internal/blackboard"
+	"gentianbarrow.example/internal/dispatcher"
 	"gentianbarrow.example/internal/exchanger"
 	"gentianbarrow.example/internal/linker"
 	"gentianbarrow.example/internal/retrier"
@@ -26,6 +27,7 @@
 	m.RecordCall("settle", retrier.OutcomeDone)
 	m.RecordRunsLimited("settle", true)
 	m.RecordUnread(OriginNode, time.Second)
+	m.RecordBrokenAnswer(dispatcher.PartHead)
 	m.RecordSent(&exchanger.Request{Attempt: 1})
 	m.RecordSent(&exchanger.Request{Attempt: 2})
 	RegisterConfig(registry, func() *blackboard.Config { return &blackboard.Config{} })
--- a/internal/soaker/broken_answer_test.go
+++ b/internal/soaker/broken_answer_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"gentianbarrow.example/internal/dispatcher"
 	"gentianbarrow.example/platform/emulator"
 )
 
@@ -26,16 +27,19 @@
 // caller got them as answers of the target.
 func TestBrokenStatus(t *testing.T) {
 	m := newRawMesh(t, statusSeed)
-	for _, status := range []string{"000", "001", "099", "+20", "-00", "20", "2000", "2x0"} {
+	const tries = 2
+	statuses := []string{"000", "001", "099", "+20", "-00", "20", "2000", "2x0"}
+	for _, status := range statuses {
 		t.Run(status, func(t *testing.T) {
 			m.atBothNodes(t, 0, func(t *testing.T, c *emulator.Caller) {
-				m.assertFailed(t, c, 0, kinds()[0], 2, func(x *emulator.RawExchange) {
+				m.assertFailed(t, c, 0, kinds()[0], tries, func(x *emulator.RawExchange) {
 					x.Write("HTTP/1.1 " + status + " Text\r\n" + x.Fields(rawBody) + "Content-Length: " + strconv.Itoa(len(rawBody)) + "\r\n\r\n" + rawBody)
 					x.Keep = true
 				})
 			})
 		})
 	}
+	m.assertReported(t, 0, dispatcher.PartHead, 2*tries*len(statuses))
 }
 
 // TestResetDuringUpload guards against a target that answers an upload at once, sends a
--- a/internal/soaker/raw_mesh_test.go
+++ b/internal/soaker/raw_mesh_test.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"crypto/rand"
+	"fmt"
 	"net/http"
+	"os"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"gentianbarrow.example/internal/dispatcher"
+	"gentianbarrow.example/internal/logger"
 	"gentianbarrow.example/platform/emulator"
 )
 
@@ -110,3 +115,20 @@
 }
 
 func shorten(b []byte) string { return string(b[:min(len(b), 60)]) }
+
+// assertReported waits until the node of a target has logged and counted n broken answers.
+func (m *rawMesh) assertReported(t *testing.T, kind int, part dispatcher.Part, n int) {
+	t.Helper()
+	h := m.hostsOf(dataCentres[0])[kind]
+	counted := fmt.Sprintf("gentian_broken_answers_total{part=%q} %d\n", part, n)
+	for end := time.Now().Add(patience); ; time.Sleep(pollEvery) {
+		log, err := os.ReadFile(h.node.log)
+		assert.NilError(t, err)
+		lines := strings.Count(string(log), logger.AnswerBroken.Name)
+		isCounted := strings.Contains(get(t, h.ip+":7604/metrics"), counted)
+		if lines == n && isCounted {
+			return
+		}
+		assert.Assert(t, time.Now().Before(end), "%d lines in the log, not %d; counted: %t", lines, n, isCounted)
+	}
+}
--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -47,7 +47,8 @@
 // speaks HTTP, such as a target or the store.
 type MalformedError struct {
 	Rule Rule
-	// Detail is the part that violates the rule, or the cause in words.
+	// Detail is the part that violates the rule, or the cause in words. It holds no value of a
+	// field but those that frame the body.
 	Detail string
 }
 
@@ -77,7 +78,7 @@
 // an answer of that version which states one ends where nobody can tell.
 func checkFieldLine(line []byte, hasEncodings bool) error {
 	if line[0] == ' ' || line[0] == '\t' {
-		return &MalformedError{Rule: RuleFolding, Detail: string(line)}
+		return &MalformedError{Rule: RuleFolding, Detail: "a line that begins with a blank"}
 	}
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok {
