--- a/internal/soaker/raw_mesh_test.go
+++ b/internal/soaker/raw_mesh_test.go
@@ -81,7 +81,8 @@
 			answered.Store(true)
 			answer(x)
 		})
-		for reply := c.Ask(m.ctx, rand.Text(), r); ; reply = c.Ask(m.ctx, rand.Text(), r) {
+		for {
+			reply := c.Ask(m.ctx, rand.Text(), r)
 			if answered.Load() {
 				check(reply)
 				break
