Share the listener of the tests that answer byte by byte

A body that ends since its exchange was cancelled, as at its deadline, is no longer reported as one that the target broke.

--- a/internal/commander/view_test.go
+++ b/internal/commander/view_test.go
@@ -41,7 +41,7 @@
 func TestNodesOverBrokenHTTP(t *testing.T) {
 	for _, head := range []string{"HTTP/1.1 200 OK\r\nX Field: v\r\n", "HTTP/2.0 200 OK\r\n", "HTTP/1.1 000 OK\r\n"} {
 		t.Run(head, func(t *testing.T) {
-			a, err := answerer.Listen(head + "Content-Length: 2\r\n\r\n{}")
+			a, err := answerer.Listen("127.0.0.1:0", answerer.Fixed(head+"Content-Length: 2\r\n\r\n{}"))
 			assert.NilError(t, err)
 			defer a.Close()
 			assert.Equal(t, New(io.Discard, io.Discard).Run(t.Context(), []string{"nodes", "--node", a.Address}), ExitUnreachable)
--- a/internal/dispatcher/body.go
+++ b/internal/dispatcher/body.go
@@ -46,8 +46,10 @@
 	return n, b.err
 }
 
-// end ends the exchange. It returns io.EOF if the body is complete, else a *BrokenAnswerError.
+// end ends the exchange. It returns io.EOF if the body is complete, else a *BrokenAnswerError
+// unless the exchange was cancelled.
 func (b *answerBody) end(err error) error {
+	isCancelled := b.exchange.ctx.Err() != nil
 	if err == io.EOF { //nolint:errorlint // readers return io.EOF itself
 		err = validator.CheckFields(b.resp.Trailer)
 	}
@@ -56,10 +58,14 @@
 		// The connection has been closed, so no write is in progress for long.
 		err = b.exchange.conn.writeLoss()
 	}
-	if err != nil {
+	switch {
+	case err == nil:
+		return io.EOF
+	case isCancelled:
+		return err
+	default:
 		return &BrokenAnswerError{Part: PartBody, Cause: err}
 	}
-	return io.EOF
 }
 
 // Close ends the exchange and closes its connection unless the body has been read
--- a/internal/dispatcher/health_test.go
+++ b/internal/dispatcher/health_test.go
@@ -44,7 +44,7 @@
 		"HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(answer, func(t *testing.T) {
-			a, err := answerer.Listen(answer)
+			a, err := answerer.Listen("127.0.0.1:0", answerer.Fixed(answer))
 			assert.NilError(t, err)
 			defer a.Close()
 			var malformed *validator.MalformedError
--- a/internal/validator/transport_test.go
+++ b/internal/validator/transport_test.go
@@ -28,7 +28,7 @@
 		"HTTP/1.1 200 OK\r\nContent-Length : 9\r\n" + length:        RuleFieldName,
 	} {
 		t.Run(head, func(t *testing.T) {
-			a, err := answerer.Listen(head + "\r\n{}")
+			a, err := answerer.Listen("127.0.0.1:0", answerer.Fixed(head+"\r\n{}"))
 			assert.NilError(t, err)
 			defer a.Close()
 			base := &http.Transport{}
--- a/pkg/storer/broken_answer_test.go
+++ b/pkg/storer/broken_answer_test.go
@@ -22,7 +22,7 @@
 // newAnswered returns a client of a platform that answers each call with the same bytes.
 func newAnswered(t *testing.T, answer string) (storer.Client, *answerer.Answerer) {
 	t.Helper()
-	a, err := answerer.Listen(answer)
+	a, err := answerer.Listen("127.0.0.1:0", answerer.Fixed(answer))
 	assert.NilError(t, err)
 	t.Cleanup(a.Close)
 	return storer.NewHTTPClient("http://" + a.Address), a
