--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -8,6 +8,9 @@
 //     milliseconds), Gentian-Depth, Gentian-Attempt from the second attempt on
 //     and, if the caller sent one, Idempotency-Key. A target copies deadline,
 //     depth and attempt to the calls that it makes.
+//   - The head of every answer follows HTTP/1.1 to the letter, as package validator says.
+//     Lines are not folded. A body ends by its length, its last chunk, or the close of its
+//     connection.
 //   - Every answer carries the Gentian-Request-Id of its request. An answer
 //     with another one is discarded.
 //   - An answer with Gentian-Shed: not-run means that the target did not start
