soaker: a broken head must be answered 502, not only not passed on

assertBadGateway replaces the check that took a closed connection for an answer as well; only where a part of a body may have been sent may the caller see a cut.

--- a/internal/soaker/broken_answer_test.go
+++ b/internal/soaker/broken_answer_test.go
@@ -32,7 +32,7 @@
 	for _, status := range statuses {
 		t.Run(status, func(t *testing.T) {
 			m.atBothNodes(t, 0, func(t *testing.T, c *emulator.Caller) {
-				m.assertFailed(t, c, 0, kinds()[0], tries, func(x *emulator.RawExchange) {
+				m.assertBadGateway(t, c, 0, kinds()[0], tries, func(x *emulator.RawExchange) {
 					x.Write("HTTP/1.1 " + status + " Text\r\n" + x.Fields(rawBody) + "Content-Length: " + strconv.Itoa(len(rawBody)) + "\r\n\r\n" + rawBody)
 					x.Keep = true
 				})
@@ -51,20 +51,18 @@
 	upload := kinds()[2]
 	upload.Bytes = brokenUploadBytes
 	part := strings.Repeat("part of a body; ", 4000)
-	for name, framing := range map[string]string{
-		"without a length": "",
-		"closing":          "Connection: close\r\n",
-		"with a length":    fmt.Sprintf("Content-Length: %d\r\n", 2*len(part)),
-		"in chunks":        "Transfer-Encoding: chunked\r\n",
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+	for name, cut := range map[string]struct{ framing, body string }{
+		"without a length": {"", part},
+		"closing":          {"Connection: close\r\n", part},
+		"with a length":    {fmt.Sprintf("Content-Length: %d\r\n", 2*len(part)), part},
+		"in chunks":        {"Transfer-Encoding: chunked\r\n", chunk},
 	} {
-		if name == "in chunks" {
-			part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
-		}
 		t.Run(name, func(t *testing.T) {
 			m.atBothNodes(t, 2, func(t *testing.T, c *emulator.Caller) {
-				m.assertFailed(t, c, 2, upload, tries, func(x *emulator.RawExchange) {
+				m.assertNotWhole(t, c, 2, upload, tries, func(x *emulator.RawExchange) {
 					time.Sleep(5 * time.Millisecond)
-					x.Write("HTTP/1.1 200 OK\r\n" + x.Fields(rawBody) + framing + "\r\n" + part)
+					x.Write("HTTP/1.1 200 OK\r\n" + x.Fields(rawBody) + cut.framing + "\r\n" + cut.body)
 					x.Reset()
 				})
 			})
@@ -94,7 +92,7 @@
 		t.Run(name, func(t *testing.T) {
 			m.atBothNodes(t, 0, func(t *testing.T, c *emulator.Caller) {
 				for _, framing := range []string{"", fmt.Sprintf("Content-Length: %d\r\n", len(rawBody))} {
-					m.assertFailed(t, c, 0, kinds()[0], 1, func(x *emulator.RawExchange) {
+					m.assertBadGateway(t, c, 0, kinds()[0], 1, func(x *emulator.RawExchange) {
 						x.Write("HTTP/1.1 200 OK\r\n" + x.Fields(rawBody) + field + "\r\n" + framing + "\r\n" + rawBody)
 						x.Keep = framing != ""
 					})
@@ -123,7 +121,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			m.atBothNodes(t, 0, func(t *testing.T, c *emulator.Caller) {
-				m.assertFailed(t, c, 0, kinds()[0], 2, func(x *emulator.RawExchange) {
+				m.assertNotWhole(t, c, 0, kinds()[0], 2, func(x *emulator.RawExchange) {
 					x.Write(answer.version + " 200 OK\r\n" + x.Fields(rawBody) + answer.fields + "\r\n" + answer.body)
 				})
 			})
--- a/internal/soaker/raw_mesh_test.go
+++ b/internal/soaker/raw_mesh_test.go
@@ -98,23 +98,37 @@
 	}
 }
 
-// assertFailed checks that answers of the target are not passed on, and that no other
+// askForBroken is ask for answers that must not be passed on. It checks as well that no other
 // request comes on a connection that has carried one.
-func (m *rawMesh) assertFailed(t *testing.T, c *emulator.Caller, kind int, r emulator.Request, n int, answer func(x *emulator.RawExchange)) {
+func (m *rawMesh) askForBroken(t *testing.T, c *emulator.Caller, kind int, r emulator.Request, n int, answer func(x *emulator.RawExchange), check func(reply emulator.Reply)) {
 	t.Helper()
 	var reused atomic.Int64
 	m.ask(t, c, kind, r, n, func(x *emulator.RawExchange) {
 		reused.Add(int64(x.Sequence - 1))
 		answer(x)
-	}, func(reply emulator.Reply) {
-		if reply.Err != nil {
-			return
-		}
-		assert.Check(t, reply.Status/100 == 5 && !reply.IsSigned(), "the caller got status %d, header %v, body %q", reply.Status, reply.Header, shorten(reply.Body))
-	})
+	}, check)
 	assert.Check(t, reused.Load() == 0, "the connection was used again")
 }
 
+// assertBadGateway checks that callers are told that there is no answer of the target.
+func (m *rawMesh) assertBadGateway(t *testing.T, c *emulator.Caller, kind int, r emulator.Request, n int, answer func(x *emulator.RawExchange)) {
+	t.Helper()
+	m.askForBroken(t, c, kind, r, n, answer, func(reply emulator.Reply) {
+		assert.NilError(t, reply.Err)
+		assert.Check(t, reply.Status == http.StatusBadGateway && !reply.IsSigned(), "the caller got status %d, header %v, body %q", reply.Status, reply.Header, shorten(reply.Body))
+	})
+}
+
+// assertNotWhole checks that callers are told that there is no answer of the target, or see
+// that it is cut.
+func (m *rawMesh) assertNotWhole(t *testing.T, c *emulator.Caller, kind int, r emulator.Request, n int, answer func(x *emulator.RawExchange)) {
+	t.Helper()
+	m.askForBroken(t, c, kind, r, n, answer, func(reply emulator.Reply) {
+		isCut := reply.Err != nil
+		assert.Check(t, isCut || reply.Status == http.StatusBadGateway && !reply.IsSigned(), "the caller got status %d, header %v, body %q", reply.Status, reply.Header, shorten(reply.Body))
+	})
+}
+
 func shorten(b []byte) string { return string(b[:min(len(b), 60)]) }
 
 // assertReported waits until the node of a target has logged and counted n broken answers.
