review: leaving instances of cases 13 and 14 say that they leave

A leaving instance names Server-Leaving in all its answers and fails its health check, by the users' pages. The stand-in did neither, so it was no sound instance, and the counts of late requests were too high. It does both now, from the moment it sends its leave on. Eight clients a node send requests in place of one, which start 20 ms apart.

Run: review/build-3.sh; review/13/run.sh and review/14/run.sh five times beside cases 11 and 12, and once with TROUBLE=0. The first late answer names Server-Leaving and ends the fault, so what is under way by then is what comes late.

--- a/review/_standin3/forgotten_leave.go
+++ b/review/_standin3/forgotten_leave.go
@@ -24,6 +24,9 @@
 	// forgottenStay and ignoredStay are how long the instances serve after the acknowledgement.
 	forgottenStay = 12 * time.Second
 	ignoredStay   = 7 * time.Second
+	// clientsPerNode is far below the clients of a zone of frothvik-mesh (72 to 97).
+	clientsPerNode = 8
+	clientStagger  = 20 * time.Millisecond
 	// requestDeadline is that of a small site's bookings.
 	requestDeadline = 3 * time.Second
 )
@@ -101,10 +104,11 @@
 	exitAt := acknowledged.Add(stay)
 	var mu sync.Mutex
 	sent, failed, lateArrivals := 0, 0, 0
-	for k, n := range m.nodes {
+	for k := range clientsPerNode * len(m.nodes) {
 		clients.Go(func() {
-			c := &client{record: m.record, node: n.callers}
+			c := &client{record: m.record, node: m.nodes[k%len(m.nodes)].callers}
 			defer c.close()
+			sleep(ctx, time.Duration(k)*clientStagger)
 			for j := 0; time.Now().Before(exitAt.Add(2 * time.Second)); j++ {
 				id := fmt.Sprintf("b%02d%03d%010x", k, j, time.Now().UnixNano()&0xffffffffff)
 				a := c.do(http.MethodPost, "/book/x", id, requestDeadline, []piece{{bytes: 1200}})
--- a/review/_standin3/instance.go
+++ b/review/_standin3/instance.go
@@ -45,6 +45,8 @@
 	// rejectsEarly reports whether a request with a body is rejected before it is read; nil
 	// means never. Guarded by mu.
 	rejectsEarly func(id string) bool
+	// isLeaving is set once the instance has begun to leave. Guarded by mu.
+	isLeaving bool
 	// breaksOff reports whether the answer to a request ends early; nil means never. Guarded by mu.
 	breaksOff func(id string) bool
 	// conns are the open connections. Guarded by mu.
@@ -103,7 +105,7 @@
 // answer answers one request and reads the rest of its body. It reports whether the connection goes on.
 func (i *instance) answer(conn net.Conn, req *http.Request) bool {
 	if req.URL.Path == healthPath {
-		return i.write(conn, "200 OK", "", "Instance-Id: "+i.id+"\r\n", 0)
+		return i.write(conn, i.health(), "", "Instance-Id: "+i.id+"\r\n", 0)
 	}
 	id := req.Header.Get("Request-Id")
 	i.mu.Lock()
@@ -139,6 +141,26 @@
 	return i.write(conn, "200 OK", id, "Response-Signature: "+signature+"\r\n", i.answerBytes)
 }
 
+// health returns the status of the health check, which a leaving instance fails.
+func (i *instance) health() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.isLeaving {
+		return "503 Service Unavailable"
+	}
+	return "200 OK"
+}
+
+// leavingField is in all answers of a leaving instance.
+func (i *instance) leavingField() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.isLeaving {
+		return "Server-Leaving: 1\r\n"
+	}
+	return ""
+}
+
 func (i *instance) isBrokenOff(id string) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -147,7 +169,7 @@
 
 // writePart sends an answer but for the last bytes of its body.
 func (i *instance) writePart(conn net.Conn, id string) {
-	head := "HTTP/1.1 200 OK\r\nResponse-Signature: " + signature + "\r\nRequest-Id: " + id + "\r\nContent-Length: " + strconv.Itoa(i.answerBytes) + "\r\n\r\n"
+	head := "HTTP/1.1 200 OK\r\n" + i.leavingField() + "Response-Signature: " + signature + "\r\nRequest-Id: " + id + "\r\nContent-Length: " + strconv.Itoa(i.answerBytes) + "\r\n\r\n"
 	_, _ = conn.Write(append([]byte(head), bytes.Repeat([]byte("x"), i.answerBytes*9/10)...))
 }
 
@@ -159,6 +181,7 @@
 
 // write sends an answer with a body of the given length.
 func (i *instance) write(conn net.Conn, status, id, fields string, length int) bool {
+	fields += i.leavingField()
 	if id != "" {
 		fields += "Request-Id: " + id + "\r\n"
 	}
@@ -215,6 +238,9 @@
 // deregister tells the node that the instance leaves, until that is acknowledged, and
 // returns when it was.
 func (i *instance) deregister(ctx context.Context) (acknowledged time.Time, ok bool) {
+	i.mu.Lock()
+	i.isLeaving = true
+	i.mu.Unlock()
 	for range 4 {
 		status := i.send(ctx, "instances.deregister", fmt.Sprintf(`{"born":%d}`, i.born))
 		i.record.note("instance %s deregisters: %d", i.id, status)
